all: the thin path from caller through entry and agent to engine

Cause: nothing stood yet. Ruled out: a store write on the wake-up's path, because the store is slow, counted and sometimes away.

--- /dev/null
+++ b/cmd/foxtailcroft/delete.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/oper/remote"
+)
+
+func deleteCommand() *cobra.Command {
+	var t target
+	var revision int64
+	var dryRun bool
+	cmd := &cobra.Command{
+		Use:               "delete KIND NAME",
+		Short:             "Delete a resource",
+		Args:              cobra.ExactArgs(2),
+		ValidArgsFunction: completeKinds,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			kind, err := kinds.Parse(args[0])
+			if err != nil {
+				return err
+			}
+			w := remote.Write{DryRun: dryRun}
+			if cmd.Flags().Changed("revision") {
+				w.Revision = &revision
+			}
+			if err := t.client().Delete(cmd.Context(), kind, args[1], w); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s deleted\n", kinds.Key(kind, args[1]))
+			return err
+		},
+	}
+	t.add(cmd, "")
+	cmd.Flags().Int64Var(&revision, "revision", 0, "revision that the resource must be at")
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "check without changing anything")
+	return cmd
+}
--- /dev/null
+++ b/cmd/foxtailcroft/dev.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	sample "foxtailcroft/examples"
+	"foxtailcroft/internal/base/logs"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/node/check"
+	"foxtailcroft/internal/node/local"
+	"foxtailcroft/internal/oper/remote"
+)
+
+// readyTimeout bounds the start of the deployment.
+const readyTimeout = 60 * time.Second
+
+func devCommand() *cobra.Command {
+	var checked bool
+	var level string
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a whole deployment with stand-ins in one process on loopback",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runDev(cmd, checked, level)
+		},
+	}
+	cmd.Flags().BoolVar(&checked, "check", false, "send the example requests, judge how each ends, and exit")
+	cmd.Flags().StringVar(&level, "log", "error", "log level: debug, info, warn or error")
+	return cmd
+}
+
+func runDev(cmd *cobra.Command, checked bool, level string) error {
+	log, err := logs.New(os.Stderr, level, "dev")
+	if err != nil {
+		return eris.Wrap(err, "logger")
+	}
+	resources, err := check.Resources(sample.Files)
+	if err != nil {
+		return err
+	}
+	d, closeDev, err := local.Start(cmd.Context(), local.Default(), log)
+	if err != nil {
+		return eris.Wrap(err, "deployment")
+	}
+	defer closeDev()
+	client := remote.New(d.Entries[0], "dev")
+	if err := devReady(cmd.Context(), client, resources); err != nil {
+		return err
+	}
+	if checked {
+		return devCheck(cmd.Context(), cmd.OutOrStdout(), client, d)
+	}
+	if err := devPrint(cmd.OutOrStdout(), d); err != nil {
+		return err
+	}
+	select {
+	case <-cmd.Context().Done():
+		return nil
+	case failed := <-d.Failed():
+		return failed
+	}
+}
+
+// devReady applies the example resources and waits until they are in force.
+func devReady(ctx context.Context, client *remote.Client, resources []kinds.Resource) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := check.Apply(ctx, client, resources); err != nil {
+		return eris.Wrap(err, "example resources")
+	}
+	return check.WaitReady(ctx, client, resources)
+}
+
+func devCheck(ctx context.Context, out io.Writer, client *remote.Client, d *local.Deployment) error {
+	requests, err := check.Requests(sample.Files)
+	if err != nil {
+		return err
+	}
+	return check.Run(ctx, out, client, d.Entries, requests, func(service, body string) int {
+		if book := d.Books[service]; book != nil {
+			return book.Runs(body)
+		}
+		return 0
+	})
+}
+
+func devPrint(out io.Writer, d *local.Deployment) error {
+	for i, e := range d.Entries {
+		if _, err := fmt.Fprintf(out, "entry-%d  %s\n", i+1, e); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "platform %s\n\ntry: foxtailcroft status --entry %s\n", d.PlatformURL, d.Entries[0])
+	return err
+}
--- /dev/null
+++ b/internal/agent/claim/wire.go
@@ -0,0 +1,49 @@
+package claim
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"foxtailcroft/internal/plat/store"
+)
+
+// owner is the value of a partition's owner key; each takeover rewrites it, and
+// every batch is bound to its revision.
+type owner struct {
+	Endpoint string
+	Epoch    int64
+	Nonce    string
+}
+
+// batch is one append to a partition's log.
+type batch struct {
+	Nonce  string
+	Claims []claimed
+}
+
+// claimed is one key with the digest of the call it stands for.
+type claimed struct {
+	Key    string
+	Digest uint64
+}
+
+func ownerKey(service string, partition int) string {
+	return fmt.Sprintf("%s%s/%d/owner", store.ClaimPrefix, service, partition)
+}
+
+func batchPrefix(service string, partition int) string {
+	return fmt.Sprintf("%s%s/%d/log/", store.ClaimPrefix, service, partition)
+}
+
+func batchKey(service string, partition int, sequence int64) string {
+	return fmt.Sprintf("%s%012d", batchPrefix(service, partition), sequence)
+}
+
+func sequenceOf(key string) int64 {
+	n, err := strconv.ParseInt(key[strings.LastIndexByte(key, '/')+1:], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/agent/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard notices that an agent was paused and confirms its epoch before its next order.
+package guard
--- /dev/null
+++ b/internal/agent/work/doc.go
@@ -0,0 +1,4 @@
+// Package work executes attempts at an agent: it checks them against the
+// configuration, waits for a place, runs them on the back end and streams the
+// answer.
+package work
--- /dev/null
+++ b/internal/agent/work/work.go
@@ -0,0 +1,141 @@
+package work
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/agent/claim"
+	"foxtailcroft/internal/agent/gate"
+	"foxtailcroft/internal/agent/slots"
+	"foxtailcroft/internal/agent/tries"
+	"foxtailcroft/internal/back/engine"
+	"foxtailcroft/internal/back/plain"
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/core/plan"
+	"foxtailcroft/internal/core/view"
+	"foxtailcroft/internal/link/peer"
+	"foxtailcroft/internal/link/spread"
+	"foxtailcroft/internal/link/wire"
+	"foxtailcroft/internal/plat/store"
+)
+
+// Worker executes the attempts of one agent.
+type Worker struct {
+	Self     plan.Node
+	Holder   *view.Holder
+	Registry *tries.Registry
+	// Incarnation tells this process from the others that had its name.
+	Incarnation int64
+	Log         *zap.Logger
+	// Slots and Engine are set where a model engine stands behind the agent.
+	Slots  *slots.Manager
+	Engine engine.Engine
+	// Gate, Plain and Store are set where a plain service does.
+	Gate  *gate.Gate
+	Plain plain.Service
+	Store store.Store
+
+	group    conc.WaitGroup
+	draining atomic.Bool
+	mu       sync.Mutex
+	claims   map[int]*claim.Log
+	stops    []func()
+}
+
+// Register adds the worker's calls to a mux.
+func (w *Worker) Register(mux *peer.Mux) {
+	peer.OnNote(mux, wire.MethodPart, func(_ *peer.Conn, p wire.Part) { w.Registry.Part(p) })
+	peer.OnNote(mux, wire.MethodAck, func(_ *peer.Conn, a wire.Ack) { w.Registry.Ack(a.Attempt) })
+	peer.OnCall(mux, wire.MethodRun, w.run)
+	peer.OnCall(mux, wire.MethodRevoke, func(_ context.Context, _ *peer.Conn, r wire.Revoke) (wire.RevokeReply, error) {
+		return wire.RevokeReply{NotRun: w.Registry.Revoke(r.Attempt) && r.Epoch == w.Incarnation}, nil
+	})
+}
+
+// Drain refuses new work from now on.
+func (w *Worker) Drain() {
+	w.draining.Store(true)
+}
+
+// Draining reports whether new work is refused.
+func (w *Worker) Draining() bool {
+	return w.draining.Load()
+}
+
+// Close waits for the attempts under way and stops the claim logs.
+func (w *Worker) Close() {
+	w.group.Wait()
+	w.mu.Lock()
+	stops := w.stops
+	w.mu.Unlock()
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// catchUpTimeout bounds the wait for configuration that a caller already acts on.
+const catchUpTimeout = time.Second
+
+// run accepts or refuses an attempt; what becomes of an accepted one follows as Piece and Done.
+func (w *Worker) run(ctx context.Context, c *peer.Conn, run wire.Run) (wire.RunReply, error) {
+	if run.Resent && run.Epoch != w.Incarnation {
+		return w.reply(run, fault.Failed(fault.EndpointLost, "endpoint %q has restarted since attempt %s was sent", w.Self.Name, run.Attempt)), nil
+	}
+	if run.Revision > w.Holder.View().Revision() {
+		w.catchUp(ctx, c)
+	}
+	if w.draining.Load() && !run.Resent {
+		return w.reply(run, fault.NotRun(fault.Draining, "endpoint %q is leaving", w.Self.Name)), nil
+	}
+	a, fresh, err := w.Registry.Open(c, run)
+	if err != nil {
+		return w.reply(run, fault.Of(err)), nil
+	}
+	if fresh {
+		w.group.Go(func() { w.execute(a) })
+	}
+	return w.reply(run, nil), nil
+}
+
+func (w *Worker) reply(run wire.Run, refusal *fault.Refusal) wire.RunReply {
+	return wire.RunReply{Refusal: refusal, Load: w.load(run), Revision: w.Holder.View().Revision(), Epoch: w.Incarnation}
+}
+
+// catchUp pulls the configuration that the sender of a message acts on.
+func (w *Worker) catchUp(ctx context.Context, c *peer.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := spread.Pull(ctx, c, w.Holder, "", 0); err != nil {
+		w.Log.Info("catching up failed", zap.String("From", c.Remote().Node), zap.Error(err))
+	}
+}
+
+func (w *Worker) load(run wire.Run) wire.Load {
+	if w.Gate != nil {
+		return w.Gate.Load()
+	}
+	return w.Slots.Load(run.Model)
+}
+
+// execute runs a fresh attempt to its end.
+func (w *Worker) execute(a *tries.Attempt) {
+	ctx, cancel := context.WithDeadline(a.Ctx, a.Deadline)
+	defer cancel()
+	var d wire.Done
+	switch {
+	case a.Run.Service != "" && w.Gate != nil && a.Run.Service == w.Self.Service:
+		d = w.call(ctx, a)
+	case a.Run.Service == "" && w.Slots != nil:
+		d = w.generate(ctx, a)
+	default:
+		d.Refusal = fault.NotRun(fault.NoSlot, "endpoint %q does not serve %q", w.Self.Name, a.Run.Service+a.Run.Model)
+	}
+	d.Load = w.load(a.Run)
+	d.Revision = w.Holder.View().Revision()
+	a.Finish(d)
+}
--- /dev/null
+++ b/internal/back/plain/doc.go
@@ -0,0 +1,2 @@
+// Package plain speaks to plain services over HTTP.
+package plain
--- /dev/null
+++ b/internal/core/audit/doc.go
@@ -0,0 +1,2 @@
+// Package audit defines the records of changes to resources and of decisions.
+package audit
--- /dev/null
+++ b/internal/core/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault defines the typed errors of the system: refusals, unknown outcomes, field errors and conflicts.
+package fault
--- /dev/null
+++ b/internal/core/kinds/check.go
@@ -0,0 +1,75 @@
+package kinds
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+
+	"foxtailcroft/internal/core/fault"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,98}[a-z0-9])?$`)
+
+var validate = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	err := v.RegisterValidation("resourcename", func(fl validator.FieldLevel) bool {
+		return namePattern.MatchString(fl.Field().String())
+	})
+	if err != nil {
+		panic(err)
+	}
+	return v
+})
+
+// Check returns a *fault.Fields that names each field of the resource that breaks a rule, or nil.
+func Check(r Resource) error {
+	var list []fault.Field
+	if !namePattern.MatchString(r.Name) {
+		list = append(list, fault.Field{Path: "Name", Value: r.Name, Rule: "must be 1 to 100 lower-case letters, digits, dots or dashes"})
+	}
+	list = append(list, CheckStruct("Spec", r.Spec())...)
+	if len(list) == 0 {
+		return nil
+	}
+	return &fault.Fields{List: list}
+}
+
+// CheckStruct applies the validate tags of a struct and returns the breaches with paths below prefix.
+func CheckStruct(prefix string, v any) []fault.Field {
+	err := validate().Struct(v)
+	if err == nil {
+		return nil
+	}
+	var breaches validator.ValidationErrors
+	if !errors.As(err, &breaches) {
+		return []fault.Field{{Path: prefix, Value: "", Rule: err.Error()}}
+	}
+	var list []fault.Field
+	for _, b := range breaches {
+		_, path, _ := strings.Cut(b.StructNamespace(), ".")
+		if prefix != "" {
+			path = prefix + "." + path
+		}
+		list = append(list, fault.Field{Path: path, Value: fmt.Sprint(b.Value()), Rule: rule(b)})
+	}
+	return list
+}
+
+// rule words a breached validate tag.
+func rule(b validator.FieldError) string {
+	words := map[string]string{
+		"required": "is required", "gt": "must be greater than " + b.Param(), "gte": "must be at least " + b.Param(),
+		"lte": "must be at most " + b.Param(), "max": "must be at most " + b.Param() + " long", "min": "must have at least " + b.Param(),
+		"ltefield": "must not exceed " + b.Param(), "oneof": "must be one of " + b.Param(),
+		"resourcename":  "must be 1 to 100 lower-case letters, digits, dots or dashes",
+		"hostname_port": "must be host:port", "url": "must be a URL",
+	}
+	if w, ok := words[b.Tag()]; ok {
+		return w
+	}
+	return "breaks the rule " + b.Tag()
+}
--- /dev/null
+++ b/internal/core/kinds/doc.go
@@ -0,0 +1,2 @@
+// Package kinds defines the resources that operators declare and the rules a valid one keeps.
+package kinds
--- /dev/null
+++ b/internal/core/kinds/duration.go
@@ -0,0 +1,29 @@
+package kinds
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration written as text such as "90s" in YAML and JSON.
+type Duration time.Duration
+
+// MarshalText writes the duration in Go's duration format.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration in Go's duration format.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"90s\" or \"10m\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
--- /dev/null
+++ b/internal/entry/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the operators' API: declared resources, their status, watches and the audit trail.
+package admin
--- /dev/null
+++ b/internal/entry/admin/writer.go
@@ -0,0 +1,162 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/core/view"
+	"foxtailcroft/internal/plat/ledger"
+	"foxtailcroft/internal/plat/store"
+)
+
+// Writer accepts changes of resources.
+type Writer struct {
+	store  store.Store
+	ledger *ledger.Ledger
+	holder *view.Holder
+}
+
+// NewWriter returns a writer to the store; references are checked against the holder's view.
+func NewWriter(s store.Store, l *ledger.Ledger, holder *view.Holder) *Writer {
+	return &Writer{store: s, ledger: l, holder: holder}
+}
+
+// anyRevision stands for a write that names no revision.
+const anyRevision int64 = -1
+
+// Put accepts a resource if it is valid and the stored one is at the expected revision.
+func (w *Writer) Put(ctx context.Context, actor string, r kinds.Resource, expected int64, dryRun bool) (kinds.Resource, error) {
+	if err := kinds.Check(r); err != nil {
+		return r, err
+	}
+	if err := checkReferences(w.holder.View(), r); err != nil {
+		return r, err
+	}
+	old, kv, err := w.stored(ctx, r.Key(), expected)
+	if err != nil {
+		return r, err
+	}
+	if err := checkChange(old, r); err != nil {
+		return r, err
+	}
+	r = r.WithGeneration(old.Generation + 1).WithRevision(0)
+	after, err := json.Marshal(r)
+	if err != nil {
+		return r, err
+	}
+	if same(old, r) {
+		return old.WithRevision(kv.Revision), nil
+	}
+	if dryRun {
+		return r.WithRevision(kv.Revision), nil
+	}
+	action := "Update"
+	if kv.Revision == 0 {
+		action = "Create"
+	}
+	revision, err := w.ledger.Write(ctx, ledger.Change{Key: r.Key(), Before: kv.Value, After: after, From: kv.Revision, Actor: actor, Action: action})
+	return r.WithRevision(revision), err
+}
+
+// Delete removes a resource that nothing refers to.
+func (w *Writer) Delete(ctx context.Context, actor string, kind kinds.Kind, name string, expected int64, dryRun bool) (int64, error) {
+	key := kinds.Key(kind, name)
+	_, kv, err := w.stored(ctx, key, expected)
+	if err != nil {
+		return 0, err
+	}
+	if kv.Revision == 0 {
+		return 0, &fault.Missing{Key: key}
+	}
+	if err := checkUnused(w.holder.View(), kind, name); err != nil || dryRun {
+		return kv.Revision, err
+	}
+	return w.ledger.Write(ctx, ledger.Change{Key: key, Before: kv.Value, From: kv.Revision, Actor: actor, Action: "Delete"})
+}
+
+// stored reads a resource and compares its revision with the expected one.
+func (w *Writer) stored(ctx context.Context, key string, expected int64) (kinds.Resource, store.KV, error) {
+	var old kinds.Resource
+	kv, ok, err := w.store.Get(ctx, store.StatePrefix+key)
+	if err != nil {
+		return old, kv, err
+	}
+	if !ok {
+		kv = store.KV{}
+	} else if err := json.Unmarshal(kv.Value, &old); err != nil {
+		return old, kv, fmt.Errorf("stored value of %s: %w", key, err)
+	}
+	if expected != anyRevision && expected != kv.Revision {
+		return old, kv, &fault.Conflict{Key: key, Expected: expected, Actual: kv.Revision}
+	}
+	return old, kv, nil
+}
+
+// same reports whether two resources have equal specs.
+func same(a, b kinds.Resource) bool {
+	if a.Kind != b.Kind {
+		return false
+	}
+	x, errX := json.Marshal(a.Spec())
+	y, errY := json.Marshal(b.Spec())
+	return errX == nil && errY == nil && string(x) == string(y)
+}
+
+// checkReferences refuses a resource that names one that is not declared.
+func checkReferences(v *view.View, r kinds.Resource) error {
+	switch r.Kind {
+	case kinds.Adapter:
+		if _, ok := v.Model(r.Adapter.Model); !ok {
+			return fieldError("Spec.Model", r.Adapter.Model, "names no declared Model")
+		}
+		if _, ok := v.Model(r.Name); ok {
+			return fieldError("Name", r.Name, "is the name of a Model, which requests could not tell apart")
+		}
+	case kinds.Model:
+		if _, ok := v.Adapter(r.Name); ok {
+			return fieldError("Name", r.Name, "is the name of an Adapter, which requests could not tell apart")
+		}
+		if r.Model.Policy == "" || r.Model.Policy == kinds.DefaultPolicy {
+			return nil
+		}
+		if _, ok := v.Entry(kinds.Key(kinds.Policy, r.Model.Policy)); !ok {
+			return fieldError("Spec.Policy", r.Model.Policy, "names no declared Policy")
+		}
+	}
+	return nil
+}
+
+// checkChange refuses changes that running state depends on.
+func checkChange(old, r kinds.Resource) error {
+	if r.Kind != kinds.Service || old.Service == nil || old.Service.Partitions() == r.Service.Partitions() {
+		return nil
+	}
+	// Another number of partitions would look up remembered keys in the wrong logs.
+	return fieldError("Spec.ClaimPartitions", fmt.Sprint(r.Service.ClaimPartitions), fmt.Sprintf("cannot change from %d", old.Service.Partitions()))
+}
+
+// checkUnused refuses to delete a resource that others name.
+func checkUnused(v *view.View, kind kinds.Kind, name string) error {
+	switch kind {
+	case kinds.Model:
+		for _, a := range v.Resources(kinds.Adapter) {
+			if a.Adapter.Model == name {
+				return fieldError("Name", name, fmt.Sprintf("is the base model of Adapter %q", a.Name))
+			}
+		}
+	case kinds.Policy:
+		for _, m := range v.Resources(kinds.Model) {
+			if m.Model.Policy == name {
+				return fieldError("Name", name, fmt.Sprintf("is the policy of Model %q", m.Name))
+			}
+		}
+	}
+	return nil
+}
+
+func fieldError(path, value, rule string) error {
+	return &fault.Fields{List: []fault.Field{{Path: path, Value: value, Rule: rule}}}
+}
--- /dev/null
+++ b/internal/entry/admit/doc.go
@@ -0,0 +1,2 @@
+// Package admit bounds the requests that an entry carries at once.
+package admit
--- /dev/null
+++ b/internal/entry/caller/chat.go
@@ -0,0 +1,122 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/entry/calls"
+	"foxtailcroft/internal/entry/route"
+)
+
+// chatBody is the part of a chat completion request that routing reads.
+type chatBody struct {
+	Model    string            `json:"model"`
+	Stream   bool              `json:"stream"`
+	Messages []json.RawMessage `json:"messages"`
+}
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	began := time.Now()
+	req, chat, err := s.parseChat(w, r)
+	if err != nil {
+		s.count(req, chat.Model, calls.Result{}, began, err)
+		refuse(w, req.ID, err)
+		return
+	}
+	leave, err := s.limit.Enter(req.Class)
+	if err != nil {
+		s.count(req, chat.Model, calls.Result{}, began, err)
+		refuse(w, req.ID, err)
+		return
+	}
+	defer leave()
+	out := newChatWriter(w, req.ID, chat, began, s.first)
+	res, err := s.doer.Do(r.Context(), req, out)
+	s.count(req, chat.Model, res, began, err)
+	out.end(res, err)
+}
+
+// parseChat reads and checks a chat completion request.
+func (s *Server) parseChat(w http.ResponseWriter, r *http.Request) (calls.Request, chatBody, error) {
+	var chat chatBody
+	req, err := s.begin(r)
+	if err != nil {
+		return req, chat, err
+	}
+	if req.Body, err = s.readBody(w, r, req.Deadline); err != nil {
+		return req, chat, err
+	}
+	if err := json.Unmarshal(req.Body, &chat); err != nil {
+		return req, chat, fault.NotRun(fault.BadRequest, "body is not a chat completion request: %v", err)
+	}
+	if len(chat.Messages) == 0 {
+		return req, chat, fault.NotRun(fault.BadRequest, "field messages must have at least one message")
+	}
+	model, adapter, err := s.resolve(chat.Model)
+	req.Adapter = adapter
+	req.Target = route.Target{Model: model, Partition: -1, Prefix: prefix(adapter, chat.Messages)}
+	req.Key = ""
+	return req, chat, err
+}
+
+// resolve returns the model that serves a name, and the adapter if the name is one.
+func (s *Server) resolve(name string) (model, adapter string, err error) {
+	v := s.holder.View()
+	if _, ok := v.Model(name); ok {
+		return name, "", nil
+	}
+	if a, ok := v.Adapter(name); ok {
+		return a.Adapter.Model, name, nil
+	}
+	return "", "", fault.NotRun(fault.NotFound, "field model: %q is neither a declared Model nor an Adapter", name)
+}
+
+// prefix hashes what a request shares with others: its adapter and its first message, if more follow.
+func prefix(adapter string, messages []json.RawMessage) uint64 {
+	if adapter == "" && len(messages) < 2 {
+		return 0
+	}
+	d := xxhash.New()
+	// A hash never fails to take bytes.
+	_, _ = d.WriteString(adapter)
+	if len(messages) > 1 {
+		_, _ = d.Write(messages[0])
+	}
+	return d.Sum64()
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Owner  string `json:"owned_by"`
+		Root   string `json:"root,omitempty"`
+	}
+	out := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	v := s.holder.View()
+	for _, m := range v.Resources(kinds.Model) {
+		out.Data = append(out.Data, model{ID: m.Name, Object: "model", Owner: "operator"})
+	}
+	for _, a := range v.Resources(kinds.Adapter) {
+		out.Data = append(out.Data, model{ID: a.Name, Object: "model", Owner: "operator", Root: a.Adapter.Model})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has gone does not read the list.
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func setResultHeaders(h http.Header, id string, res calls.Result) {
+	h.Set(headerRequestID, id)
+	h.Set(headerCold, strconv.FormatBool(res.Cold))
+	h.Set(headerEndpoint, res.Endpoint)
+}
--- /dev/null
+++ b/internal/entry/caller/server.go
@@ -0,0 +1,131 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/core/view"
+	"foxtailcroft/internal/entry/admit"
+	"foxtailcroft/internal/entry/calls"
+)
+
+// The headers of the callers' API.
+const (
+	headerRequestID = "X-Request-Id"
+	headerTimeout   = "X-Timeout-Ms"
+	headerClass     = "X-Class"
+	headerKey       = "Idempotency-Key"
+	headerNotRun    = "X-Not-Run"
+	headerCold      = "X-Cold-Start"
+	headerReplayed  = "X-Idempotent-Replay"
+	headerEndpoint  = "X-Endpoint"
+)
+
+// Settings bound what callers may ask.
+type Settings struct {
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+	MaxBodyBytes   int64
+}
+
+// Doer carries a request to its end.
+type Doer interface {
+	Do(ctx context.Context, req calls.Request, sink calls.Sink) (calls.Result, error)
+}
+
+// Server serves the callers' API.
+type Server struct {
+	set    Settings
+	holder *view.Holder
+	doer   Doer
+	limit  *admit.Limit
+	log    *zap.Logger
+	first  *metrics.Histogram
+	meters *metrics.Set
+}
+
+// New returns a server that admits requests by the limit and carries them with the doer.
+func New(set Settings, holder *view.Holder, doer Doer, limit *admit.Limit, meters *metrics.Set, log *zap.Logger) *Server {
+	return &Server{
+		set: set, holder: holder, doer: doer, limit: limit, log: log, meters: meters,
+		first: meters.GetOrCreateHistogram("foxtailcroft_first_token_seconds"),
+	}
+}
+
+// Register adds the API to a router.
+func (s *Server) Register(r *httprouter.Router) {
+	r.POST("/v1/chat/completions", s.serveChat)
+	r.GET("/v1/models", s.serveModels)
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
+		r.Handle(method, "/services/:name/*path", s.serveService)
+	}
+}
+
+// begin reads what all requests have in common.
+func (s *Server) begin(r *http.Request) (calls.Request, error) {
+	req := calls.Request{ID: r.Header.Get(headerRequestID), Key: r.Header.Get(headerKey)}
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	class, err := kinds.ParseClass(r.Header.Get(headerClass))
+	if err != nil {
+		return req, fault.NotRun(fault.BadRequest, "header %s: %v", headerClass, err)
+	}
+	req.Class = class
+	timeout, err := s.timeout(r.Header.Get(headerTimeout))
+	if err != nil {
+		return req, err
+	}
+	req.Deadline = time.Now().Add(timeout)
+	return req, nil
+}
+
+func (s *Server) timeout(header string) (time.Duration, error) {
+	if header == "" {
+		return s.set.DefaultTimeout, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms <= 0 || ms > s.set.MaxTimeout.Milliseconds() {
+		return 0, fault.NotRun(fault.BadRequest, "header %s: %q is not a number of milliseconds from 1 to %d", headerTimeout, header, s.set.MaxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// readBody reads the whole body within the size limit and the deadline.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	// A transport without deadlines reads without one.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.set.MaxBodyBytes))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return nil, fault.NotRun(fault.BadRequest, "body exceeds %d bytes", tooLong.Limit)
+	}
+	if err != nil {
+		return nil, fault.NotRun(fault.BadRequest, "body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// count adds a request's end to the metrics and the log.
+func (s *Server) count(req calls.Request, target string, res calls.Result, began time.Time, err error) {
+	outcome := "Answered"
+	if err != nil {
+		outcome = string(fault.Of(err).Code)
+	}
+	s.meters.GetOrCreateCounter(fmt.Sprintf("foxtailcroft_requests_total{outcome=%q,class=%q}", outcome, req.Class)).Inc()
+	s.log.Debug("request ended", zap.String("Request", req.ID), zap.String("Target", target), zap.String("Outcome", outcome),
+		zap.String("Endpoint", res.Endpoint), zap.Int("Attempts", res.Attempts), zap.Bool("Cold", res.Cold), zap.Duration("Took", time.Since(began)), zap.Error(err))
+}
--- /dev/null
+++ b/internal/link/peer/server.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Server accepts connections from other processes.
+type Server struct {
+	mux   *Mux
+	hello func() Hello
+	lis   net.Listener
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+	group conc.WaitGroup
+}
+
+// NewServer returns a server on the listener and the function that stops it and closes its connections.
+func NewServer(lis net.Listener, mux *Mux, hello func() Hello) (*Server, func()) {
+	s := &Server{mux: mux, hello: hello, lis: lis, conns: map[*Conn]struct{}{}}
+	OnCall(mux, methodHello, func(_ context.Context, c *Conn, h Hello) (Hello, error) {
+		c.remote.Store(&h)
+		return s.hello(), nil
+	})
+	return s, s.close
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ctx context.Context) error {
+	for {
+		raw, err := s.lis.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		c := newConn(context.WithoutCancel(ctx), raw, raw.RemoteAddr().String(), s.mux)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.group.Go(func() {
+			<-c.Done()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+}
+
+// Conns returns the live connections.
+func (s *Server) Conns() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+func (s *Server) close() {
+	// A listener closed twice reports that it is closed.
+	_ = s.lis.Close()
+	for _, c := range s.Conns() {
+		c.close()
+	}
+	s.group.Wait()
+}
--- /dev/null
+++ b/internal/link/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire defines the messages between the system's processes.
+package wire
--- /dev/null
+++ b/internal/node/local/doc.go
@@ -0,0 +1,2 @@
+// Package local runs a whole deployment in one process on loopback: stand-ins, agents and entries.
+package local
--- /dev/null
+++ b/internal/oper/remote/client.go
@@ -0,0 +1,177 @@
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxtailcroft/internal/core/audit"
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/entry/admin"
+)
+
+// Client calls the operators' API of any entry.
+type Client struct {
+	base  string
+	actor string
+	http  *http.Client
+}
+
+// callTimeout bounds every call but a watch.
+const callTimeout = 20 * time.Second
+
+// New returns a client of the entry at base URL; actor names the operator in the audit trail.
+func New(base, actor string) *Client {
+	return &Client{base: strings.TrimRight(base, "/"), actor: actor, http: &http.Client{}}
+}
+
+// Problem is a refused call.
+type Problem struct {
+	Status int
+	admin.Problem
+}
+
+// Error quotes the API.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("refused with status %d: %s", p.Status, p.Problem.Error)
+}
+
+// Get returns one resource with its status.
+func (c *Client) Get(ctx context.Context, kind kinds.Kind, name string) (admin.Item, error) {
+	var out admin.Item
+	return out, c.call(ctx, http.MethodGet, "/admin/v1/"+string(kind)+"/"+url.PathEscape(name), nil, nil, &out)
+}
+
+// List returns the resources of a kind.
+func (c *Client) List(ctx context.Context, kind kinds.Kind) (admin.List, error) {
+	var out admin.List
+	return out, c.call(ctx, http.MethodGet, "/admin/v1/"+string(kind), nil, nil, &out)
+}
+
+// Write says how a change is made.
+type Write struct {
+	// Revision is the revision that the resource must be at; nil for any.
+	Revision *int64
+	DryRun   bool
+}
+
+func (w Write) header() http.Header {
+	h := http.Header{}
+	if w.Revision != nil {
+		h.Set("If-Match", strconv.Quote(strconv.FormatInt(*w.Revision, 10)))
+	}
+	return h
+}
+
+func (w Write) query() string {
+	if w.DryRun {
+		return "?dryRun=true"
+	}
+	return ""
+}
+
+// Put creates or changes a resource.
+func (c *Client) Put(ctx context.Context, r kinds.Resource, w Write) (kinds.Resource, error) {
+	var out admin.Item
+	err := c.call(ctx, http.MethodPut, "/admin/v1/"+string(r.Kind)+"/"+url.PathEscape(r.Name)+w.query(), w.header(), r, &out)
+	return out.Resource, err
+}
+
+// Delete removes a resource.
+func (c *Client) Delete(ctx context.Context, kind kinds.Kind, name string, w Write) error {
+	return c.call(ctx, http.MethodDelete, "/admin/v1/"+string(kind)+"/"+url.PathEscape(name)+w.query(), w.header(), nil, nil)
+}
+
+// Cluster returns the state of everything.
+func (c *Client) Cluster(ctx context.Context) (admin.Cluster, error) {
+	var out admin.Cluster
+	return out, c.call(ctx, http.MethodGet, "/admin/v1/Status", nil, nil, &out)
+}
+
+// Audit returns the audit records since a time whose key has a prefix.
+func (c *Client) Audit(ctx context.Context, since time.Time, prefix string) ([]audit.Record, error) {
+	q := url.Values{"prefix": {prefix}}
+	if !since.IsZero() {
+		q.Set("since", since.UTC().Format(time.RFC3339))
+	}
+	var out struct{ Records []audit.Record }
+	err := c.call(ctx, http.MethodGet, "/admin/v1/Audit?"+q.Encode(), nil, nil, &out)
+	return out.Records, err
+}
+
+// Watch calls fn for each change of a kind after a revision, until the context or the stream ends.
+func (c *Client) Watch(ctx context.Context, kind kinds.Kind, after int64, fn func(admin.Event) error) error {
+	resp, err := c.send(ctx, http.MethodGet, fmt.Sprintf("/admin/v1/%s?watch=true&revision=%d", kind, after), nil, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var e admin.Event
+		if err := dec.Decode(&e); err != nil {
+			return err
+		}
+		if err := fn(e); err != nil {
+			return err
+		}
+	}
+}
+
+// call makes one call and decodes its answer.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, method, path, header, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// maxProblem bounds the body of a refusal.
+const maxProblem = 1 << 20
+
+// send makes one call and turns refusals into a *Problem.
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body any) (*http.Response, error) {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("X-Operator", c.actor)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &fault.Away{Part: "entry", Err: err}
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	p := &Problem{Status: resp.StatusCode}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxProblem)).Decode(&p.Problem); err != nil {
+		p.Problem.Error = resp.Status
+	}
+	return nil, p
+}
--- /dev/null
+++ b/internal/oper/remote/doc.go
@@ -0,0 +1,2 @@
+// Package remote is the client of the operators' API.
+package remote
--- /dev/null
+++ b/internal/plat/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet reads the platform's lagging list of instances.
+package fleet
--- /dev/null
+++ b/internal/plat/fleet/fleet.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"foxtailcroft/internal/core/fault"
+)
+
+// Instance is one instance as the platform lists it.
+type Instance struct {
+	Name    string
+	Role    string
+	Address string
+	Region  string
+	Domain  string
+	Leaving bool
+}
+
+// List is the platform's list of live and leaving instances, which lags behind what happens.
+type List interface {
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
+const (
+	callTimeout = 2 * time.Second
+	maxReply    = 64 << 20
+)
+
+// Client reads the list over HTTP.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the list at base URL.
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{url: base + "/v1/instances", http: &http.Client{Transport: transport}}
+}
+
+// Instances returns the list.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &fault.Away{Part: "instance list", Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &fault.Away{Part: "instance list", Err: fmt.Errorf("answered %s", resp.Status)}
+	}
+	var reply struct{ Instances []Instance }
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&reply); err != nil {
+		return nil, &fault.Away{Part: "instance list", Err: err}
+	}
+	return reply.Instances, nil
+}
--- /dev/null
+++ b/internal/plat/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger writes configuration together with its audit record, and settles writes whose answer was lost.
+package ledger
--- /dev/null
+++ b/internal/plat/store/client.go
@@ -0,0 +1,303 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+
+	"foxtailcroft/internal/core/fault"
+)
+
+const (
+	// callTimeout bounds every call but a watch.
+	callTimeout = 1500 * time.Millisecond
+	// watchWindow bounds one watch call, so that a silent connection is replaced.
+	watchWindow = 3 * time.Second
+	// maxReply bounds the bytes read of one answer.
+	maxReply = 64 << 20
+)
+
+// Client reaches the store over HTTP. Its calls stay under a rate budget.
+type Client struct {
+	base   string
+	http   *http.Client
+	budget *rate.Limiter
+	calls  *metrics.Counter
+	failed *metrics.Counter
+}
+
+// NewClient returns a client of the store at base URL; callsPerSecond is its budget.
+func NewClient(base string, transport http.RoundTripper, callsPerSecond float64, set *metrics.Set) *Client {
+	return &Client{
+		base: base, http: &http.Client{Transport: transport},
+		budget: rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond))),
+		calls:  set.GetOrCreateCounter("foxtailcroft_store_calls_total"),
+		failed: set.GetOrCreateCounter("foxtailcroft_store_failed_calls_total"),
+	}
+}
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type wireKV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+func (k wireKV) kv() KV {
+	return KV{Key: string(k.Key), Value: k.Value, Revision: k.ModRevision, Lease: k.Lease}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeReply struct {
+	Header header   `json:"header"`
+	KVs    []wireKV `json:"kvs"`
+}
+
+// Range returns the keys with a prefix.
+func (c *Client) Range(ctx context.Context, prefix string) (List, error) {
+	return c.rangeKeys(ctx, rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+}
+
+// Get returns one key.
+func (c *Client) Get(ctx context.Context, key string) (KV, bool, error) {
+	list, err := c.rangeKeys(ctx, rangeRequest{Key: []byte(key)})
+	if err != nil || len(list.KVs) == 0 {
+		return KV{}, false, err
+	}
+	return list.KVs[0], true, nil
+}
+
+func (c *Client) rangeKeys(ctx context.Context, req rangeRequest) (List, error) {
+	var reply rangeReply
+	if err := c.call(ctx, "/v3/kv/range", req, &reply); err != nil {
+		return List{}, err
+	}
+	list := List{Revision: reply.Header.Revision}
+	for _, kv := range reply.KVs {
+		list.KVs = append(list.KVs, kv.kv())
+	}
+	return list, nil
+}
+
+type wireCompare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type wireOp struct {
+	Put    *wireKV       `json:"request_put,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+	Range  *rangeRequest `json:"request_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []wireCompare `json:"compare"`
+	Success []wireOp      `json:"success"`
+	Failure []wireOp      `json:"failure"`
+}
+
+type txnReply struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+	Responses []struct {
+		Range *rangeReply `json:"response_range"`
+	} `json:"responses"`
+}
+
+// Commit runs a transaction.
+func (c *Client) Commit(ctx context.Context, t Txn) (Result, error) {
+	var req txnRequest
+	for _, cmp := range t.If {
+		req.Compare = append(req.Compare, wireCompare{Key: []byte(cmp.Key), Target: "MOD", Result: "EQUAL", ModRevision: cmp.Revision})
+		req.Failure = append(req.Failure, wireOp{Range: &rangeRequest{Key: []byte(cmp.Key)}})
+	}
+	for _, p := range t.Puts {
+		req.Success = append(req.Success, wireOp{Put: &wireKV{Key: []byte(p.Key), Value: p.Value, Lease: p.Lease}})
+	}
+	for _, d := range t.Deletes {
+		req.Success = append(req.Success, wireOp{Delete: &rangeRequest{Key: []byte(d)}})
+	}
+	var reply txnReply
+	if err := c.call(ctx, "/v3/kv/txn", req, &reply); err != nil {
+		return Result{}, err
+	}
+	res := Result{Succeeded: reply.Succeeded, Revision: reply.Header.Revision}
+	for _, r := range reply.Responses {
+		if r.Range == nil || reply.Succeeded {
+			continue
+		}
+		for _, kv := range r.Range.KVs {
+			res.Found = append(res.Found, kv.kv())
+		}
+	}
+	return res, nil
+}
+
+// Grant returns a new lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	req := struct {
+		TTL int64 `json:"TTL,string"`
+	}{int64(max(1, ttl/time.Second))}
+	var reply struct {
+		ID int64 `json:"ID,string"`
+	}
+	err := c.call(ctx, "/v3/lease/grant", req, &reply)
+	return reply.ID, err
+}
+
+// KeepAlive renews a lease.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) (bool, error) {
+	req := struct {
+		ID int64 `json:"ID,string"`
+	}{lease}
+	var reply struct {
+		Result struct {
+			TTL int64 `json:"TTL,string"`
+		} `json:"result"`
+	}
+	err := c.call(ctx, "/v3/lease/keepalive", req, &reply)
+	return reply.Result.TTL > 0, err
+}
+
+type watchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end"`
+		StartRevision int64  `json:"start_revision,string"`
+	} `json:"create_request"`
+}
+
+type watchReply struct {
+	Result struct {
+		Header header `json:"header"`
+		Events []struct {
+			Type string `json:"type"`
+			KV   wireKV `json:"kv"`
+		} `json:"events"`
+		CompactRevision int64 `json:"compact_revision,string"`
+	} `json:"result"`
+}
+
+// Watch streams changes in windows of watchWindow; a window that ends without an error continues after the last batch.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, fn func(Batch) error) error {
+	for ctx.Err() == nil {
+		next, err := c.watchOnce(ctx, prefix, after, fn)
+		if err != nil {
+			return err
+		}
+		after = next
+	}
+	return ctx.Err()
+}
+
+// watchOnce runs one watch window and returns the revision to continue after.
+func (c *Client) watchOnce(ctx context.Context, prefix string, after int64, fn func(Batch) error) (int64, error) {
+	window, cancel := context.WithTimeout(ctx, watchWindow)
+	defer cancel()
+	var req watchRequest
+	req.Create.Key, req.Create.RangeEnd, req.Create.StartRevision = []byte(prefix), prefixEnd(prefix), after+1
+	resp, err := c.post(window, "/v3/watch", req)
+	if err != nil {
+		return after, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var reply watchReply
+		if err := dec.Decode(&reply); err != nil {
+			if window.Err() != nil && ctx.Err() == nil {
+				return after, nil
+			}
+			return after, &fault.Away{Part: "store watch", Err: err}
+		}
+		if reply.Result.CompactRevision > 0 {
+			return after, &fault.Away{Part: "store watch", Err: fmt.Errorf("revisions up to %d are compacted", reply.Result.CompactRevision)}
+		}
+		batch := Batch{Revision: reply.Result.Header.Revision}
+		for _, e := range reply.Result.Events {
+			batch.Events = append(batch.Events, Event{KV: e.KV.kv(), Deleted: e.Type == "DELETE"})
+		}
+		if len(batch.Events) == 0 {
+			continue
+		}
+		if err := fn(batch); err != nil {
+			return after, err
+		}
+		after = max(after, batch.Revision)
+	}
+}
+
+// call posts one request within callTimeout and decodes its answer.
+func (c *Client) call(ctx context.Context, path string, req, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.post(ctx, path, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(reply); err != nil {
+		c.failed.Inc()
+		return &fault.Away{Part: "store", Err: err, Unsettled: true}
+	}
+	return nil
+}
+
+// post sends one request within the rate budget and checks the status.
+func (c *Client) post(ctx context.Context, path string, req any) (*http.Response, error) {
+	if err := c.budget.Wait(ctx); err != nil {
+		return nil, &fault.Away{Part: "store", Err: fmt.Errorf("call budget: %w", err)}
+	}
+	c.calls.Inc()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(r)
+	if err != nil {
+		c.failed.Inc()
+		return nil, &fault.Away{Part: "store", Err: err, Unsettled: true}
+	}
+	if resp.StatusCode != http.StatusOK {
+		c.failed.Inc()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		err := errors.Join(fmt.Errorf("%s answered %s: %s", path, resp.Status, text), resp.Body.Close())
+		return nil, &fault.Away{Part: "store", Err: err, Unsettled: resp.StatusCode >= http.StatusInternalServerError}
+	}
+	return resp, nil
+}
+
+// prefixEnd returns the smallest key after all keys with the prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/policy/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds the repeats of failed attempts.
+package retry
