--- a/internal/agent/slots/orders.go
+++ b/internal/agent/slots/orders.go
@@ -38,6 +38,9 @@
 // loadEnded notes how a load went.
 func (m *Manager) loadEnded(i *item, r *replica, err error, took time.Duration) {
 	now := time.Now()
+	if m.closed {
+		return
+	}
 	var full *engine.NoMemory
 	switch {
 	case err == nil:
@@ -149,10 +152,20 @@
 	}
 }
 
-// Recover reads back what the engine holds from before this agent, waiting out
-// a predecessor's last order and the age of the engine's reports, and counts
-// it until it is adopted or unloaded.
-func (m *Manager) Recover(ctx context.Context) error {
+// fenceItem is never loaded; unloading it only shows the engine a new fencing number.
+var fenceItem = engine.Item{Model: "foxtailcroft-fence", Version: "0"}
+
+// Recover reads back what the engine holds from before this agent and counts it
+// until it is adopted or unloaded. It first shows the engine the new epoch, so
+// that an engine that checks fencing numbers refuses a predecessor's order
+// which arrives after the reading, and waits out such an order for the others.
+func (m *Manager) Recover(ctx context.Context, epoch int64) error {
+	if err := m.engine.Unload(ctx, engine.Order{Item: fenceItem, Fence: epoch, Check: m.set.Check}); err != nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.noteFenced(err)
+		return err
+	}
 	if err := sleepFor(ctx, m.set.ReportLag+m.set.Grace); err != nil {
 		return err
 	}
--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -33,14 +33,19 @@
 	hello func() Hello
 	// opening lets concurrent callers share one dial and its failure.
 	opening singleflight.Group
-	mu      sync.Mutex
-	conns   map[string]*Conn
-	done    bool
+	// dials counts the dials under way, which end with ctx.
+	dials  sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	conns  map[string]*Conn
+	done   bool
 }
 
 // NewPool returns a pool and the function that closes its connections.
 func NewPool(dial Dialer, mux *Mux, hello func() Hello) (*Pool, func()) {
 	p := &Pool{dial: dial, mux: mux, hello: hello, conns: map[string]*Conn{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p, p.close
 }
 
@@ -53,6 +58,10 @@
 		if conn := p.live(address); conn != nil {
 			return conn, nil
 		}
+		if !p.begin() {
+			return nil, net.ErrClosed
+		}
+		defer p.dials.Done()
 		return p.open(address)
 	})
 	select {
@@ -66,6 +75,16 @@
 	}
 }
 
+// begin counts a dial unless the pool is closed.
+func (p *Pool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.done {
+		p.dials.Add(1)
+	}
+	return !p.done
+}
+
 // live returns the connection to an address unless it has ended.
 func (p *Pool) live(address string) *Conn {
 	p.mu.Lock()
@@ -90,7 +109,7 @@
 
 // open dials, greets and keeps the connection.
 func (p *Pool) open(address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
 	raw, err := p.dial(ctx, address)
 	if err != nil {
@@ -131,6 +150,8 @@
 	p.mu.Lock()
 	p.done = true
 	p.mu.Unlock()
+	p.cancel()
+	p.dials.Wait()
 	for _, c := range p.Conns() {
 		c.close()
 	}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -21,8 +21,8 @@
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/link/spread"
 	"foxtailcroft/internal/link/wire"
-	"foxtailcroft/internal/node/member"
 	"foxtailcroft/internal/node/httpd"
+	"foxtailcroft/internal/node/member"
 )
 
 // Backs are the back ends of an agent; one of them is set.
@@ -152,7 +152,7 @@
 		pause(ctx, time.Second)
 	}
 	if a.Slots != nil && ctx.Err() == nil {
-		a.readEngine(ctx, a.Slots.Recover)
+		a.readEngine(ctx, func(ctx context.Context) error { return a.Slots.Recover(ctx, epoch) })
 		a.Slots.Confirm(epoch)
 		a.log.Info("endpoint taken over", zap.Int64("Epoch", epoch))
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -17,8 +17,8 @@
 	"foxtailcroft/internal/entry/desk"
 	"foxtailcroft/internal/entry/placer"
 	"foxtailcroft/internal/entry/route"
-	"foxtailcroft/internal/node/member"
 	"foxtailcroft/internal/node/httpd"
+	"foxtailcroft/internal/node/member"
 	"foxtailcroft/internal/policy/permit"
 )
 
--- a/internal/standin/motor/motor.go
+++ b/internal/standin/motor/motor.go
@@ -127,6 +127,9 @@
 
 // Load puts an item into memory; a repeat joins the load under way.
 func (m *Motor) Load(ctx context.Context, o engine.Order) error {
+	if err := ctx.Err(); err != nil {
+		return &fault.Away{Part: "engine", Err: err}
+	}
 	if err := o.Allowed(ctx); err != nil {
 		return err
 	}
@@ -200,6 +203,9 @@
 
 // Unload takes an item out of memory; it waits out a load under way.
 func (m *Motor) Unload(ctx context.Context, o engine.Order) error {
+	if err := ctx.Err(); err != nil {
+		return &fault.Away{Part: "engine", Err: err}
+	}
 	if err := o.Allowed(ctx); err != nil {
 		return err
 	}
--- a/internal/standin/platf/memory.go
+++ b/internal/standin/platf/memory.go
@@ -306,3 +306,11 @@
 }
 
 var _ store.Store = (*Memory)(nil)
+
+// Peek returns a key's value past all faults and without counting a call.
+func (m *Memory) Peek(key string) ([]byte, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kv, ok := m.live[key]
+	return kv.Value, ok
+}
