--- a/internal/agent/tries/attempt.go
+++ b/internal/agent/tries/attempt.go
@@ -36,8 +36,20 @@
 	bytes  int
 	digest *xxhash.Digest
 	done   *wire.Done
-	conn   *peer.Conn
-	acked  bool
+	// endedAt is when the answer was closed.
+	endedAt time.Time
+	conn    *peer.Conn
+	acked   bool
+}
+
+// collectFor is how long a stopping agent waits for an entry to collect an answer.
+const collectFor = 5 * time.Second
+
+// awaited reports whether the attempt runs or its answer may yet be collected.
+func (a *Attempt) awaited(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.phase != ended || (!a.acked && now.Sub(a.endedAt) < collectFor)
 }
 
 // Begin moves a pending attempt to running; it reports false if the attempt was revoked.
@@ -74,7 +86,7 @@
 	if a.phase == ended {
 		return
 	}
-	a.phase = ended
+	a.phase, a.endedAt = ended, time.Now()
 	d.Attempt, d.Pieces, d.Digest = a.Run.Attempt, len(a.pieces), a.digest.Sum64()
 	a.done = &d
 	a.send(wire.MethodDone, d)
--- a/internal/agent/tries/registry.go
+++ b/internal/agent/tries/registry.go
@@ -164,17 +164,15 @@
 	return out
 }
 
-// Unacked returns the number of attempts whose answer no entry has acknowledged.
-func (r *Registry) Unacked() int {
+// Awaited returns the number of attempts that run or whose answer may yet be collected.
+func (r *Registry) Awaited() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
+	n, now := 0, time.Now()
 	for _, a := range r.attempts {
-		a.mu.Lock()
-		if !a.acked {
+		if a.awaited(now) {
 			n++
 		}
-		a.mu.Unlock()
 	}
 	return n
 }
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -94,14 +94,10 @@
 	return closeSlots
 }
 
-// Deposed is closed when another agent has taken over the endpoint.
-func (a *Agent) Deposed() <-chan struct{} {
-	return a.deposed
-}
-
 // Start serves peers, and metrics on the listener if there is one, and takes the endpoint over.
 func (a *Agent) Start(t *tree.Tree, metrics net.Listener) {
 	a.Member.Start(t)
+	t.OnClose(a.Web.Close)
 	if metrics != nil {
 		t.Critical("MetricsServer", func(context.Context) error { return a.Web.Serve(metrics) })
 	}
@@ -111,23 +107,37 @@
 		a.takeOver(ctx)
 		<-ctx.Done()
 	})
+	t.Critical("Deposed", a.watchDeposed)
 	if a.Slots == nil {
 		t.Keep("Gate", a.followService)
 		return
 	}
 	t.Keep("Slots", a.Slots.Run)
 	t.Keep("ReadBack", a.readBack)
-	t.Critical("Deposed", a.watchDeposed)
 }
 
-// watchDeposed ends the process when the endpoint belongs to another agent.
+// watchDeposed ends the process, after the work in flight, when the endpoint
+// belongs to another agent: the engine has refused this one's epoch, or the
+// configuration shows a newer one.
 func (a *Agent) watchDeposed(ctx context.Context) error {
-	select {
-	case <-a.deposed:
-		return fault.NotRun(fault.Deposed, "endpoint %q belongs to a newer agent", a.Member.Self.Name)
-	case <-ctx.Done():
-		return nil
+	for {
+		v, changed := a.Member.Holder.Changed()
+		node, _ := v.Node(a.Member.Self.Name)
+		if epoch := a.guard.Epoch(); epoch > 0 && node.Epoch > epoch {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-a.deposed:
+		case <-ctx.Done():
+			return nil
+		}
+		break
 	}
+	a.log.Warn("another agent has taken the endpoint over")
+	a.Drain(ctx)
+	return fault.NotRun(fault.Deposed, "endpoint %q belongs to a newer agent", a.Member.Self.Name)
 }
 
 // takeOver makes this process the endpoint's agent. While the store is away it
@@ -226,7 +236,7 @@
 	a.Member.Announce(a.guard.Epoch())
 	ctx, cancel := context.WithTimeout(ctx, a.set.Drain.Limit.Std())
 	defer cancel()
-	for a.Registry.Unacked() > 0 && ctx.Err() == nil {
+	for a.Registry.Awaited() > 0 && ctx.Err() == nil {
 		pause(ctx, drainPoll)
 	}
 	for _, attempt := range a.Registry.Active() {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -61,6 +61,7 @@
 // Start serves peers, follows the configuration, and serves callers on the listener if there is one.
 func (e *Entry) Start(t *tree.Tree, callers net.Listener) {
 	e.Member.Start(t)
+	t.OnClose(e.Web.Close)
 	if callers != nil {
 		t.Critical("CallerServer", func(context.Context) error { return e.Web.Serve(callers) })
 	}
--- a/internal/node/httpd/server.go
+++ b/internal/node/httpd/server.go
@@ -63,6 +63,13 @@
 	return nil
 }
 
+// Close ends the server at once; requests still in flight are canceled.
+func (s *Server) Close() {
+	s.cut(context.Canceled)
+	// A second close of a server has nothing to report.
+	_ = s.http.Close()
+}
+
 // Shutdown waits for the requests in flight; when the context ends first, it
 // cuts them off with the cause, so that each still gets its refusal.
 func (s *Server) Shutdown(ctx context.Context, cause error) error {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -216,13 +216,6 @@
 	}
 	e, closeEntry := entry.New(conf.DefaultEntry(), o)
 	d.tree.OnClose(closeEntry)
-	d.tree.OnClose(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		if err := e.Web.Shutdown(ctx, context.Canceled); err != nil {
-			d.log.Warn("entry closed with requests in flight", zap.Error(err))
-		}
-	})
 	e.Start(d.tree, callers)
 	d.Entries = append(d.Entries, "http://"+callers.Addr().String())
 	return nil
