--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -48,6 +48,6 @@
 		SilenceErrors: true,
 	}
 	cmd.AddCommand(entryCommand(), agentCommand(), standinCommand(), devCommand(),
-		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand())
+		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand())
 	return cmd
 }
--- a/internal/agent/slots/acquire.go
+++ b/internal/agent/slots/acquire.go
@@ -91,7 +91,7 @@
 	if !r.queue.Push(t, now) {
 		return nil, false, fault.NotRun(fault.Overloaded, "%d requests wait for model %q", queue.Limit, w.Model).WithRetryAfter(r.service)
 	}
-	r.observe(now)
+	r.observe(now, m.coldTime(r))
 	cold := r.phase != loaded || !m.adapterReady(r, w.Adapter)
 	if cold {
 		r.cold++
@@ -101,8 +101,10 @@
 }
 
 // observe adds the gap before an arrival that ends a quiet time.
-func (r *replica) observe(now time.Time) {
-	if !r.quietSince.IsZero() && r.running == 0 && r.queue.Len() == 1 {
+func (r *replica) observe(now time.Time, cold time.Duration) {
+	quiet := r.running == 0 && r.queue.Len() == 1
+	r.crowd.Arrived(now, quiet, cold)
+	if quiet && !r.quietSince.IsZero() {
 		r.gaps.Observe(now.Sub(r.quietSince))
 	}
 	r.hits++
--- a/internal/agent/slots/item.go
+++ b/internal/agent/slots/item.go
@@ -89,6 +89,7 @@
 	// gaps is the time from quietSince, when the last request ended, to the next arrival.
 	gaps       keep.Gaps
 	quietSince time.Time
+	crowd      keep.Crowd
 	service    time.Duration
 	// hits counts requests, cold those of them that waited for a load.
 	hits int64
--- a/internal/agent/slots/pump.go
+++ b/internal/agent/slots/pump.go
@@ -101,13 +101,9 @@
 	if m.eager(v, model, r) {
 		return true
 	}
-	return m.decide(v, r).Loaded(now.Sub(r.quietSince))
-}
-
-// decide asks the keep-alive policy.
-func (m *Manager) decide(v *view.View, r *replica) keep.Decision {
 	policy := v.Policy(r.spec.Policy)
-	return keep.Decide(&r.gaps, keep.Costs{ColdStart: m.coldTime(r), Price: policy.ColdStartPrice, Max: policy.MaxKeepAlive.Std()})
+	keepFor := keep.KeepAlive(&r.gaps, keep.Costs{ColdWait: r.crowd.Wait(m.coldTime(r)), Price: policy.ColdStartPrice, Max: policy.MaxKeepAlive.Std()})
+	return now.Sub(r.quietSince) < keepFor
 }
 
 func (m *Manager) coldTime(r *replica) time.Duration {
@@ -132,9 +128,7 @@
 	model := r.name.Model
 	if r.phase == dormant && now.After(r.retryAt) && m.mayLoad(v, model) {
 		if r.queue.Len() > 0 || m.eager(v, model, r) {
-			m.wake(r, true)
-		} else if d := m.decide(v, r); d.WakeAt > 0 && d.Loaded(now.Sub(r.quietSince)) && now.Sub(r.quietSince) >= d.WakeAt {
-			m.wake(r, false)
+			m.wake(r)
 		}
 	}
 	if r.phase != loaded || r.name.Version != r.spec.Version {
@@ -200,15 +194,12 @@
 	}
 }
 
-// wake loads the base model if it fits, or makes room first; only a wake that is asked for evicts.
-func (m *Manager) wake(r *replica, asked bool) {
+// wake loads the base model if it fits, or makes room first.
+func (m *Manager) wake(r *replica) {
 	if m.strayOf(r.name.Model) {
 		return
 	}
 	r.name, r.bytes = engine.Item{Model: r.name.Model, Version: r.spec.Version}, r.spec.MemoryBytes
-	if !asked && m.used()+r.bytes > m.set.MemoryBytes {
-		return
-	}
 	if !m.makeRoom(r.bytes, r) {
 		return
 	}
--- /dev/null
+++ b/internal/lab/sheet/doc.go
@@ -0,0 +1,2 @@
+// Package sheet prints the tables of the measured policies.
+package sheet
