--- a/internal/agent/slots/pump.go
+++ b/internal/agent/slots/pump.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	policy := v.Policy(r.spec.Policy)
-	keepFor := keep.KeepAlive(&r.gaps, keep.Costs{ColdWait: r.crowd.Wait(m.coldTime(r)), Price: policy.ColdStartPrice, Max: policy.MaxKeepAlive.Std()})
+	keepFor := keep.Alive(&r.gaps, keep.Costs{ColdWait: r.crowd.Wait(m.coldTime(r)), Price: policy.ColdStartPrice, Max: policy.MaxKeepAlive.Std()})
 	return now.Sub(r.quietSince) < keepFor
 }
 
--- a/internal/lab/trial/policy.go
+++ b/internal/lab/trial/policy.go
@@ -111,5 +111,5 @@
 
 // Decide asks the policy that the agents run.
 func (l *Learned) Decide(model int, c keep.Costs, _ Future) time.Duration {
-	return keep.KeepAlive(&l.gaps[model], c)
+	return keep.Alive(&l.gaps[model], c)
 }
--- a/internal/policy/keep/decide.go
+++ b/internal/policy/keep/decide.go
@@ -24,9 +24,9 @@
 	return min(c.Max, time.Duration(c.Price*float64(c.ColdWait)))
 }
 
-// KeepAlive returns the time that an idle replica stays loaded at the least
+// Alive returns the time that an idle replica stays loaded at the least
 // expected cost under the observed gaps.
-func KeepAlive(g *Gaps, c Costs) time.Duration {
+func Alive(g *Gaps, c Costs) time.Duration {
 	if c.Max == 0 {
 		c.Max = DefaultMax
 	}
