policy/pick: leave headroom in the admission forecast

Cause: at three times capacity the queue filled to the last request that was forecast in time; those ended just past their deadlines after using their places. Ruled out: the queue's order (one class, first come first served) and the forecast's mean (480 ms, as served).

--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -129,7 +129,13 @@
 	return wait > nextCold
 }
 
+// headroom is the part of the remaining time that a forecast answer must leave
+// free. Under overload a queue fills up to the last answer that is forecast in
+// time, so without headroom every request there ends on the wrong side of its
+// deadline as often as not, after it has used up its place.
+const headroom = 8
+
 // InTime reports whether an answer is expected before the deadline.
 func InTime(wait, service, remaining time.Duration) bool {
-	return wait+service <= remaining
+	return wait+service <= remaining-remaining/headroom
 }
