link/spread: watch on from the known revision instead of reading all again

Cause: every member fed from the store in its first minute, because its view was empty when it first ranked the relays, and each relay read the whole configuration again every minute (3 MB at the size to design for). Ruled out: the planner and the agents, which read nothing at rest. Change: followers wait for the first configuration; a feed starts its watch at the view's revision and reads all only after a compaction.

--- a/internal/link/spread/feed.go
+++ b/internal/link/spread/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/view"
 	"foxtailcroft/internal/plat/store"
 )
@@ -27,11 +28,22 @@
 	return true, nil
 }
 
-// Feed watches the store and applies each change to the holder until the context ends or the watch fails.
+// Feed watches the store from the holder's revision on and applies each change
+// until the context ends or the watch fails. It reads the whole configuration
+// only where the store no longer has all changes since that revision.
 func Feed(ctx context.Context, s store.Store, holder *view.Holder) error {
+	err := watch(ctx, s, holder)
+	var compacted *store.Compacted
+	if !fault.As(err, &compacted) {
+		return err
+	}
 	if _, err := Load(ctx, s, holder); err != nil {
 		return err
 	}
+	return watch(ctx, s, holder)
+}
+
+func watch(ctx context.Context, s store.Store, holder *view.Holder) error {
 	return s.Watch(ctx, store.StatePrefix, holder.View().Revision(), func(b store.Batch) error {
 		d := view.Delta{Revision: b.Revision}
 		for _, e := range b.Events {
--- a/internal/link/spread/follow.go
+++ b/internal/link/spread/follow.go
@@ -55,6 +55,11 @@
 
 // step pulls once from the relay of that rank, or feeds from the store.
 func (f *Follower) step(ctx context.Context, rank int) error {
+	if f.Holder.View().Revision() == 0 {
+		// The first configuration comes from Bootstrap.
+		pause(ctx, bootstrapWait)
+		return nil
+	}
 	relays := f.relays()
 	if rank >= len(relays) {
 		if rank > 0 {
@@ -92,8 +97,12 @@
 	return err
 }
 
-// feedWindow is how often a relay asks itself whether it still is one.
-const feedWindow = time.Minute
+const (
+	// feedWindow is how often a relay asks itself whether it still is one.
+	feedWindow = 9 * time.Second
+	// bootstrapWait is how often a follower looks whether there is a first configuration.
+	bootstrapWait = 50 * time.Millisecond
+)
 
 // relays returns the domain's nodes by rank, those that failed lately left out; the node itself is always among them.
 func (f *Follower) relays() []plan.Node {
--- /dev/null
+++ b/internal/node/local/bench_test.go
@@ -0,0 +1,183 @@
+package local
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/engine"
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/node/check"
+	"foxtailcroft/internal/oper/remote"
+	"foxtailcroft/internal/standin/motor"
+)
+
+const benchModel = "bench"
+
+// benchDeployment starts one entry before one instant engine that holds the model.
+func benchDeployment(b *testing.B, tokenTime time.Duration) (*Deployment, *http.Client) {
+	b.Helper()
+	set := Default()
+	set.Entries, set.Engines, set.Services = 1, 1, nil
+	set.Engine = motor.Settings{MemoryBytes: 64 * gigabyte, TokenTime: tokenTime, CheckFence: true}
+	ctx, cancel := context.WithCancel(context.Background())
+	d, closeAll, err := Start(ctx, set, zap.NewNop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+	b.Cleanup(func() {
+		client.CloseIdleConnections()
+		closeAll()
+		cancel()
+	})
+	list := []kinds.Resource{{Kind: kinds.Model, Name: benchModel, Model: &kinds.ModelSpec{
+		Version: "1", MemoryBytes: gigabyte, MinReplicas: 1, MaxReplicas: 1, Concurrency: 4096,
+	}}}
+	operator := remote.New(d.Entries[0], "bench")
+	ready, done := context.WithTimeout(ctx, time.Minute)
+	defer done()
+	if err := check.Apply(ready, operator, list); err != nil {
+		b.Fatal(err)
+	}
+	if err := check.WaitReady(ready, operator, list); err != nil {
+		b.Fatal(err)
+	}
+	return d, client
+}
+
+func benchBody(tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, benchModel, stream, tokens)
+}
+
+// askStream sends one streamed request and returns the time of its first token and of its end.
+func askStream(client *http.Client, url, body string) (first, whole time.Duration, err error) {
+	began := time.Now()
+	resp, err := client.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	done := false
+	for lines.Scan() {
+		if first == 0 && bytes.HasPrefix(lines.Bytes(), []byte("data: ")) {
+			first = time.Since(began)
+		}
+		done = done || lines.Text() == "data: [DONE]"
+	}
+	if !done {
+		return 0, 0, fmt.Errorf("status %d without an end marker", resp.StatusCode)
+	}
+	return first, time.Since(began), nil
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var use syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) != nil {
+		return 0
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// BenchmarkPath compares first token and whole answer through entry and agent with the engine direct.
+func BenchmarkPath(b *testing.B) {
+	d, client := benchDeployment(b, 0)
+	direct := engine.NewClient(d.engineURLs[0], &http.Transport{})
+	var body json.RawMessage = []byte(benchBody(16, true))
+	b.Run("whole answer of 16 tokens", func(b *testing.B) {
+		var through, alone, first time.Duration
+		for b.Loop() {
+			f, whole, err := askStream(client, d.Entries[0], string(body))
+			if err != nil {
+				b.Fatal(err)
+			}
+			began := time.Now()
+			_, err = direct.Generate(context.Background(), engine.Request{Item: engine.Item{Model: benchModel, Version: "1"}, Body: body}, func(engine.Token) error { return nil })
+			if err != nil {
+				b.Fatal(err)
+			}
+			through, first, alone = through+whole, first+f, alone+time.Since(began)
+		}
+		b.ReportMetric(float64(through)/float64(alone), "ratio-whole")
+		b.ReportMetric(float64(first.Microseconds())/float64(b.N), "first-us")
+		b.ReportMetric(float64(alone.Microseconds())/float64(b.N), "direct-us")
+	})
+}
+
+// BenchmarkRequests sends short answers from many callers at once; all parts share the process.
+func BenchmarkRequests(b *testing.B) {
+	d, client := benchDeployment(b, 0)
+	body := benchBody(1, false)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	used, began := processorTime(), time.Now()
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Post(d.Entries[0]+"/v1/chat/completions", "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Errorf("status %d", resp.StatusCode)
+				return
+			}
+		}
+	})
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "requests/s")
+	b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/request")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "allocs/request")
+}
+
+// BenchmarkTokens streams from one engine to callers; the cost covers caller, entry, agent and engine stand-in.
+func BenchmarkTokens(b *testing.B) {
+	for _, streams := range []int{8, 64, 256, 512} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			d, client := benchDeployment(b, 59*time.Millisecond)
+			const tokens = 60
+			body := benchBody(tokens, true)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			used, began := processorTime(), time.Now()
+			var worst atomic.Int64
+			for b.Loop() {
+				var g conc.WaitGroup
+				for range streams {
+					g.Go(func() {
+						_, whole, err := askStream(client, d.Entries[0], body)
+						if err != nil {
+							b.Error(err)
+						}
+						worst.Store(max(worst.Load(), int64(whole)))
+					})
+				}
+				g.Wait()
+			}
+			runtime.ReadMemStats(&after)
+			n := float64(b.N * streams * tokens)
+			b.ReportMetric(n/time.Since(began).Seconds(), "tokens/s")
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/n, "cpu-us/token")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/n, "allocs/token")
+			b.ReportMetric(float64(worst.Load())/1e6/tokens, "worst-ms/token")
+		})
+	}
+}
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -36,8 +36,9 @@
 type Settings struct {
 	Entries int
 	Engines int
-	// Services lists the plain services; each gets two endpoints.
-	Services []string
+	// Services lists the plain services; each gets ServiceEndpoints endpoints.
+	Services         []string
+	ServiceEndpoints int
 	Engine   motor.Settings
 	Seed     uint64
 }
@@ -45,7 +46,7 @@
 // Default returns the deployment of the dev command.
 func Default() Settings {
 	return Settings{
-		Entries: 3, Engines: 6, Services: []string{"order-desk", "bookings"}, Seed: 1,
+		Entries: 3, Engines: 6, Services: []string{"order-desk", "bookings"}, ServiceEndpoints: 2, Seed: 1,
 		Engine: motor.Settings{
 			MemoryBytes: 64 * gigabyte, CheckFence: true, LoadTime: 800 * time.Millisecond, AdapterTime: 8 * time.Millisecond,
 			UnloadTime: 100 * time.Millisecond, FirstToken: 60 * time.Millisecond, TokenTime: 10 * time.Millisecond, ReportLag: 200 * time.Millisecond,
@@ -61,11 +62,14 @@
 	// Entries and PlatformURL are base URLs.
 	Entries     []string
 	PlatformURL string
-
-	set  Settings
-	tree *tree.Tree
-	log  *zap.Logger
-	list []fleet.Instance
+	// Members are the entries' and agents' places among each other.
+	Members []*member.Member
+
+	set        Settings
+	tree       *tree.Tree
+	log        *zap.Logger
+	list       []fleet.Instance
+	engineURLs []string
 }
 
 // domains are the failure domains of the deployment.
@@ -99,7 +103,7 @@
 	}
 	for _, name := range d.set.Services {
 		d.Books[name] = shop.NewBook()
-		for i := range 2 {
+		for i := range d.set.ServiceEndpoints {
 			starts = append(starts, func() error { return d.startService(name, i) })
 		}
 	}
@@ -160,6 +164,7 @@
 	if err != nil {
 		return err
 	}
+	d.engineURLs = append(d.engineURLs, url)
 	o, err := d.options(plan.Node{
 		Name: fmt.Sprintf("engine-%d", i+1), Role: plan.Agent, Domain: domains[i%len(domains)], Back: plan.EngineBack, MemoryBytes: d.set.Engine.MemoryBytes,
 	})
@@ -202,6 +207,7 @@
 func (d *Deployment) runAgent(set conf.Agent, o member.Options, backs agent.Backs) {
 	a, closeAgent := agent.New(set, o, backs)
 	d.tree.OnClose(closeAgent)
+	d.Members = append(d.Members, a.Member)
 	a.Start(d.tree, nil)
 }
 
@@ -216,6 +222,7 @@
 	}
 	e, closeEntry := entry.New(conf.DefaultEntry(), o)
 	d.tree.OnClose(closeEntry)
+	d.Members = append(d.Members, e.Member)
 	e.Start(d.tree, callers)
 	d.Entries = append(d.Entries, "http://"+callers.Addr().String())
 	return nil
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -60,7 +60,7 @@
 	m.Follower = &spread.Follower{Self: o.Self, Holder: m.Holder, Store: o.Store, List: o.List, Pool: pool, Log: o.Log.Named("Spread")}
 	m.Ledger = ledger.New(o.Store, logs.Audit(o.Log))
 	o.Meters.GetOrCreateGauge("foxtailcroft_revision", func() float64 { return float64(m.Holder.View().Revision()) })
-	o.Meters.GetOrCreateGauge("foxtailcroft_peer_bytes_sent", func() float64 { return float64(m.bytesSent()) })
+	o.Meters.GetOrCreateGauge("foxtailcroft_peer_bytes_sent", func() float64 { return float64(m.BytesSent()) })
 	return m, func() {
 		closeServer()
 		closePool()
@@ -131,8 +131,8 @@
 	}
 }
 
-// bytesSent sums what was written to the live connections.
-func (m *Member) bytesSent() int64 {
+// BytesSent sums what was written to the live connections.
+func (m *Member) BytesSent() int64 {
 	var sum int64
 	for _, c := range append(m.Server.Conns(), m.Pool.Conns()...) {
 		sum += c.BytesSent()
--- a/internal/plat/store/client.go
+++ b/internal/plat/store/client.go
@@ -229,7 +229,7 @@
 			return after, &fault.Away{Part: "store watch", Err: err}
 		}
 		if reply.Result.CompactRevision > 0 {
-			return after, &fault.Away{Part: "store watch", Err: fmt.Errorf("revisions up to %d are compacted", reply.Result.CompactRevision)}
+			return after, &Compacted{Revision: reply.Result.CompactRevision}
 		}
 		batch := Batch{Revision: reply.Result.Header.Revision}
 		for _, e := range reply.Result.Events {
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -80,6 +81,16 @@
 	Watch(ctx context.Context, prefix string, after int64, fn func(Batch) error) error
 }
 
+// Compacted reports a watch from a revision whose following changes the store no longer has.
+type Compacted struct {
+	Revision int64
+}
+
+// Error names the revision.
+func (c *Compacted) Error() string {
+	return fmt.Sprintf("changes up to revision %d are compacted", c.Revision)
+}
+
 const (
 	settleFirstPause = 50 * time.Millisecond
 	settleMaxPause   = time.Second
