link/spread: a tree of relays in each failure domain

Cause: with two relays for a whole domain each of them would answer 807 followers at the size to design for, about 22 KB/s at rest against the limit of 2 KB/s for a node. Ruled out: more watches at the store, whose rate grows more slowly than the fleet. Change: nodes follow two relays of the pair before theirs in a ranked tree, 16 followers to a relay; a long poll is bounded by its own time instead of probes.

--- a/internal/agent/work/work.go
+++ b/internal/agent/work/work.go
@@ -110,7 +110,7 @@
 func (w *Worker) catchUp(ctx context.Context, c *peer.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	if err := spread.Pull(ctx, c, w.Holder, "", 0); err != nil {
+	if err := spread.Pull(ctx, c, w.Holder, spread.Pulled{}); err != nil {
 		w.Log.Info("catching up failed", zap.String("From", c.Remote().Node), zap.Error(err))
 	}
 }
--- a/internal/entry/admin/status.go
+++ b/internal/entry/admin/status.go
@@ -161,10 +161,10 @@
 			out[node] = max(out[node], rev)
 		}
 	}
-	merge(r.relay.Applied())
+	merge(r.relay.Applied(ctx))
 	workers := pool.New().WithMaxGoroutines(reportsAtOnce)
 	for _, nodes := range domains {
-		for _, relay := range spread.Rank(nodes)[:min(spread.RelaysPerDomain, len(nodes))] {
+		for _, relay := range spread.Rank(nodes)[:min(spread.Parents, len(nodes))] {
 			workers.Go(func() { merge(r.appliedAt(ctx, relay)) })
 		}
 	}
--- a/internal/entry/calls/dispatch.go
+++ b/internal/entry/calls/dispatch.go
@@ -144,7 +144,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	if err := spread.Pull(ctx, c, d.holder, "", 0); err != nil {
+	if err := spread.Pull(ctx, c, d.holder, spread.Pulled{}); err != nil {
 		d.log.Info("catching up failed", zap.String("From", c.Remote().Node), zap.Error(err))
 	}
 }
--- a/internal/link/peer/conn.go
+++ b/internal/link/peer/conn.go
@@ -160,9 +160,9 @@
 	return c.rpc.Call(ctx, methodPing, struct{}{}, nil)
 }
 
-// Call sends a request and waits for its reply.
+// Call sends a request and waits for its reply. The context bounds the wait;
+// who waits long for something that may not come holds Begin meanwhile.
 func (c *Conn) Call(ctx context.Context, method string, params, reply any) error {
-	defer c.Begin()()
 	err := c.rpc.Call(ctx, method, params, reply)
 	var remote *jsonrpc2.Error
 	switch {
--- a/internal/link/spread/follow.go
+++ b/internal/link/spread/follow.go
@@ -18,22 +18,29 @@
 )
 
 const (
-	// RelaysPerDomain is how many nodes of a failure domain watch the store.
-	RelaysPerDomain = 2
-	// pollWait is how long a relay may hold back a reply.
-	pollWait = 4 * time.Second
+	// Parents is how many nodes of a failure domain watch the store, and how many relays each other node follows.
+	Parents = 2
+	// fanOut is how many pairs of nodes follow one pair of relays, which bounds what a relay sends.
+	fanOut = 8
+	// pollWait is how long a relay may hold back a reply; a silent connection is noticed one reply's time later.
+	pollWait = 3 * time.Second
 	// pullTimeout bounds a whole pull, pages included.
-	pullTimeout = pollWait + 4*time.Second
+	pullTimeout = 20 * time.Second
 	// coolDown is how long a relay that failed is passed over.
 	coolDown = 5 * time.Second
 	// retryPause separates failed tries.
 	retryPause = 500 * time.Millisecond
 )
 
-// Follower keeps a node's view up to date.
+// Follower keeps a node's view up to date. The nodes of a failure domain are
+// ranked by a hash of their names. The first pair watches the store; each
+// other pair of nodes follows the two relays of the pair before it in a tree,
+// so that no relay serves more than 2*fanOut nodes. A relay that fails is left
+// out of the ranking for a while, which moves the node nearer to the store.
 type Follower struct {
 	Self   plan.Node
 	Holder *view.Holder
+	Relay  *Relay
 	Store  store.Store
 	List   fleet.List
 	Pool   *peer.Pool
@@ -43,40 +50,39 @@
 	failed map[string]time.Time
 }
 
-// Run follows the rank-th relay of the node's failure domain, or watches the store if the node is that relay itself.
-func (f *Follower) Run(ctx context.Context, rank int) {
+// Run follows one of the node's two relays, or watches the store if the node is first in rank.
+func (f *Follower) Run(ctx context.Context, parent int) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx, rank); err != nil && ctx.Err() == nil {
-			f.Log.Info("configuration source failed", zap.Int("Rank", rank), zap.Error(err))
+		if err := f.step(ctx, parent); err != nil && ctx.Err() == nil {
+			f.Log.Info("configuration source failed", zap.Int("Parent", parent), zap.Error(err))
 			pause(ctx, retryPause)
 		}
 	}
 }
 
-// step pulls once from the relay of that rank, or feeds from the store.
-func (f *Follower) step(ctx context.Context, rank int) error {
+// step pulls once from a relay, or feeds from the store.
+func (f *Follower) step(ctx context.Context, parent int) error {
 	if f.Holder.View().Revision() == 0 {
 		// The first configuration comes from Bootstrap.
 		pause(ctx, bootstrapWait)
 		return nil
 	}
-	relays := f.relays()
-	if rank >= len(relays) {
-		if rank > 0 {
-			pause(ctx, pollWait)
-			return nil
-		}
-		return f.feed(ctx)
-	}
-	relay := relays[rank]
-	if relay.Name == f.Self.Name {
+	relay, ok := f.source(parent)
+	switch {
+	case !ok:
+		pause(ctx, pollWait)
+		return nil
+	case relay.Name == f.Self.Name:
 		return f.feed(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	conn, err := f.Pool.Get(ctx, relay.Address)
 	if err == nil {
-		err = Pull(ctx, conn, f.Holder, f.Self.Name, pollWait)
+		err = Pull(ctx, conn, f.Holder, Pulled{Node: f.Self.Name, Parent: parent, Relays: f.Relay.Busy(), Wait: pollWait})
+		if err != nil {
+			f.Pool.Drop(conn)
+		}
 	}
 	if err != nil {
 		f.fail(relay.Name)
@@ -84,7 +90,37 @@
 	return err
 }
 
-// feed watches the store as long as this node is a relay.
+// source returns the relay that the node follows as its first or second
+// parent, or the node itself where it watches the store; ok is false if the
+// domain has no such relay.
+func (f *Follower) source(parent int) (plan.Node, bool) {
+	ranked := f.ranked()
+	self := slices.IndexFunc(ranked, func(n plan.Node) bool { return n.Name == f.Self.Name })
+	return Source(ranked, self, parent)
+}
+
+// Source returns whom the node at an index of a ranking follows as its first
+// or second parent: itself if it watches the store.
+func Source(ranked []plan.Node, self, parent int) (plan.Node, bool) {
+	pair := self / Parents
+	at := parent
+	switch {
+	case pair == 0 && parent == 0:
+		// A root watches the store itself.
+		at = self
+	case pair == 0:
+		// It also follows the other root, in case its own way to the store is cut.
+		at = Parents - 1 - self
+	default:
+		at += (pair - 1) / fanOut * Parents
+	}
+	if at >= len(ranked) {
+		return plan.Node{}, false
+	}
+	return ranked[at], true
+}
+
+// feed watches the store as long as this node is a root.
 func (f *Follower) feed(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -104,8 +140,8 @@
 	bootstrapWait = 50 * time.Millisecond
 )
 
-// relays returns the domain's nodes by rank, those that failed lately left out; the node itself is always among them.
-func (f *Follower) relays() []plan.Node {
+// ranked returns the domain's nodes by rank, those that failed lately left out; the node itself is always among them.
+func (f *Follower) ranked() []plan.Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := []plan.Node{f.Self}
@@ -126,7 +162,7 @@
 	f.failed[node] = time.Now()
 }
 
-// Rank orders the nodes of a failure domain by rendezvous hash; the first RelaysPerDomain are its relays.
+// Rank orders the nodes of a failure domain by rendezvous hash; the first Parents of them watch the store.
 func Rank(nodes []plan.Node) []plan.Node {
 	slices.SortFunc(nodes, func(a, b plan.Node) int {
 		if c := cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)); c != 0 {
@@ -166,7 +202,7 @@
 		}
 		conn, err := f.Pool.Get(ctx, i.Address)
 		if err == nil {
-			err = Pull(ctx, conn, f.Holder, "", 0)
+			err = Pull(ctx, conn, f.Holder, Pulled{})
 		}
 		if err != nil {
 			last = err
--- a/internal/link/wire/messages.go
+++ b/internal/link/wire/messages.go
@@ -173,6 +173,10 @@
 	Node string
 	// Applied is the revision that the node has in force.
 	Applied int64
+	// Parent is 0 if the receiver is the node's first relay, 1 if its second.
+	Parent int
+	// Relays says that other nodes follow the node.
+	Relays bool
 }
 
 // SyncReply is a page of configuration.
@@ -189,7 +193,7 @@
 	Epoch int64
 }
 
-// Applied lists the revisions that a relay's followers have in force.
+// Applied lists the revisions that a relay and the nodes below it have in force.
 type Applied struct {
 	Nodes map[string]int64
 }
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -39,8 +39,8 @@
 	// Services lists the plain services; each gets ServiceEndpoints endpoints.
 	Services         []string
 	ServiceEndpoints int
-	Engine   motor.Settings
-	Seed     uint64
+	Engine           motor.Settings
+	Seed             uint64
 }
 
 // Default returns the deployment of the dev command.
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -57,7 +57,7 @@
 	server, closeServer := peer.NewServer(o.Listener, m.Mux, hello)
 	m.Pool, m.Server = pool, server
 	m.Relay = spread.NewRelay(o.Self.Name, m.Holder, m.Mux)
-	m.Follower = &spread.Follower{Self: o.Self, Holder: m.Holder, Store: o.Store, List: o.List, Pool: pool, Log: o.Log.Named("Spread")}
+	m.Follower = &spread.Follower{Self: o.Self, Holder: m.Holder, Relay: m.Relay, Store: o.Store, List: o.List, Pool: pool, Log: o.Log.Named("Spread")}
 	m.Ledger = ledger.New(o.Store, logs.Audit(o.Log))
 	o.Meters.GetOrCreateGauge("foxtailcroft_revision", func() float64 { return float64(m.Holder.View().Revision()) })
 	o.Meters.GetOrCreateGauge("foxtailcroft_peer_bytes_sent", func() float64 { return float64(m.BytesSent()) })
@@ -70,8 +70,8 @@
 // Start serves the other processes and follows the configuration.
 func (m *Member) Start(t *tree.Tree) {
 	t.Critical("PeerServer", m.Server.Serve)
-	for rank := range spread.RelaysPerDomain {
-		t.Keep("Follower", func(ctx context.Context) { m.Follower.Run(ctx, rank) })
+	for parent := range spread.Parents {
+		t.Keep("Follower", func(ctx context.Context) { m.Follower.Run(ctx, parent) })
 	}
 }
 
--- a/test/scale/nodes_test.go
+++ b/test/scale/nodes_test.go
@@ -58,7 +58,7 @@
 // what each costs at rest and with each change of configuration.
 func BenchmarkNodes(b *testing.B) {
 	const rest = 12 * time.Second
-	for _, n := range []int{50, 100, 200, 400} {
+	for _, n := range []int{50, 100, 200, 400, 800} {
 		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
 			set := local.Default()
 			set.Entries, set.Engines, set.Services, set.ServiceEndpoints = 1, 0, []string{"desk"}, n
@@ -83,8 +83,17 @@
 // atRest reports what a member costs while nothing changes.
 func atRest(b *testing.B, d *local.Deployment, rest time.Duration) {
 	nodes := float64(len(d.Members))
+	each := make([]int64, len(d.Members))
+	for i, m := range d.Members {
+		each[i] = m.BytesSent()
+	}
 	used, sent, calls := processorTime(), bytesSent(d), d.Platform.Store.Calls()
 	time.Sleep(rest)
+	var worst int64
+	for i, m := range d.Members {
+		worst = max(worst, m.BytesSent()-each[i])
+	}
+	b.ReportMetric(float64(worst)/rest.Seconds(), "worst-B/s")
 	after := d.Platform.Store.Calls()
 	b.ReportMetric(100*(processorTime()-used).Seconds()/rest.Seconds()/nodes, "%core/node")
 	b.ReportMetric(float64(bytesSent(d)-sent)/rest.Seconds()/nodes, "B/s/node")
