--- /dev/null
+++ b/internal/base/conf/conf_test.go
@@ -0,0 +1,74 @@
+package conf
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestExamplesAreValid(t *testing.T) {
+	targets := map[string]any{
+		"entry": &Entry{}, "agent": &Agent{}, "service-agent": &Agent{},
+		"standin-platform": &StandinPlatform{}, "standin-engine": &StandinEngine{}, "standin-service": &StandinService{},
+	}
+	for _, role := range ExampleRoles() {
+		t.Run(role, func(t *testing.T) {
+			g := NewWithT(t)
+			text, err := Example(role)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(Decode(role, []byte(text), targets[role])).To(Succeed())
+		})
+	}
+}
+
+func TestWrongSettingsNameFileLineFieldAndValue(t *testing.T) {
+	entry, err := Example("entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name, text string
+		want       Wrong
+	}{
+		{"unknown field", "Node:\n  Nam: x\n", Wrong{Line: 2, Field: "Nam"}},
+		{"bad duration", "GoneAfter: soon\n" + entry[:0], Wrong{Line: 1, Field: "GoneAfter", Value: "soon"}},
+		{"wrong type", "Requests:\n  MaxInFlight: many\n", Wrong{Line: 2, Field: "MaxInFlight", Value: "many"}},
+		{"missing address", "Node: {Name: a, Region: r, Domain: d}\nListen:\n  Peers: 127.0.0.1:1\n", Wrong{Line: 3, Field: "Listen.Callers"}},
+		{"bad address", "Node: {Name: a, Region: r, Domain: d}\nListen:\n  Callers: here\n", Wrong{Line: 3, Field: "Listen.Callers", Value: "here"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			set := DefaultEntry()
+			err := Decode("f.yaml", []byte(c.text), &set)
+			var w *Wrong
+			g.Expect(errors.As(err, &w)).To(BeTrue(), "%v", err)
+			g.Expect(w.File).To(Equal("f.yaml"))
+			g.Expect(w.Field).To(Equal(c.want.Field), "%v", err)
+			g.Expect(w.Value).To(Equal(c.want.Value), "%v", err)
+			g.Expect(w.Line).To(Equal(c.want.Line), "%v", err)
+		})
+	}
+}
+
+// FuzzSettings checks that no document makes the reader panic, and that what it accepts is valid.
+func FuzzSettings(f *testing.F) {
+	for _, role := range ExampleRoles() {
+		text, err := Example(role)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add([]byte(text))
+	}
+	f.Add([]byte("Kind: Model\nName: m\nSpec: {Version: '1', MemoryBytes: 1, MaxReplicas: 1}\n---\nKind: Policy\n"))
+	f.Add([]byte("Listen: [1, 2]\n"))
+	f.Add([]byte("a: &a [*a]\n"))
+	f.Fuzz(func(_ *testing.T, doc []byte) {
+		entry, agent := DefaultEntry(), DefaultAgent()
+		// Errors are the expected outcome.
+		_ = Decode("fuzz", doc, &entry)
+		_ = Decode("fuzz", doc, &agent)
+		_, _ = Resources("fuzz", doc)
+	})
+}
--- /dev/null
+++ b/test/proofs/silent_test.go
@@ -0,0 +1,128 @@
+package proofs
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/back/engine"
+	"foxtailcroft/internal/back/plain"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/standin/motor"
+	"foxtailcroft/internal/standin/platf"
+	"foxtailcroft/internal/standin/shop"
+)
+
+// overFabric serves a stand-in over in-memory links inside a bubble and runs a test against its address.
+func overFabric(t *testing.T, h http.Handler, fn func(g *WithT, f *fabric, transport func() *http.Transport)) {
+	f := newFabric()
+	server, lis := &http.Server{Handler: h}, f.listen("standin")
+	f.group.Go(func() { _ = server.Serve(lis) })
+	var transports []*http.Transport
+	fn(NewWithT(t), f, func() *http.Transport {
+		tr := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return f.dialer("client")(ctx, "standin") }}
+		transports = append(transports, tr)
+		return tr
+	})
+	for _, tr := range transports {
+		tr.CloseIdleConnections()
+	}
+	f.cut("")
+	_ = server.Close()
+	f.group.Wait()
+}
+
+// TestSilentLinkToTheEngine makes the links between agent and engine swallow bytes in mid-order and in mid-stream.
+func TestSilentLinkToTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := motorSettings()
+		s.LoadTime = 10 * time.Second
+		m := motor.New(s)
+		overFabric(t, m.Handler(), func(g *WithT, f *fabric, transport func() *http.Transport) {
+			e := engine.NewClient("http://standin", transport())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			item := engine.Item{Model: "m", Version: "1"}
+			time.AfterFunc(3*time.Second, func() { f.silence("standin", "") })
+			began := time.Now()
+			g.Expect(e.Load(ctx, engine.Order{Item: item, Bytes: gigabyte, Fence: 1})).To(Succeed())
+			g.Expect(time.Since(began)).To(BeNumerically("<", 16*time.Second))
+			g.Expect(m.Stats().Loads).To(Equal(1))
+
+			a := ask{prompt: "x", tokens: 100}
+			body := []byte(`{"messages":` + a.messages() + `,"max_tokens":100}`)
+			time.AfterFunc(time.Second, func() { f.silence("standin", "") })
+			text, next := "", 0
+			take := func(tok engine.Token) error {
+				text += tok.Text
+				next = tok.Index + 1
+				return nil
+			}
+			_, err := e.Generate(ctx, engine.Request{Item: item, Body: body}, take)
+			var broken *engine.Broken
+			g.Expect(errors.As(err, &broken)).To(BeTrue())
+			_, err = e.Generate(ctx, engine.Request{Item: item, Body: body, SkipTokens: next, Prefix: text}, take)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(text).To(Equal(a.want()))
+		})
+	})
+}
+
+// TestSilentLinkToTheStore makes the links between a node and the store swallow bytes under calls and a watch.
+func TestSilentLinkToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platf.NewPlatform(1, 0, nil)
+		overFabric(t, p.Handler(), func(g *WithT, f *fabric, transport func() *http.Transport) {
+			c := store.NewClient("http://standin", transport(), 1000, metrics.NewSet())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, _, err := c.Get(ctx, "k")
+			g.Expect(err).NotTo(HaveOccurred())
+			f.silence("standin", "")
+			began := time.Now()
+			res, err := store.Settle(ctx, c, store.Txn{Puts: []store.Put{{Key: "k", Value: []byte("1")}, {Key: "w"}}}, "w")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(res.Succeeded).To(BeTrue())
+			g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+
+			seen := errors.New("seen")
+			time.AfterFunc(time.Second, func() { f.silence("standin", "") })
+			time.AfterFunc(1500*time.Millisecond, func() {
+				_, _ = p.Store.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: "k", Value: []byte("2")}}})
+			})
+			began = time.Now()
+			err = c.Watch(ctx, "k", res.Revision, func(store.Batch) error { return seen })
+			g.Expect(err).To(MatchError(seen))
+			g.Expect(time.Since(began)).To(BeNumerically("<", inForceWithin))
+		})
+	})
+}
+
+// TestSilentLinkToAPlainService checks that a call is not sent again on another connection.
+func TestSilentLinkToAPlainService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := shop.NewBook()
+		s := shop.New("desk", book)
+		s.SetFaults(shop.Faults{Delay: 500 * time.Millisecond})
+		overFabric(t, s.Handler(), func(g *WithT, f *fabric, transport func() *http.Transport) {
+			fresh := transport()
+			fresh.DisableKeepAlives = true
+			c, err := plain.NewClient("http://standin", transport(), fresh)
+			g.Expect(err).NotTo(HaveOccurred())
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			time.AfterFunc(200*time.Millisecond, func() { f.silence("standin", "") })
+			_, err = c.Do(ctx, plain.Call{Method: http.MethodPost, Path: "/", Body: []byte("one")})
+			var lost *plain.Lost
+			g.Expect(errors.As(err, &lost)).To(BeTrue())
+			g.Expect(book.Runs("one")).To(Equal(1))
+		})
+	})
+}
