test/proofs: tests that bite when a release is confirmed early or a stray is ignored

Cause: with either mechanism taken out all tests passed but rare storms. After: each of the two new tests fails without its mechanism and passes with it.

--- a/test/proofs/loaded_test.go
+++ b/test/proofs/loaded_test.go
@@ -165,3 +165,53 @@
 	}
 	return nil
 }
+
+// TestSlotMovesOnlyAfterItsHolderUnloaded moves the only slot of a model while long streams run on it and new requests come.
+func TestSlotMovesOnlyAfterItsHolderUnloaded(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.entry("entry-0", "d0")
+		r.engineAgent("engine-0", "d0", motorSettings())
+		r.engineAgent("engine-1", "d1", motorSettings())
+		r.put(r.anyEntry(), model("m", 20, 1))
+		holder := r.holder("m", 0)
+		var fns []func()
+		for i := range 20 {
+			a := ask{model: "m", prompt: fmt.Sprint(i), tokens: 500, timeout: 60 * time.Second, stream: true}
+			fns = append(fns, func() {
+				time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+				got := r.anyEntry().chat(a)
+				r.g.Expect(got.status).To(Equal(http.StatusOK), got.body)
+				r.g.Expect(got.text).To(Equal(a.want()))
+			})
+		}
+		fns = append(fns, func() {
+			time.Sleep(6 * time.Second)
+			r.markLeaving(holder)
+		})
+		at(fns...)
+		r.g.Expect(r.holder("m", 0)).NotTo(Equal(holder))
+		r.g.Expect(r.loads()).To(Equal(2))
+	})
+}
+
+// TestNewVersionIsNotLoadedBesideTheOld replaces an agent and changes its
+// model's version meanwhile, with an engine that still holds the old one.
+func TestNewVersionIsNotLoadedBesideTheOld(t *testing.T) {
+	bubble(t, func(r *rig) {
+		s := motorSettings()
+		s.UnloadTime = 3 * time.Second
+		r.entry("entry-0", "d0")
+		r.engineAgent("engine-0", "d0", s)
+		r.put(r.anyEntry(), model("m", 20, 1))
+		a := ask{model: "m", prompt: "x", tokens: 3, timeout: 40 * time.Second}
+		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(http.StatusOK))
+		r.kill(r.agents["engine-0"].process)
+		next := model("m", 20, 1)
+		next.Model.Version = "2"
+		status, _ := r.anyEntry().send(next, "")
+		r.g.Expect(status).To(Equal(http.StatusOK))
+		r.restart("engine-0")
+		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(http.StatusOK))
+		r.g.Expect(r.loads()).To(Equal(2))
+	})
+}
