policy: nearness feeds placement, prefix affinity holds at equal loads; tests of each policy

Change: the planner asks eight endpoints in turn at each reading of the list; the bound is rounded up as in consistent hashing with bounded loads.

--- /dev/null
+++ b/internal/agent/claim/log_test.go
@@ -0,0 +1,82 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/standin/platf"
+)
+
+const retention = time.Hour
+
+// logs opens the claim logs of two agents for one partition.
+func logs(s *platf.Memory) (a, b *Log, stop func()) {
+	a, stopA := NewLog(s, "book", 0, "agent-a", 1, retention)
+	b, stopB := NewLog(s, "book", 0, "agent-b", 1, retention)
+	return a, b, func() {
+		stopA()
+		stopB()
+	}
+}
+
+// TestDeposedOwnerLearnsItAfterTheLogHasExpired pauses an owner until the
+// batches of its successor that followed its own have expired.
+func TestDeposedOwnerLearnsItAfterTheLogHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx := context.Background()
+		a, b, stop := logs(platf.NewMemory(1))
+		defer stop()
+		claim := func(l *Log, key string) (Outcome, error) { return l.Claim(ctx, key, 1) }
+		for _, step := range []struct {
+			log *Log
+			key string
+		}{{a, "k0"}, {b, "k1"}} {
+			out, err := claim(step.log, step.key)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(out.State).To(Equal(New))
+		}
+		time.Sleep(2 * retention)
+		out, err := claim(b, "shared")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(out.State).To(Equal(New))
+		b.Settle("shared", Outcome{State: Done})
+		_, err = claim(a, "shared")
+		var refused *fault.Refusal
+		g.Expect(fault.As(err, &refused)).To(BeTrue(), "%v", err)
+		g.Expect(refused.NotRun).To(BeTrue())
+	})
+}
+
+// TestSuccessorSeesEveryClaim lets one owner claim keys under lost answers and another take over.
+func TestSuccessorSeesEveryClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := platf.NewMemory(3)
+		a, b, stop := logs(s)
+		defer stop()
+		s.SetFaults(platf.Faults{LoseAnswers: 0.5})
+		var dispatched []string
+		for i := range 40 {
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			key := fmt.Sprint("k", i)
+			if out, err := a.Claim(ctx, key, 1); err == nil && out.State == New {
+				dispatched = append(dispatched, key)
+			}
+			cancel()
+		}
+		s.SetFaults(platf.Faults{})
+		g.Expect(len(dispatched)).To(BeNumerically(">", 5))
+		for _, key := range dispatched {
+			out, err := b.Claim(context.Background(), key, 1)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(out.State).To(Equal(Unknown), key)
+		}
+	})
+}
--- a/internal/agent/slots/manager.go
+++ b/internal/agent/slots/manager.go
@@ -51,6 +51,8 @@
 	replicas map[string]*replica
 	// strays are items that the engine holds without a slot here.
 	strays map[engine.Item]*item
+	// cached is how near checkpoints are, by the engine's last report.
+	cached map[string]string
 	// confirmed is set once the store itself has shown the plan.
 	confirmed bool
 	deposed   bool
--- a/internal/agent/slots/orders.go
+++ b/internal/agent/slots/orders.go
@@ -181,6 +181,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.cached = report.Cached
 	held := map[engine.Item]bool{}
 	for _, h := range report.Held {
 		held[h.Item] = true
--- a/internal/agent/slots/report.go
+++ b/internal/agent/slots/report.go
@@ -45,7 +45,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	out.MemoryBytes, out.UsedBytes = m.set.MemoryBytes, m.used()
+	out.MemoryBytes, out.UsedBytes, out.Cached = m.set.MemoryBytes, m.used(), m.cached
 	for _, r := range m.replicas {
 		line := describe(&r.item, now)
 		line.Model, line.Queued = r.name.Model, r.queue.Len()
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -37,8 +37,10 @@
 	missing map[string]time.Time
 	silent  map[string]time.Time
 	leaving map[string]bool
-	near    map[string]map[string]string
-	listed  time.Time
+	// near is how near checkpoints are at each endpoint, and asked the endpoint that was asked last.
+	near   map[string]map[string]string
+	asked  string
+	listed time.Time
 }
 
 // listEvery is how often the platform's list is read.
@@ -56,6 +58,7 @@
 	v := p.Holder.View()
 	if time.Since(p.listed) >= listEvery {
 		p.readList(ctx, v)
+		p.readNear(ctx, v)
 	}
 	p.dropGone(ctx, v)
 	board := newBoard(v, p.leaving, p.near)
@@ -93,6 +96,35 @@
 	}
 }
 
+// nearAtOnce bounds the endpoints that are asked at each reading of the list.
+const nearAtOnce = 8
+
+// readNear asks the next few endpoints, in turn, how near their checkpoints are.
+func (p *Placer) readNear(ctx context.Context, v *view.View) {
+	names := slices.Sorted(maps.Keys(newBoard(v, p.leaving, nil).endpoints))
+	first, _ := slices.BinarySearch(names, p.asked+"\x00")
+	for i := range min(nearAtOnce, len(names)) {
+		p.asked = names[(first+i)%len(names)]
+		p.near[p.asked] = p.cachedAt(ctx, v, p.asked)
+	}
+}
+
+// cachedAt returns how near an endpoint's checkpoints are, or nothing if it does not answer.
+func (p *Placer) cachedAt(ctx context.Context, v *view.View, name string) map[string]string {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	node, _ := v.Node(name)
+	conn, err := p.Pool.Get(ctx, node.Address)
+	if err != nil {
+		return nil
+	}
+	var report wire.Report
+	if conn.Call(ctx, wire.MethodReport, struct{}{}, &report) != nil {
+		return nil
+	}
+	return report.Cached
+}
+
 // dropGone deletes the nodes that the list has lacked for long enough.
 func (p *Placer) dropGone(ctx context.Context, v *view.View) {
 	for name, since := range p.missing {
--- /dev/null
+++ b/internal/policy/evict/evict_test.go
@@ -0,0 +1,61 @@
+package evict
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestChoose(t *testing.T) {
+	const gb = 1 << 30
+	item := func(name string, gigabytes int64, soon float64, cold time.Duration) Candidate {
+		return Candidate{Name: name, Bytes: gigabytes * gb, WantedSoon: soon, ColdStart: cold}
+	}
+	cases := []struct {
+		name       string
+		candidates []Candidate
+		bytes      int64
+		want       []string
+	}{
+		{"least wanted first", []Candidate{item("a", 10, 0.9, time.Second), item("b", 10, 0.1, time.Second)}, 10 * gb, []string{"b"}},
+		{"cheapest cold start first", []Candidate{item("a", 10, 0.5, 9*time.Second), item("b", 10, 0.5, time.Second)}, 10 * gb, []string{"b"}},
+		{"none too many", []Candidate{item("a", 2, 0.1, time.Second), item("b", 10, 0.8, time.Second)}, 10 * gb, []string{"b"}},
+		{"all together", []Candidate{item("a", 6, 0.1, time.Second), item("b", 6, 0.9, time.Second)}, 10 * gb, []string{"a", "b"}},
+		{"not enough", []Candidate{item("a", 6, 0.1, time.Second)}, 10 * gb, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(Choose(c.candidates, c.bytes)).To(Equal(c.want))
+		})
+	}
+}
+
+// TestChosenFreeEnoughAndNoneIsSpare checks both for any candidates.
+func TestChosenFreeEnoughAndNoneIsSpare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := map[string]int64{}
+		var list []Candidate
+		for i := range rapid.IntRange(0, 8).Draw(t, "n") {
+			c := Candidate{Name: fmt.Sprint(i), Bytes: rapid.Int64Range(1, 50).Draw(t, "bytes"), WantedSoon: rapid.Float64Range(0, 1).Draw(t, "soon"), ColdStart: time.Second}
+			sizes[c.Name] = c.Bytes
+			list = append(list, c)
+		}
+		need := rapid.Int64Range(1, 120).Draw(t, "need")
+		var freed int64
+		chosen := Choose(list, need)
+		for _, name := range chosen {
+			freed += sizes[name]
+		}
+		if chosen != nil && freed < need {
+			t.Fatalf("freed %d of %d", freed, need)
+		}
+		for _, name := range chosen {
+			if freed-sizes[name] >= need {
+				t.Fatalf("%s of %d bytes is spare", name, sizes[name])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/permit/permit_test.go
@@ -0,0 +1,91 @@
+package permit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ids(asks []Ask) []string {
+	var out []string
+	for _, a := range asks {
+		out = append(out, a.ID)
+	}
+	return out
+}
+
+func TestGrantOrder(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDesk(Limits{Models: 1, Adapters: 2, Rate: 100}, start)
+	d.Add(Ask{ID: "first", Rank: 1, Deadline: start.Add(time.Second)})
+	g.Expect(ids(d.Grant(start))).To(Equal([]string{"first"}))
+	d.Add(Ask{ID: "patient", Rank: 2, Deadline: start.Add(time.Second)})
+	d.Add(Ask{ID: "late", Rank: 0, Deadline: start.Add(time.Minute)})
+	d.Add(Ask{ID: "soon", Rank: 0, Deadline: start.Add(time.Second)})
+	d.Add(Ask{ID: "adapter", Adapter: true, Rank: 2, Deadline: start.Add(time.Minute)})
+	now := start.Add(time.Second)
+	g.Expect(ids(d.Grant(now))).To(Equal([]string{"adapter"}))
+	for _, want := range []string{"soon", "late", "patient"} {
+		d.Return("first")
+		d.Return("soon")
+		d.Return("late")
+		g.Expect(ids(d.Grant(now))).To(Equal([]string{want}))
+		now = now.Add(time.Second)
+	}
+}
+
+func TestPermitThatIsNotGivenBackExpires(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDesk(Limits{Models: 1, Adapters: 1, Rate: 100}, start)
+	d.Add(Ask{ID: "lost"})
+	g.Expect(d.Grant(start)).To(HaveLen(1))
+	d.Add(Ask{ID: "next"})
+	g.Expect(d.Grant(start.Add(time.Minute))).To(BeEmpty())
+	g.Expect(ids(d.Grant(start.Add(3 * time.Minute)))).To(Equal([]string{"next"}))
+}
+
+// TestLimitsHold checks both limits over any order of wishes and returns.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Models: 4, Adapters: 6, Rate: 2}
+		d, now := NewDesk(limits, start), start
+		held := map[string]bool{}
+		begun := 0
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "give back") {
+				for id := range held {
+					d.Return(id)
+					delete(held, id)
+					break
+				}
+			}
+			d.Add(Ask{ID: fmt.Sprint(i), Adapter: rapid.Bool().Draw(t, "adapter"), Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Deadline: now})
+			models, adapters := 0, 0
+			for _, a := range d.Grant(now) {
+				held[a.ID] = a.Adapter
+				if !a.Adapter {
+					begun++
+				}
+			}
+			for _, adapter := range held {
+				if adapter {
+					adapters++
+				} else {
+					models++
+				}
+			}
+			if models > limits.Models || adapters > limits.Adapters {
+				t.Fatalf("%d models and %d adapters at once", models, adapters)
+			}
+			if allowed := float64(limits.Models) + limits.Rate*now.Sub(start).Seconds(); float64(begun) > allowed {
+				t.Fatalf("%d loads begun, %g allowed", begun, allowed)
+			}
+		}
+	})
+}
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -105,14 +106,14 @@
 	return best
 }
 
-// within reports whether a replica's load is at most boundedLoad times the mean.
+// within reports whether a replica's load with one more request is at most boundedLoad times the mean, rounded up.
 func within(replicas []Replica, loaded []int, i int) bool {
 	total := 0
 	for _, j := range loaded {
 		total += busy(replicas[j])
 	}
 	mean := float64(total+1) / float64(len(loaded))
-	return float64(busy(replicas[i])+1) <= max(1, boundedLoad*mean) && Forecast(replicas[i]) == 0
+	return float64(busy(replicas[i])+1) <= math.Ceil(boundedLoad*mean) && Forecast(replicas[i]) == 0
 }
 
 func busy(r Replica) int {
--- /dev/null
+++ b/internal/policy/pick/pick_test.go
@@ -0,0 +1,69 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func loaded(name string, running int) Replica {
+	return Replica{Endpoint: name, Loaded: true, Running: running, Capacity: 4, Service: time.Second}
+}
+
+func TestChoose(t *testing.T) {
+	dormant := Replica{Endpoint: "dormant", Capacity: 4, Cold: 10 * time.Second}
+	cases := []struct {
+		name     string
+		replicas []Replica
+		prefix   uint64
+		want     string
+	}{
+		{"nothing loaded: the first slot", []Replica{dormant, {Endpoint: "other"}}, 0, "dormant"},
+		{"the loaded one, though it is second", []Replica{dormant, loaded("a", 3)}, 0, "a"},
+		{"the less busy of two", []Replica{loaded("a", 4), loaded("b", 1)}, 0, "b"},
+		{"own requests since the report count", []Replica{{Endpoint: "a", Loaded: true, Sent: 9, Capacity: 4}, loaded("b", 4)}, 0, "b"},
+		{"an overloaded holder of the prefix is passed over", []Replica{loaded("a", 9), loaded("b", 0)}, 1, "b"},
+		{"an overloaded holder is passed over whichever it is", []Replica{loaded("a", 0), loaded("b", 9)}, 1, "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := Choose(c.replicas, c.prefix, rand.New(rand.NewPCG(1, 1)))
+			NewWithT(t).Expect(c.replicas[got].Endpoint).To(Equal(c.want))
+		})
+	}
+}
+
+// TestPrefixStaysOnOneReplica sends one prefix many times to replicas of equal load.
+func TestPrefixStaysOnOneReplica(t *testing.T) {
+	g := NewWithT(t)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	replicas := []Replica{loaded("a", 1), loaded("b", 1), loaded("c", 1)}
+	seen := map[int]int{}
+	for prefix := uint64(1); prefix <= 64; prefix++ {
+		first := Choose(replicas, prefix*7919, rnd)
+		for range 8 {
+			g.Expect(Choose(replicas, prefix*7919, rnd)).To(Equal(first))
+		}
+		seen[first]++
+	}
+	g.Expect(seen).To(HaveLen(3))
+}
+
+func TestWiden(t *testing.T) {
+	cases := []struct {
+		name   string
+		queued int
+		cold   time.Duration
+		want   bool
+	}{
+		{"a short queue waits", 8, 10 * time.Second, false},
+		{"a queue longer than the other's load goes on", 60, 10 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(Widen(c.queued, 4, time.Second, c.cold)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/standin/motor/motor.go
+++ b/internal/standin/motor/motor.go
@@ -62,13 +62,14 @@
 	loads      int
 	overcommit int
 	generated  int
+	cached     map[string]string
 	reported   engine.Report
 	reportedAt time.Time
 }
 
 // New returns an engine that holds nothing.
 func New(set Settings) *Motor {
-	return &Motor{set: set, items: map[engine.Item]*state{}, freed: make(chan struct{})}
+	return &Motor{set: set, items: map[engine.Item]*state{}, cached: map[string]string{}, freed: make(chan struct{})}
 }
 
 // SetFaults replaces the fault switches.
@@ -169,6 +170,8 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		s.loading = false
+		// What was loaded once stays on the server's disk.
+		m.cached[o.Item.Model] = "disk"
 		close(s.settled)
 	})
 	return s.settled, nil
@@ -276,7 +279,7 @@
 	defer m.mu.Unlock()
 	if m.reportedAt.IsZero() || time.Since(m.reportedAt) >= m.set.ReportLag {
 		m.reportedAt = time.Now()
-		m.reported = engine.Report{MemoryBytes: m.set.MemoryBytes, Running: m.running, Cached: map[string]string{}}
+		m.reported = engine.Report{MemoryBytes: m.set.MemoryBytes, Running: m.running, Cached: maps.Clone(m.cached)}
 		for i, s := range m.items {
 			m.reported.Held = append(m.reported.Held, engine.Held{Item: i, Bytes: s.bytes, Loading: s.loading})
 		}
--- a/test/proofs/loaded_test.go
+++ b/test/proofs/loaded_test.go
@@ -215,3 +215,40 @@
 		r.g.Expect(r.loads()).To(Equal(2))
 	})
 }
+
+// TestAgentWakesNothingOnAStalePlan restarts the holder of a slot that has
+// moved, where it reaches neither the store nor any node with the newer plan.
+func TestAgentWakesNothingOnAStalePlan(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.entry("entry-0", "d0")
+		stale := r.entry("entry-1", "d1")
+		r.engineAgent("engine-0", "d0", motorSettings())
+		r.engineAgent("engine-1", "d1", motorSettings())
+		r.put(r.anyEntry(), model("m", 20, 1))
+		old := r.holder("m", 0)
+		stale.gate.set(true)
+		for _, name := range []string{"entry-0", "engine-0", "engine-1"} {
+			r.net.part("addr-entry-1", "addr-"+name)
+		}
+		r.markLeaving(old)
+		r.eventually(time.Minute, func() string {
+			if h := r.holder("m", 0); h == "" || h == old {
+				return "the slot has not moved"
+			}
+			return ""
+		})
+		a := ask{model: "m", prompt: "x", tokens: 3, timeout: 30 * time.Second}
+		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(http.StatusOK))
+		r.kill(r.agents[old].process)
+		for _, name := range []string{"entry-0", r.holder("m", 0)} {
+			r.net.part("addr-"+old, "addr-"+name)
+		}
+		r.net.heal("addr-entry-1", "addr-"+old)
+		r.restartCutOff(old)
+		time.Sleep(10 * time.Second)
+		got := stale.chat(ask{model: "m", prompt: "y", tokens: 3, timeout: 8 * time.Second})
+		r.g.Expect(got.status).NotTo(Equal(http.StatusOK))
+		r.g.Expect(got.notRun).To(Equal("true"))
+		r.g.Expect(r.loads()).To(Equal(1))
+	})
+}
