--- a/test/proofs/loaded_test.go
+++ b/test/proofs/loaded_test.go
@@ -217,13 +217,16 @@
 }
 
 // TestAgentWakesNothingOnAStalePlan restarts the holder of a slot that has
-// moved, where it reaches neither the store nor any node with the newer plan.
+// moved, where it reaches neither the store nor any node with the newer plan,
+// beside an engine that would take its orders.
 func TestAgentWakesNothingOnAStalePlan(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.entry("entry-0", "d0")
 		stale := r.entry("entry-1", "d1")
-		r.engineAgent("engine-0", "d0", motorSettings())
-		r.engineAgent("engine-1", "d1", motorSettings())
+		ignoring := motorSettings()
+		ignoring.CheckFence = false
+		r.engineAgent("engine-0", "d0", ignoring)
+		r.engineAgent("engine-1", "d1", ignoring)
 		r.put(r.anyEntry(), model("m", 20, 1))
 		old := r.holder("m", 0)
 		stale.gate.set(true)
