agent: account for kept answers, refuse what cannot fit, bound writes to callers

Cause, found by reading: the account of kept bytes subtracted answers that it had never added; an adapter that fits nowhere left its request waiting until the deadline; a caller that does not read held its request for ever; a service deleted and declared again could get other claim partitions. Change: one account that grows with each piece; adapters count in the check for room; a write deadline past the request's; the plan's partitions bind a service of the same name.

--- a/internal/agent/slots/acquire.go
+++ b/internal/agent/slots/acquire.go
@@ -81,6 +81,9 @@
 	if !ok {
 		return nil, false, fault.NotRun(fault.NotFound, "model %q is not declared", w.Model)
 	}
+	if _, ok := v.Adapter(w.Adapter); w.Adapter != "" && !ok {
+		return nil, false, fault.NotRun(fault.NotFound, "adapter %q is not declared", w.Adapter)
+	}
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -124,12 +127,26 @@
 		return fault.NotRun(fault.NoSlot, "model %q has no active slot at endpoint %q", w.Model, m.set.Node).WithEndpoint(next)
 	case !up && !m.confirmed:
 		return fault.NotRun(fault.StoreAway, "endpoint %q has not read the plan since its start", m.set.Node).WithEndpoint(next)
-	case !up && !m.room(w.Model, spec.MemoryBytes) && next != "":
+	case next != "" && !m.room(m.missing(v, w, spec)):
 		return fault.NotRun(fault.NoMemory, "endpoint %q is full of busy replicas", m.set.Node).WithEndpoint(next)
 	}
 	return m.admitForecast(w, spec, r, next, now)
 }
 
+// missing returns the memory that a request's model and adapter would still take here.
+func (m *Manager) missing(v *view.View, w Want, spec kinds.ModelSpec) int64 {
+	var bytes int64
+	r := m.replicas[w.Model]
+	if r == nil || r.phase == dormant {
+		bytes += spec.MemoryBytes
+	}
+	a, wanted := v.Adapter(w.Adapter)
+	if wanted && (r == nil || r.adapters[w.Adapter] == nil || r.adapters[w.Adapter].phase == dormant) {
+		bytes += a.Adapter.MemoryBytes
+	}
+	return bytes
+}
+
 // admitForecast refuses a request whose answer is forecast past its deadline, or sends it on where another slot is quicker.
 func (m *Manager) admitForecast(w Want, spec kinds.ModelSpec, r *replica, next string, now time.Time) error {
 	load := m.load(r, spec)
--- a/internal/agent/slots/pump.go
+++ b/internal/agent/slots/pump.go
@@ -241,9 +241,9 @@
 }
 
 // room reports whether the bytes fit if every idle item made way.
-func (m *Manager) room(model string, bytes int64) bool {
+func (m *Manager) room(bytes int64) bool {
 	missing := m.used() + bytes - m.set.MemoryBytes - m.leaving()
-	if r := m.replicas[model]; r != nil && r.phase != dormant {
+	if bytes == 0 || missing <= 0 {
 		return true
 	}
 	for _, c := range m.candidates(nil) {
--- a/internal/agent/tries/attempt.go
+++ b/internal/agent/tries/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,8 @@
 	Deadline time.Time
 	Ctx      context.Context
 	cancel   context.CancelCauseFunc
+	// held is the registry's account of kept bytes.
+	held *atomic.Int64
 
 	mu     sync.Mutex
 	phase  phase
@@ -70,6 +73,7 @@
 	p := wire.Piece{Attempt: a.Run.Attempt, Seq: len(a.pieces), Tokens: tokens, Data: data, Head: head}
 	a.pieces = append(a.pieces, p)
 	a.bytes += len(data)
+	a.held.Add(int64(len(data)))
 	// A hash never fails to take bytes.
 	_, _ = a.digest.Write(data)
 	a.sendPiece(p)
@@ -142,13 +146,6 @@
 	return a.done.Refusal != nil && a.done.Refusal.NotRun
 }
 
-// size returns the bytes of the kept answer.
-func (a *Attempt) size() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.bytes + len(a.Body)
-}
-
 // settled reports whether the attempt has ended and its answer need not be kept.
 func (a *Attempt) settled(now time.Time) bool {
 	a.mu.Lock()
@@ -161,8 +158,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.acked = true
-	a.pieces, a.Body = nil, nil
 	a.conn = nil
+	a.drop()
+}
+
+// drop forgets the kept bytes.
+func (a *Attempt) drop() {
+	a.held.Add(-int64(a.bytes + len(a.Body)))
+	a.pieces, a.Body, a.bytes = nil, nil, 0
 }
 
 // CutOff ends an attempt because its agent stops: one that did not run is
--- a/internal/agent/tries/registry.go
+++ b/internal/agent/tries/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,7 +37,8 @@
 	mu       sync.Mutex
 	attempts map[string]*Attempt
 	bodies   map[string]*body
-	held     int
+	// held sums the bytes of bodies and kept answers.
+	held atomic.Int64
 	// past remembers attempts that are gone; the value says whether one can have run.
 	past map[string]memory
 }
@@ -61,14 +63,14 @@
 		r.bodies[p.Attempt] = b
 	}
 	if p.Offset == 0 {
-		r.held -= len(b.data)
+		r.held.Add(-int64(len(b.data)))
 		b.data = nil
 	}
-	if p.Offset != len(b.data) || len(b.data)+len(p.Data) > maxBody || r.held+len(p.Data) > maxHeld {
+	if p.Offset != len(b.data) || len(b.data)+len(p.Data) > maxBody || r.full() {
 		return
 	}
 	b.data = append(b.data, p.Data...)
-	r.held += len(p.Data)
+	r.held.Add(int64(len(p.Data)))
 }
 
 // Open returns the attempt of a Run, attached to the connection; fresh is true if it is new and must be executed.
@@ -86,7 +88,7 @@
 	b := r.bodies[run.Attempt]
 	delete(r.bodies, run.Attempt)
 	if b != nil {
-		r.held -= len(b.data)
+		r.held.Add(-int64(len(b.data)))
 	}
 	if a, ok := r.attempts[run.Attempt]; ok {
 		return a, false, nil
@@ -97,6 +99,9 @@
 	if run.Remaining <= 0 {
 		return nil, false, fault.NotRun(fault.DeadlineExceeded, "attempt %s came after its deadline", run.Attempt)
 	}
+	if r.full() {
+		return nil, false, fault.NotRun(fault.Overloaded, "the agent keeps %d bytes of requests and answers", r.held.Load())
+	}
 	var data []byte
 	if b != nil {
 		data = b.data
@@ -105,7 +110,8 @@
 		return nil, false, fault.NotRun(fault.Overloaded, "body of attempt %s has %d of %d bytes", run.Attempt, len(data), run.BodyBytes)
 	}
 	a := newAttempt(c, run, data)
-	r.held += len(data)
+	a.held = &r.held
+	r.held.Add(int64(len(data)))
 	r.attempts[run.Attempt] = a
 	return a, true, nil
 }
@@ -142,11 +148,12 @@
 	if a == nil {
 		return
 	}
-	size := a.size()
 	a.acknowledge()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.held -= size
+}
+
+// full reports whether bodies and kept answers take all the memory they may.
+func (r *Registry) full() bool {
+	return r.held.Load() > maxHeld
 }
 
 // Active returns the attempts that have not ended.
@@ -200,16 +207,14 @@
 		}
 		a.mu.Lock()
 		ran := a.done.Refusal == nil || !a.done.Refusal.NotRun
-		if !a.acked {
-			r.held -= a.bytes + len(a.Body)
-		}
+		a.drop()
 		a.mu.Unlock()
 		delete(r.attempts, id)
 		r.past[id] = memory{ran: ran, at: now}
 	}
 	for id, b := range r.bodies {
 		if now.Sub(b.at) > partsFor {
-			r.held -= len(b.data)
+			r.held.Add(-int64(len(b.data)))
 			delete(r.bodies, id)
 		}
 	}
--- a/internal/agent/work/work.go
+++ b/internal/agent/work/work.go
@@ -96,8 +96,8 @@
 	if err != nil {
 		return w.reply(run, fault.Of(err)), nil
 	}
-	if fresh {
-		w.group.Go(func() { w.execute(a) })
+	if fresh && !w.group.Go(func() { w.execute(a) }) {
+		a.CutOff()
 	}
 	return w.reply(run, nil), nil
 }
--- a/internal/entry/admin/writer.go
+++ b/internal/entry/admin/writer.go
@@ -7,6 +7,7 @@
 
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/core/plan"
 	"foxtailcroft/internal/core/view"
 	"foxtailcroft/internal/plat/ledger"
 	"foxtailcroft/internal/plat/store"
@@ -39,7 +40,7 @@
 	if err != nil {
 		return r, err
 	}
-	if err := checkChange(old, r); err != nil {
+	if err := checkChange(w.holder.View(), old, r); err != nil {
 		return r, err
 	}
 	r = r.WithGeneration(old.Generation + 1).WithRevision(0)
@@ -130,12 +131,20 @@
 }
 
 // checkChange refuses changes that running state depends on.
-func checkChange(old, r kinds.Resource) error {
-	if r.Kind != kinds.Service || old.Service == nil || old.Service.Partitions() == r.Service.Partitions() {
+func checkChange(v *view.View, old, r kinds.Resource) error {
+	if r.Kind != kinds.Service {
 		return nil
 	}
-	// Another number of partitions would look up remembered keys in the wrong logs.
-	return fieldError("Spec.ClaimPartitions", fmt.Sprint(r.Service.ClaimPartitions), fmt.Sprintf("cannot change from %d", old.Service.Partitions()))
+	// Another number of partitions would look up remembered keys in the wrong
+	// logs, also where a service of that name was deleted before.
+	was := len(v.Plan(plan.ClaimKey(r.Name)).Slots)
+	if old.Service != nil {
+		was = old.Service.Partitions()
+	}
+	if was == 0 || was == r.Service.Partitions() {
+		return nil
+	}
+	return fieldError("Spec.ClaimPartitions", fmt.Sprint(r.Service.ClaimPartitions), fmt.Sprintf("cannot change from %d", was))
 }
 
 // checkUnused refuses to delete a resource that others name.
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -37,6 +37,7 @@
 		return
 	}
 	defer leave()
+	boundWrites(w, req.Deadline)
 	out := newChatWriter(w, req.ID, chat, began, s.first)
 	res, err := s.doer.Do(r.Context(), req, out)
 	s.count(req, chat.Model, res, began, err)
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -119,6 +119,15 @@
 	return body, nil
 }
 
+// writeGrace is how long past its deadline an answer may still be written to a slow caller.
+const writeGrace = 5 * time.Second
+
+// boundWrites ends the writing to a caller that does not read.
+func boundWrites(w http.ResponseWriter, deadline time.Time) {
+	// A transport without deadlines writes without one.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // count adds a request's end to the metrics and the log.
 func (s *Server) count(req calls.Request, target string, res calls.Result, began time.Time, err error) {
 	outcome := "Answered"
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -41,6 +41,7 @@
 		return
 	}
 	defer leave()
+	boundWrites(w, req.Deadline)
 	var answer plainAnswer
 	res, err := s.doer.Do(r.Context(), req, &answer)
 	s.count(req, req.Target.Service, res, began, err)
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -43,15 +43,20 @@
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
-		s.group.Go(func() {
-			<-c.Done()
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		})
+		if !s.group.Go(func() { s.forget(c) }) {
+			c.shut()
+		}
 	}
 }
 
+// forget drops a connection once it has ended.
+func (s *Server) forget(c *Conn) {
+	<-c.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // Conns returns the live connections.
 func (s *Server) Conns() []*Conn {
 	s.mu.Lock()
