test/proofs: the rig's books under a lock; the starving test outlasts the quote

Cause: the race detector found the rig's own maps read while a fault replaced a process; and with urgent calls always first the starving test still passed, because they stopped coming before the quote's deadline.

--- a/test/proofs/answers_test.go
+++ b/test/proofs/answers_test.go
@@ -22,7 +22,7 @@
 		{"a stream breaks and continues on the same engine", func(r *rig) {
 			r.motors[r.holder("m", 0)].SetFaults(motor.Faults{BreakAfter: 5})
 		}},
-		{"the replica dies in mid-stream", func(r *rig) { r.kill(r.agents[r.holder("m", 0)].process) }},
+		{"the replica dies in mid-stream", func(r *rig) { r.kill(r.agentNamed(r.holder("m", 0)).process) }},
 		{"the agent's links are cut", func(r *rig) {
 			for range 4 {
 				r.net.cut("addr-" + r.holder("m", 0))
@@ -49,7 +49,7 @@
 				var fns []func()
 				for i := range 30 {
 					a := ask{model: "m", prompt: fmt.Sprint("question ", i), tokens: 40, timeout: 40 * time.Second, stream: i%2 == 0, id: "same-id"}
-					e := r.entries[fmt.Sprintf("entry-%d", i%2)]
+					e := r.entryNamed(fmt.Sprintf("entry-%d", i%2))
 					fns = append(fns, func() {
 						time.Sleep(time.Duration(i*20) * time.Millisecond)
 						got := e.chat(a)
--- a/test/proofs/config_test.go
+++ b/test/proofs/config_test.go
@@ -43,10 +43,10 @@
 // holders returns the configuration of every node by name.
 func (r *rig) holders() map[string]*view.Holder {
 	out := map[string]*view.Holder{}
-	for name, e := range r.entries {
+	for name, e := range r.allEntries() {
 		out[name] = e.Member.Holder
 	}
-	for name, a := range r.agents {
+	for name, a := range r.allAgents() {
 		out[name] = a.Member.Holder
 	}
 	return out
@@ -69,7 +69,7 @@
 		for name, h := range r.holders() {
 			e, _ := h.View().Entry("Policy/p")
 			if e.Revision < seen[h] {
-				r.breaches = append(r.breaches, fmt.Sprintf("%s went back from %d to %d", name, seen[h], e.Revision))
+				r.breach(fmt.Sprintf("%s went back from %d to %d", name, seen[h], e.Revision))
 			}
 			seen[h] = e.Revision
 		}
@@ -90,9 +90,9 @@
 	}{
 		{"no fault", func(*rig) {}, nil},
 		{"write's answer lost", func(r *rig) { r.platform.Store.SetFaults(platf.Faults{LoseAnswers: 0.7}) }, nil},
-		{"a relay is dead", func(r *rig) { r.kill(r.agents[r.relay()].process) }, nil},
+		{"a relay is dead", func(r *rig) { r.kill(r.agentNamed(r.relay()).process) }, nil},
 		{"a relay's links are silent", func(r *rig) { r.net.silence("addr-"+r.relay(), "") }, nil},
-		{"a relay is cut off from the store", func(r *rig) { r.agents[r.relay()].gate.set(true) }, nil},
+		{"a relay is cut off from the store", func(r *rig) { r.agentNamed(r.relay()).gate.set(true) }, nil},
 		{"watches are mute for two seconds", func(r *rig) {
 			r.platform.Store.SetFaults(platf.Faults{MuteWatches: true})
 			r.group.Go(func() {
@@ -112,8 +112,8 @@
 			for name := range r.holders() {
 				r.net.part("addr-agent-7", "addr-"+name)
 			}
-			r.agents["agent-7"].gate.set(true)
-			delete(r.agents, "agent-7")
+			r.agentNamed("agent-7").gate.set(true)
+			r.forget("agent-7")
 		}, func(r *rig) {
 			for name := range r.holders() {
 				r.net.heal("addr-agent-7", "addr-"+name)
@@ -129,7 +129,7 @@
 					r.serviceAgent(fmt.Sprintf("agent-%d", i), "d0", "s")
 				}
 				all := []process{}
-				for _, a := range r.agents {
+				for _, a := range r.allAgents() {
 					all = append(all, a.process)
 				}
 				r.put(r.anyEntry(), policy(1))
@@ -152,7 +152,7 @@
 				time.Sleep(5 * time.Second)
 				close(stop)
 				for _, p := range all {
-					if r.agents[p.name] == nil {
+					if r.agentNamed(p.name) == nil {
 						p.closeAll()
 					}
 				}
@@ -164,7 +164,7 @@
 // relay returns the agent that the other agents of d0 follow first.
 func (r *rig) relay() string {
 	best := ""
-	for name, a := range r.agents {
+	for name, a := range r.allAgents() {
 		if a.Member.Relay != nil && a.Member.Relay.Busy() && (best == "" || name < best) {
 			best = name
 		}
@@ -182,8 +182,8 @@
 		e, _ := r.anyEntry().Member.Holder.View().Entry("Policy/p")
 		codes := make([]int, 2)
 		at(
-			func() { codes[0], _ = r.entries["entry-0"].send(policy(10), fmt.Sprint(e.Revision)) },
-			func() { codes[1], _ = r.entries["entry-1"].send(policy(20), fmt.Sprint(e.Revision)) },
+			func() { codes[0], _ = r.entryNamed("entry-0").send(policy(10), fmt.Sprint(e.Revision)) },
+			func() { codes[1], _ = r.entryNamed("entry-1").send(policy(20), fmt.Sprint(e.Revision)) },
 		)
 		r.g.Expect(codes).To(ConsistOf(http.StatusOK, http.StatusConflict))
 		w := r.anyEntry().do(http.MethodGet, "/admin/v1/Audit?prefix=Policy/", "", nil)
@@ -203,7 +203,7 @@
 		r.g.Expect(r.anyEntry().chat(warm).status).To(Equal(http.StatusOK))
 		holder := r.holder("m", 0)
 		r.platform.Store.SetFaults(platf.Faults{Away: true, LoseAnswers: 0})
-		r.kill(r.agents[holder].process)
+		r.kill(r.agentNamed(holder).process)
 		time.Sleep(time.Second)
 		r.platform.Store.SetFaults(platf.Faults{})
 		r.restartCutOff(holder)
--- a/test/proofs/ends_test.go
+++ b/test/proofs/ends_test.go
@@ -27,14 +27,14 @@
 		}},
 		{"endpoint reclaimed while requests wait", func(r *rig) {
 			time.Sleep(2 * time.Second)
-			r.kill(r.agents["engine-0"].process)
+			r.kill(r.agentNamed("engine-0").process)
 			r.unlist("engine-0")
 		}},
 		{"entry's peers fall silent", func(r *rig) {
 			time.Sleep(2 * time.Second)
 			r.net.part("addr-entry-0", "addr-engine-0")
 		}},
-		{"store away", func(r *rig) { r.entries["entry-0"].gate.set(true) }},
+		{"store away", func(r *rig) { r.entryNamed("entry-0").gate.set(true) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -49,7 +49,7 @@
 					timeout := time.Duration(1+i%12) * time.Second
 					fns = append(fns, func() {
 						time.Sleep(time.Duration(i*100) * time.Millisecond)
-						got := r.entries["entry-0"].chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 20, timeout: timeout, stream: i%2 == 0})
+						got := r.entryNamed("entry-0").chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 20, timeout: timeout, stream: i%2 == 0})
 						r.g.Expect(got.took).To(BeNumerically("<=", timeout), "%+v", got)
 						if got.status != http.StatusOK {
 							r.g.Expect(got.code).NotTo(BeEmpty(), "%+v", got)
@@ -101,7 +101,7 @@
 		r.put(r.anyEntry(), desk)
 		r.shops["desk-0"].SetFaults(shop.Faults{Delay: time.Second})
 		var fns []func()
-		for i := range 120 {
+		for i := range 250 {
 			fns = append(fns, func() {
 				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
 				r.anyEntry().do(http.MethodGet, "/services/desk/stock", "", map[string]string{"X-Class": "urgent", "X-Timeout-Ms": "9000"})
--- a/test/proofs/history_test.go
+++ b/test/proofs/history_test.go
@@ -84,7 +84,7 @@
 				for i := range 25 {
 					w := write{expected: newest.Load(), price: float64(1 + id*100 + i)}
 					op := porcupine.Operation{ClientId: id, Input: w, Call: clock.Add(1)}
-					got := r.entries[fmt.Sprintf("entry-%d", rnd.IntN(2))].sendWrite(w)
+					got := r.entryNamed(fmt.Sprintf("entry-%d", rnd.IntN(2))).sendWrite(w)
 					op.Output, op.Return = got, clock.Add(1)
 					if got.status == http.StatusOK || got.status == http.StatusConflict {
 						newest.Store(max(newest.Load(), got.at))
--- a/test/proofs/leaving_test.go
+++ b/test/proofs/leaving_test.go
@@ -22,12 +22,12 @@
 		leave func(r *rig, name string)
 	}{
 		{"by notice", func(r *rig, name string) {
-			a := r.agents[name]
+			a := r.agentNamed(name)
 			r.group.Go(func() { a.Drain(context.Background()) })
 		}},
-		{"without notice", func(r *rig, name string) { r.kill(r.agents[name].process) }},
+		{"without notice", func(r *rig, name string) { r.kill(r.agentNamed(name).process) }},
 		{"by notice, its links silent", func(r *rig, name string) {
-			a := r.agents[name]
+			a := r.agentNamed(name)
 			r.net.silence(a.addr, "")
 			r.group.Go(func() { a.Drain(context.Background()) })
 		}},
@@ -47,7 +47,7 @@
 				for i := range 120 {
 					fns = append(fns, func() {
 						time.Sleep(time.Duration(i) * 250 * time.Millisecond)
-						got := r.entries[fmt.Sprintf("entry-%d", i%2)].chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 10, timeout: 20 * time.Second})
+						got := r.entryNamed(fmt.Sprintf("entry-%d", i%2)).chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 10, timeout: 20 * time.Second})
 						r.g.Expect(got.status).To(Equal(http.StatusOK), got.body)
 					})
 				}
@@ -76,10 +76,10 @@
 		name  string
 		drain func(r *rig)
 	}{
-		{"entry", func(r *rig) { r.entries["entry-0"].Drain(context.Background()) }},
-		{"agent of the replica", func(r *rig) { r.agents[r.holder("m", 0)].Drain(context.Background()) }},
+		{"entry", func(r *rig) { r.entryNamed("entry-0").Drain(context.Background()) }},
+		{"agent of the replica", func(r *rig) { r.agentNamed(r.holder("m", 0)).Drain(context.Background()) }},
 		{"agents of the service", func(r *rig) {
-			at(func() { r.agents["book-0"].Drain(context.Background()) }, func() { r.agents["book-1"].Drain(context.Background()) })
+			at(func() { r.agentNamed("book-0").Drain(context.Background()) }, func() { r.agentNamed("book-1").Drain(context.Background()) })
 		}},
 	}
 	for _, c := range cases {
@@ -96,11 +96,11 @@
 						a.model = "cold"
 					}
 					fns = append(fns, func() {
-						got := r.entries["entry-0"].chat(a)
+						got := r.entryNamed("entry-0").chat(a)
 						r.g.Expect(got.status).To(Equal(http.StatusOK), got.body)
 						r.g.Expect(got.text).To(Equal(a.want()))
 					}, func() {
-						got := r.entries["entry-0"].post("book", fmt.Sprint(i), fmt.Sprint("k", i), 10*time.Second)
+						got := r.entryNamed("entry-0").post("book", fmt.Sprint(i), fmt.Sprint("k", i), 10*time.Second)
 						r.g.Expect(got.status).To(Equal(http.StatusCreated), got.body)
 					})
 				}
@@ -144,9 +144,9 @@
 			r.g.Expect(got.notRun).To(Equal("false"))
 		}, func() {
 			time.Sleep(10 * time.Second)
-			r.agents["engine-0"].Drain(context.Background())
+			r.agentNamed("engine-0").Drain(context.Background())
 			time.Sleep(time.Second)
-			r.kill(r.agents["engine-0"].process)
+			r.kill(r.agentNamed("engine-0").process)
 		})
 	})
 }
--- a/test/proofs/load_test.go
+++ b/test/proofs/load_test.go
@@ -21,7 +21,7 @@
 		r.engineAgent("engine-0", "d0", s)
 		wide := model("quote", 20, 1)
 		wide.Model.Concurrency = 256
-		r.put(r.entries["entry-0"], wide)
+		r.put(r.entryNamed("entry-0"), wide)
 		began := time.Now()
 		ends := r.burst(64, ask{model: "quote", prompt: "burst", tokens: 1, timeout: 60 * time.Second})
 		r.g.Expect(statuses(ends)).To(Equal(map[string]int{"200": 256}))
@@ -40,7 +40,7 @@
 		const places = 8
 		small := model("m", 20, 1)
 		small.Model.Concurrency = places
-		r.put(r.entries["entry-0"], small)
+		r.put(r.entryNamed("entry-0"), small)
 		r.g.Expect(r.anyEntry().chat(ask{model: "m", prompt: "warm", tokens: 20, timeout: 30 * time.Second}).status).To(Equal(http.StatusOK))
 		// One request takes 100 ms to its first token and 19 more tokens of 20 ms.
 		const service = 480 * time.Millisecond
@@ -54,7 +54,7 @@
 		for i := range int(length / every) {
 			fns = append(fns, func() {
 				time.Sleep(time.Duration(i) * every)
-				got := r.entries[fmt.Sprintf("entry-%d", i%2)].chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 20, timeout: 2 * time.Second})
+				got := r.entryNamed(fmt.Sprintf("entry-%d", i%2)).chat(ask{model: "m", prompt: fmt.Sprint(i), tokens: 20, timeout: 2 * time.Second})
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
--- a/test/proofs/loaded_test.go
+++ b/test/proofs/loaded_test.go
@@ -18,7 +18,7 @@
 	var mu sync.Mutex
 	var ends []end
 	var fns []func()
-	for _, e := range r.entries {
+	for _, e := range r.allEntries() {
 		for i := range n {
 			one := a
 			one.prompt = fmt.Sprintf("%s %s %d", a.prompt, e.name, i)
@@ -53,7 +53,7 @@
 		for i := range 3 {
 			r.engineAgent(fmt.Sprintf("engine-%d", i), fmt.Sprintf("d%d", i), motorSettings())
 		}
-		r.put(r.entries["entry-0"], model("quote", 20, 2))
+		r.put(r.entryNamed("entry-0"), model("quote", 20, 2))
 		began := time.Now()
 		ends := r.burst(64, ask{model: "quote", prompt: "burst", tokens: 4, timeout: 30 * time.Second})
 		r.g.Expect(statuses(ends)).To(Equal(map[string]int{"200": 256}))
@@ -70,7 +70,7 @@
 		{"agent killed in mid-load and replaced", func(r *rig) {
 			time.Sleep(time.Second)
 			holder := r.holder("quote", 0)
-			r.kill(r.agents[holder].process)
+			r.kill(r.agentNamed(holder).process)
 			time.Sleep(500 * time.Millisecond)
 			r.restart(holder)
 		}},
@@ -83,17 +83,17 @@
 			r.put(r.anyEntry(), model("quote", 20, 1))
 		}},
 		{"slot moved in mid-burst, one entry cut off from the store", func(r *rig) {
-			r.entries["entry-1"].gate.set(true)
+			r.entryNamed("entry-1").gate.set(true)
 			time.Sleep(time.Second)
 			r.markLeaving(r.holder("quote", 0))
 			time.Sleep(8 * time.Second)
 			r.markLeaving(r.holder("quote", 0))
 		}},
 		{"planner cut off from the store past its lease, another takes over", func(r *rig) {
-			r.entries["entry-0"].gate.set(true)
+			r.entryNamed("entry-0").gate.set(true)
 			time.Sleep(15 * time.Second)
 			r.markLeaving(r.holder("quote", 0))
-			r.entries["entry-0"].gate.set(false)
+			r.entryNamed("entry-0").gate.set(false)
 		}},
 		{"holder of the slot parted from everyone", func(r *rig) {
 			time.Sleep(2 * time.Second)
@@ -112,7 +112,7 @@
 				}
 				return ""
 			})
-			r.kill(r.agents[holder].process)
+			r.kill(r.agentNamed(holder).process)
 			r.platform.Store.SetFaults(platf.Faults{Away: true})
 			r.restart(holder)
 		}},
@@ -159,7 +159,7 @@
 // anyEntry returns the first entry by name.
 func (r *rig) anyEntry() *entryNode {
 	for i := range 10 {
-		if e := r.entries[fmt.Sprintf("entry-%d", i)]; e != nil {
+		if e := r.entryNamed(fmt.Sprintf("entry-%d", i)); e != nil {
 			return e
 		}
 	}
@@ -205,7 +205,7 @@
 		r.put(r.anyEntry(), model("m", 20, 1))
 		a := ask{model: "m", prompt: "x", tokens: 3, timeout: 40 * time.Second}
 		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(http.StatusOK))
-		r.kill(r.agents["engine-0"].process)
+		r.kill(r.agentNamed("engine-0").process)
 		next := model("m", 20, 1)
 		next.Model.Version = "2"
 		status, _ := r.anyEntry().send(next, "")
@@ -242,7 +242,7 @@
 		})
 		a := ask{model: "m", prompt: "x", tokens: 3, timeout: 30 * time.Second}
 		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(http.StatusOK))
-		r.kill(r.agents[old].process)
+		r.kill(r.agentNamed(old).process)
 		for _, name := range []string{"entry-0", r.holder("m", 0)} {
 			r.net.part("addr-"+old, "addr-"+name)
 		}
--- a/test/proofs/memory_test.go
+++ b/test/proofs/memory_test.go
@@ -79,7 +79,7 @@
 func killInLoad(r *rig, _ *motor.Motor) {
 	for range 3 {
 		time.Sleep(1500 * time.Millisecond)
-		r.kill(r.agents["engine-0"].process)
+		r.kill(r.agentNamed("engine-0").process)
 		time.Sleep(200 * time.Millisecond)
 		r.restart("engine-0")
 	}
@@ -95,7 +95,7 @@
 		r.put(r.anyEntry(), model("m0", 24, 1))
 		a := ask{model: "m0", prompt: "x", tokens: 3, timeout: 30 * time.Second}
 		r.g.Expect(r.anyEntry().chat(a).status).To(Equal(200))
-		r.kill(r.agents["engine-0"].process)
+		r.kill(r.agentNamed("engine-0").process)
 		r.g.Expect(r.anyEntry().do("DELETE", "/admin/v1/Model/m0", "", nil).Code).To(Equal(200))
 		r.restart("engine-0")
 		r.eventually(time.Minute, func() string {
--- a/test/proofs/once_test.go
+++ b/test/proofs/once_test.go
@@ -37,10 +37,10 @@
 		{"service slow, owner killed", func(r *rig) {
 			r.shops["book-0"].SetFaults(shop.Faults{Delay: 500 * time.Millisecond})
 			time.Sleep(300 * time.Millisecond)
-			r.kill(r.agents["book-0"].process)
+			r.kill(r.agentNamed("book-0").process)
 		}},
 		{"owner killed and restarted", func(r *rig) {
-			r.kill(r.agents["book-0"].process)
+			r.kill(r.agentNamed("book-0").process)
 			time.Sleep(time.Second)
 			r.serviceAgent("book-0", "d0", "book")
 		}},
@@ -52,10 +52,10 @@
 			r.platform.Store.SetFaults(platf.Faults{})
 		}},
 		{"owner cut off from the store, partition moved", func(r *rig) {
-			r.agents["book-0"].gate.set(true)
+			r.agentNamed("book-0").gate.set(true)
 			r.markLeaving("book-0")
 			time.Sleep(8 * time.Second)
-			r.agents["book-0"].gate.set(false)
+			r.agentNamed("book-0").gate.set(false)
 		}},
 		{"owner parted from the entries", func(r *rig) {
 			r.net.part("addr-book-0", "addr-entry-0")
@@ -93,7 +93,7 @@
 			for _, again := range []time.Duration{0, 20 * time.Second} {
 				fns = append(fns, func() {
 					time.Sleep(again + time.Duration(i*50)*time.Millisecond)
-					entry := r.entries[fmt.Sprintf("entry-%d", e)]
+					entry := r.entryNamed(fmt.Sprintf("entry-%d", e))
 					if entry == nil {
 						return
 					}
@@ -140,8 +140,8 @@
 func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.bookings()
-		r.g.Expect(r.entries["entry-0"].post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
-		got := r.entries["entry-1"].post("book", "two", "k", 5*time.Second)
+		r.g.Expect(r.entryNamed("entry-0").post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
+		got := r.entryNamed("entry-1").post("book", "two", "k", 5*time.Second)
 		r.g.Expect(got.status).To(Equal(http.StatusUnprocessableEntity))
 		r.g.Expect(got.notRun).To(Equal("true"))
 		r.g.Expect(r.books["book"].Runs("two")).To(BeZero())
@@ -154,10 +154,10 @@
 		r.bookings()
 		r.g.Expect(r.anyEntry().post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
 		time.Sleep(50 * time.Minute)
-		r.g.Expect(r.entries["entry-1"].post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
+		r.g.Expect(r.entryNamed("entry-1").post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
 		r.g.Expect(r.books["book"].Runs("one")).To(Equal(1))
 		time.Sleep(2 * time.Hour)
-		r.g.Expect(r.entries["entry-1"].post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
+		r.g.Expect(r.entryNamed("entry-1").post("book", "one", "k", 5*time.Second).status).To(Equal(http.StatusCreated))
 		r.g.Expect(r.books["book"].Runs("one")).To(Equal(2))
 	})
 }
@@ -169,11 +169,11 @@
 		for i := range 8 {
 			r.g.Expect(r.anyEntry().post("book", fmt.Sprint(i), fmt.Sprint("k", i), 5*time.Second).status).To(Equal(http.StatusCreated))
 		}
-		r.kill(r.agents["book-0"].process)
+		r.kill(r.agentNamed("book-0").process)
 		time.Sleep(15 * time.Second)
 		unknown := 0
 		for i := range 8 {
-			got := r.entries["entry-1"].post("book", fmt.Sprint(i), fmt.Sprint("k", i), 8*time.Second)
+			got := r.entryNamed("entry-1").post("book", fmt.Sprint(i), fmt.Sprint("k", i), 8*time.Second)
 			if got.status != http.StatusCreated {
 				r.g.Expect(got.outcome).To(Equal("Unknown"))
 				unknown++
@@ -203,7 +203,7 @@
 		}},
 		{"agent restarted between", func(r *rig) {
 			for range 3 {
-				r.kill(r.agents["book-0"].process)
+				r.kill(r.agentNamed("book-0").process)
 				time.Sleep(100 * time.Millisecond)
 				r.serviceAgent("book-0", "d0", "book")
 				time.Sleep(300 * time.Millisecond)
@@ -228,7 +228,7 @@
 					fns = append(fns, func() {
 						time.Sleep(time.Duration(i*30) * time.Millisecond)
 						body := fmt.Sprint("b", i)
-						got := r.entries[fmt.Sprintf("entry-%d", i%2)].post("book", body, "", 2*time.Second)
+						got := r.entryNamed(fmt.Sprintf("entry-%d", i%2)).post("book", body, "", 2*time.Second)
 						mu.Lock()
 						defer mu.Unlock()
 						ends[body] = got
--- a/test/proofs/rig_test.go
+++ b/test/proofs/rig_test.go
@@ -124,10 +124,10 @@
 func (r *rig) shut() {
 	close(r.stop)
 	r.group.Wait()
-	for _, e := range r.entries {
+	for _, e := range r.allEntries() {
 		e.closeAll()
 	}
-	for _, a := range r.agents {
+	for _, a := range r.allAgents() {
 		a.closeAll()
 	}
 	r.net.cut("")
@@ -348,12 +348,50 @@
 	return n
 }
 
+// entryNamed returns a live entry, or nil.
+func (r *rig) entryNamed(name string) *entryNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[name]
+}
+
+// agentNamed returns a live agent, or nil.
+func (r *rig) agentNamed(name string) *agentNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agents[name]
+}
+
+func (r *rig) allEntries() map[string]*entryNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.entries)
+}
+
+func (r *rig) allAgents() map[string]*agentNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.agents)
+}
+
+// forget takes a process off the books without ending it.
+func (r *rig) forget(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.agents, name)
+	delete(r.entries, name)
+}
+
+// breach notes promises that were not kept.
+func (r *rig) breach(what ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breaches = append(r.breaches, what...)
+}
+
 // kill ends a process without a word: its connections break and it sends nothing more.
 func (r *rig) kill(p process) {
-	r.mu.Lock()
-	delete(r.agents, p.name)
-	delete(r.entries, p.name)
-	r.mu.Unlock()
+	r.forget(p.name)
 	r.sever(p)
 }
 
@@ -394,7 +432,7 @@
 			}
 		}
 		if maps.Equal(held, r.held()) {
-			r.breaches = append(r.breaches, over...)
+			r.breach(over...)
 			return
 		}
 	}
@@ -467,7 +505,7 @@
 
 // unplanned returns what a node still lacks of the resources and their plans.
 func (r *rig) unplanned(list []kinds.Resource) string {
-	for _, a := range r.agents {
+	for _, a := range r.allAgents() {
 		if a.Slots != nil && !a.Slots.Confirmed() {
 			return a.name + " has not taken over"
 		}
@@ -477,7 +515,7 @@
 			}
 		}
 	}
-	for _, e := range r.entries {
+	for _, e := range r.allEntries() {
 		for _, res := range list {
 			if !r.inForce(e.Member, res) {
 				return e.name + " lacks " + res.Key()
--- a/test/proofs/storm_test.go
+++ b/test/proofs/storm_test.go
@@ -48,9 +48,7 @@
 func (r *rig) apply(f stormFault) {
 	time.Sleep(f.At)
 	engineName, book, entryName := fmt.Sprintf("engine-%d", f.On), fmt.Sprintf("book-%d", f.On%2), fmt.Sprintf("entry-%d", f.On%2)
-	r.mu.Lock()
-	a, b, e := r.agents[engineName], r.agents[book], r.entries[entryName]
-	r.mu.Unlock()
+	a, b, e := r.agentNamed(engineName), r.agentNamed(book), r.entryNamed(entryName)
 	const lasting = 6 * time.Second
 	storeFault := func(s platf.Faults) {
 		r.platform.Store.SetFaults(s)
@@ -122,7 +120,7 @@
 	case "change model":
 		grown := model("m0", 30, 2)
 		grown.Model.Version = strconv.Itoa(f.On + 2)
-		r.entries["entry-0"].send(grown, "")
+		r.entryNamed("entry-0").send(grown, "")
 	}
 }
 
@@ -131,25 +129,17 @@
 	if a == nil {
 		return
 	}
-	r.mu.Lock()
-	alive := r.agents[a.name] == a
-	delete(r.agents, a.name)
-	r.mu.Unlock()
-	if !alive {
+	if r.agentNamed(a.name) != a {
 		return
 	}
-	r.sever(a.process)
+	r.kill(a.process)
 	time.Sleep(700 * time.Millisecond)
 	restart()
 }
 
 func (r *rig) stormKillEntry(e *entryNode) {
-	r.mu.Lock()
-	alive := r.entries[e.name] == e
-	delete(r.entries, e.name)
-	r.mu.Unlock()
-	if alive {
-		r.sever(e.process)
+	if r.entryNamed(e.name) == e {
+		r.kill(e.process)
 	}
 }
 
@@ -169,7 +159,7 @@
 	for i := range 60 {
 		names := []string{"m0", "m1", "m2", "a0"}
 		a := ask{model: names[i%4], prompt: fmt.Sprint("p", i), tokens: 30, timeout: time.Duration(5+i%20) * time.Second, stream: i%2 == 0}
-		e := r.entries[fmt.Sprintf("entry-%d", i/4%2)]
+		e := r.entryNamed(fmt.Sprintf("entry-%d", i/4%2))
 		body := fmt.Sprint("b", i)
 		key := ""
 		if i%3 > 0 {
@@ -182,13 +172,13 @@
 			defer mu.Unlock()
 			chats[a.prompt], wants[a.prompt] = got, a.want()
 			if got.took > a.timeout {
-				r.breaches = append(r.breaches, fmt.Sprintf("%s took %s of %s", a.prompt, got.took, a.timeout))
+				r.breach(fmt.Sprintf("%s took %s of %s", a.prompt, got.took, a.timeout))
 			}
 		}, func() {
 			time.Sleep(time.Duration(i) * 500 * time.Millisecond)
 			got := e.post("book", body, key, 8*time.Second)
 			if key != "" && got.status != http.StatusCreated {
-				again := r.entries["entry-0"].post("book", body, key, 8*time.Second)
+				again := r.entryNamed("entry-0").post("book", body, key, 8*time.Second)
 				mu.Lock()
 				books[body] = append(books[body], again)
 				mu.Unlock()
@@ -260,7 +250,7 @@
 
 // converged changes the configuration once more and returns the nodes that do not have it in time.
 func (r *rig) converged() []string {
-	status, revision := r.entries["entry-0"].send(policy(7), "")
+	status, revision := r.entryNamed("entry-0").send(policy(7), "")
 	if status != http.StatusOK {
 		return []string{fmt.Sprintf("a change after the storm was refused with %d", status)}
 	}
