--- a/cmd/foxtailcroft/status.go
+++ b/cmd/foxtailcroft/status.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
@@ -9,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/oper/print"
 )
 
@@ -49,7 +49,7 @@
 		if err := print.Value(out, t.output, cluster, print.Cluster(cluster)); err != nil || !follow {
 			return err
 		}
-		if !wait(cmd.Context(), refreshEvery) {
+		if !pause.For(cmd.Context(), refreshEvery) {
 			return nil
 		}
 	}
@@ -64,13 +64,3 @@
 	info, err := f.Stat()
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
-
-// wait returns false if the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/claim/open.go
+++ b/internal/agent/claim/open.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/plat/store"
 )
@@ -84,7 +85,7 @@
 		if done {
 			return revision, nil
 		}
-		if pause(ctx, writePause) != nil {
+		if !pause.For(ctx, writePause) {
 			if err == nil {
 				err = ctx.Err()
 			}
--- a/internal/agent/claim/write.go
+++ b/internal/agent/claim/write.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/plat/store"
 )
@@ -98,7 +99,7 @@
 		case err == nil:
 			return l.refused(res, key, b.Nonce)
 		}
-		if pause(ctx, writePause) != nil {
+		if !pause.For(ctx, writePause) {
 			l.mu.Lock()
 			l.doubt = &doubtful{key, b}
 			l.mu.Unlock()
@@ -175,12 +176,3 @@
 	l.lease, l.leaseEnd = lease, time.Now().Add(l.retention/4)
 	return lease, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/agent/slots/orders.go
+++ b/internal/agent/slots/orders.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/back/engine"
+	"foxtailcroft/internal/base/pause"
 )
 
 const (
@@ -166,8 +167,8 @@
 		m.noteFenced(err)
 		return err
 	}
-	if err := sleepFor(ctx, m.set.ReportLag+m.set.Grace); err != nil {
-		return err
+	if !pause.For(ctx, m.set.ReportLag+m.set.Grace) {
+		return ctx.Err()
 	}
 	return m.ReadBack(ctx)
 }
@@ -236,12 +237,3 @@
 func (i *item) settledAfter(t time.Time) bool {
 	return i.settled.After(t)
 }
-
-func sleepFor(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- /dev/null
+++ b/internal/base/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time or for a context's end.
+package pause
--- a/internal/entry/placer/lease.go
+++ b/internal/entry/placer/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/plat/store"
 )
 
@@ -28,7 +29,7 @@
 			p.Log.Info("planner lease taken")
 			p.hold(ctx, lease)
 		}
-		pause(ctx, renewEvery)
+		pause.For(ctx, renewEvery)
 	}
 }
 
@@ -70,7 +71,7 @@
 		select {
 		case <-changed:
 			// Changes come in bursts; one look serves them all.
-			pause(ctx, burstPause)
+			pause.For(ctx, burstPause)
 		case <-time.After(planEvery):
 		case <-ctx.Done():
 		}
@@ -78,10 +79,3 @@
 }
 
 const burstPause = 200 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/link/spread/follow.go
+++ b/internal/link/spread/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/plan"
 	"foxtailcroft/internal/core/view"
 	"foxtailcroft/internal/link/peer"
@@ -55,7 +56,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx, parent); err != nil && ctx.Err() == nil {
 			f.Log.Info("configuration source failed", zap.Int("Parent", parent), zap.Error(err))
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -64,13 +65,13 @@
 func (f *Follower) step(ctx context.Context, parent int) error {
 	if f.Holder.View().Revision() == 0 {
 		// The first configuration comes from Bootstrap.
-		pause(ctx, bootstrapWait)
+		pause.For(ctx, bootstrapWait)
 		return nil
 	}
 	relay, ok := f.source(parent)
 	switch {
 	case !ok:
-		pause(ctx, pollWait)
+		pause.For(ctx, pollWait)
 		return nil
 	case relay.Name == f.Self.Name:
 		return f.feed(ctx)
@@ -228,10 +229,3 @@
 	}
 	return 2
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/link/wire/messages.go
+++ b/internal/link/wire/messages.go
@@ -114,6 +114,7 @@
 
 // Piece is a part of an answer; Seq counts from 0 without gaps.
 type Piece struct {
+	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Attempt  string
 	Seq      int
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -15,6 +15,7 @@
 	"foxtailcroft/internal/back/engine"
 	"foxtailcroft/internal/back/plain"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/entry/desk"
@@ -159,7 +160,7 @@
 			break
 		}
 		a.log.Warn("the plan was not read from the store yet", zap.Error(err))
-		pause(ctx, time.Second)
+		pause.For(ctx, time.Second)
 	}
 	if a.Slots != nil && ctx.Err() == nil {
 		a.readEngine(ctx, func(ctx context.Context) error { return a.Slots.Recover(ctx, epoch) })
@@ -176,7 +177,7 @@
 			return fromStore
 		}
 		a.log.Warn("no configuration yet", zap.Error(err))
-		pause(ctx, time.Second)
+		pause.For(ctx, time.Second)
 	}
 	return false
 }
@@ -189,14 +190,14 @@
 			return
 		}
 		a.log.Warn("engine was not read back", zap.Error(err))
-		pause(ctx, time.Second)
+		pause.For(ctx, time.Second)
 	}
 }
 
 // readBack looks for items that the engine holds without the agent's order.
 func (a *Agent) readBack(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, readBackEvery)
+		pause.For(ctx, readBackEvery)
 		if !a.Slots.Confirmed() {
 			continue
 		}
@@ -237,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.set.Drain.Limit.Std())
 	defer cancel()
 	for a.Registry.Awaited() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 	for _, attempt := range a.Registry.Active() {
 		attempt.CutOff()
@@ -245,10 +246,3 @@
 }
 
 const drainPoll = 50 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/entry/admin"
 	"foxtailcroft/internal/entry/admit"
@@ -80,7 +81,7 @@
 			break
 		}
 		e.log.Warn("no configuration yet", zap.Error(err))
-		pause(ctx, bootstrapPause)
+		pause.For(ctx, bootstrapPause)
 	}
 	e.Web.SetReady(true)
 	if _, err := e.Member.Join(ctx); err != nil {
@@ -94,17 +95,10 @@
 // the requests in flight up to the limit, past which each is refused honestly.
 func (e *Entry) Drain(ctx context.Context) {
 	e.Web.SetReady(false)
-	pause(ctx, e.set.Drain.Notice.Std())
+	pause.For(ctx, e.set.Drain.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, e.set.Drain.Limit.Std())
 	defer cancel()
 	if err := e.Web.Shutdown(ctx, &calls.CutOff{}); err != nil {
 		e.log.Warn("requests were cut off", zap.Error(err))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
