--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -9,7 +9,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"foxtailcroft/internal/base/conf"
@@ -26,7 +25,7 @@
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
 		stop()
-		fmt.Fprintln(os.Stderr, "foxtailcroft:", eris.Cause(err))
+		fmt.Fprintln(os.Stderr, "foxtailcroft:", err)
 		os.Exit(exitCode(err))
 	}
 }
--- a/internal/base/conf/conf_test.go
+++ b/internal/base/conf/conf_test.go
@@ -23,16 +23,13 @@
 }
 
 func TestWrongSettingsNameFileLineFieldAndValue(t *testing.T) {
-	entry, err := Example("entry")
-	if err != nil {
-		t.Fatal(err)
-	}
 	cases := []struct {
 		name, text string
 		want       Wrong
 	}{
 		{"unknown field", "Node:\n  Nam: x\n", Wrong{Line: 2, Field: "Nam"}},
-		{"bad duration", "GoneAfter: soon\n" + entry[:0], Wrong{Line: 1, Field: "GoneAfter", Value: "soon"}},
+		{"bad duration", "GoneAfter: soon\n", Wrong{Line: 1, Field: "GoneAfter", Value: "soon"}},
+		{"bad duration in braces", "Node: {Name: a, Region: r, Domain: d}\nDrain: {Notice: 1s, Limit: 5}\n", Wrong{Line: 2, Field: "Limit", Value: "5"}},
 		{"wrong type", "Requests:\n  MaxInFlight: many\n", Wrong{Line: 2, Field: "MaxInFlight", Value: "many"}},
 		{"missing address", "Node: {Name: a, Region: r, Domain: d}\nListen:\n  Peers: 127.0.0.1:1\n", Wrong{Line: 3, Field: "Listen.Callers"}},
 		{"bad address", "Node: {Name: a, Region: r, Domain: d}\nListen:\n  Callers: here\n", Wrong{Line: 3, Field: "Listen.Callers", Value: "here"}},
--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -78,14 +78,13 @@
 		line := number(m[1])
 		return &Wrong{File: file, Line: line, Field: fieldAt(data, line), Value: m[2], Rule: "must be " + m[3]}
 	}
-	line := 0
 	if m := lineNumber.FindStringSubmatch(text); m != nil {
-		line = number(m[1])
-	}
-	if line == 0 {
-		line = lineHolding(data, text)
+		line := number(m[1])
+		field, value := quotedIn(textAt(data, line), text)
+		_, reason, _ := strings.Cut(text, m[0]+": ")
+		return &Wrong{File: file, Line: line, Field: field, Value: value, Rule: "is not valid: " + reason}
 	}
-	return &Wrong{File: file, Line: line, Field: fieldAt(data, line), Value: valueAt(data, line), Rule: "is not valid: " + text}
+	return &Wrong{File: file, Field: "document", Rule: "is not valid: " + text}
 }
 
 func number(s string) int {
@@ -96,16 +95,17 @@
 	return n
 }
 
-// lineHolding returns the line whose value the error quotes.
-func lineHolding(data []byte, text string) int {
-	for i, line := range strings.Split(string(data), "\n") {
-		_, value, ok := strings.Cut(line, ":")
-		value = strings.Trim(strings.TrimSpace(value), `"'`)
-		if ok && value != "" && strings.Contains(text, strconv.Quote(value)) {
-			return i + 1
+// assigned matches a field with a scalar value, in a block or in braces.
+var assigned = regexp.MustCompile(`(\w+):\s*["']?([^"'{},\[\]]+?)["']?\s*(?:[,}]|$)`)
+
+// quotedIn returns the first field and value of a line of which the error quotes the value.
+func quotedIn(line, text string) (field, value string) {
+	for _, m := range assigned.FindAllStringSubmatch(line, -1) {
+		if strings.Contains(text, strconv.Quote(m[2])) {
+			return m[1], m[2]
 		}
 	}
-	return 0
+	return "document", ""
 }
 
 func textAt(data []byte, line int) string {
@@ -124,11 +124,6 @@
 	return strings.TrimLeft(name, " -{")
 }
 
-func valueAt(data []byte, line int) string {
-	_, value, _ := strings.Cut(textAt(data, line), ":")
-	return strings.TrimSpace(value)
-}
-
 // lineOf returns the line of a field path such as Listen.Callers, or of the deepest part of it that is there.
 func lineOf(data []byte, path string) int {
 	var root yaml.Node
--- a/internal/core/kinds/check.go
+++ b/internal/core/kinds/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"regexp"
 	"strings"
 	"sync"
@@ -54,11 +55,19 @@
 		if prefix != "" {
 			path = prefix + "." + path
 		}
-		list = append(list, fault.Field{Path: path, Value: fmt.Sprint(b.Value()), Rule: rule(b)})
+		list = append(list, fault.Field{Path: path, Value: valueOf(b), Rule: rule(b)})
 	}
 	return list
 }
 
+// valueOf words a breaching value; a structure has no short words.
+func valueOf(b validator.FieldError) string {
+	if b.Kind() == reflect.Pointer || b.Kind() == reflect.Struct {
+		return ""
+	}
+	return fmt.Sprint(b.Value())
+}
+
 // rule words a breached validate tag.
 func rule(b validator.FieldError) string {
 	words := map[string]string{
@@ -67,6 +76,7 @@
 		"ltefield": "must not exceed " + b.Param(), "oneof": "must be one of " + b.Param(),
 		"resourcename":  "must be 1 to 100 lower-case letters, digits, dots or dashes",
 		"hostname_port": "must be host:port", "url": "must be a URL",
+		"required_without": "is required where " + b.Param() + " is not set", "excluded_with": "must not be set together with " + b.Param(),
 	}
 	if w, ok := words[b.Tag()]; ok {
 		return w
--- a/internal/core/kinds/duration.go
+++ b/internal/core/kinds/duration.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"gopkg.in/yaml.v3"
 )
 
 // Duration is a time.Duration written as text such as "90s" in YAML and JSON.
@@ -23,6 +25,14 @@
 	return nil
 }
 
+// UnmarshalYAML reads a duration and names the line of one that is wrong.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	if err := d.UnmarshalText([]byte(node.Value)); err != nil {
+		return fmt.Errorf("line %d: %w", node.Line, err)
+	}
+	return nil
+}
+
 // Std returns the duration as a time.Duration.
 func (d Duration) Std() time.Duration {
 	return time.Duration(d)
