--- a/internal/entry/desk/client.go
+++ b/internal/agent/asks/client.go
@@ -1,4 +1,4 @@
-package desk
+package asks
 
 import (
 	"cmp"
--- a/internal/agent/claim/log.go
+++ b/internal/agent/claim/log.go
@@ -78,14 +78,14 @@
 const DefaultRetention = 24 * time.Hour
 
 // NewLog returns a partition's log that is not yet taken over, and the function that stops its work.
-func NewLog(s store.Store, service string, partition int, endpoint string, epoch int64, retention time.Duration) (*Log, func()) {
+func NewLog(s store.Store, service string, partition int, endpoint string, incarnation int64, retention time.Duration) (*Log, func()) {
 	if retention == 0 {
 		retention = DefaultRetention
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Log{
 		service: service, partition: partition, store: s, retention: retention, ctx: ctx,
-		self:    owner{Endpoint: endpoint, Epoch: epoch, Nonce: uuid.NewString()},
+		self:    owner{Endpoint: endpoint, Incarnation: incarnation, Nonce: uuid.NewString()},
 		records: map[string]*record{},
 	}
 	return l, func() {
--- a/internal/agent/claim/wire.go
+++ b/internal/agent/claim/wire.go
@@ -11,9 +11,9 @@
 // owner is the value of a partition's owner key; each takeover rewrites it, and
 // every batch is bound to its revision.
 type owner struct {
-	Endpoint string
-	Epoch    int64
-	Nonce    string
+	Endpoint    string
+	Incarnation int64
+	Nonce       string
 }
 
 // batch is one append to a partition's log.
--- a/internal/agent/work/plain.go
+++ b/internal/agent/work/plain.go
@@ -122,7 +122,7 @@
 	if res, ok := w.Holder.View().Service(w.Self.Service); ok {
 		retention = res.Service.ClaimRetention.Std()
 	}
-	l, stop := claim.NewLog(w.Store, w.Self.Service, partition, w.Self.Name, w.Self.Epoch, retention)
+	l, stop := claim.NewLog(w.Store, w.Self.Service, partition, w.Self.Name, w.Incarnation, retention)
 	if w.claims == nil {
 		w.claims = map[int]*claim.Log{}
 	}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"foxtailcroft/internal/agent/asks"
 	"foxtailcroft/internal/agent/gate"
 	"foxtailcroft/internal/agent/guard"
 	"foxtailcroft/internal/agent/slots"
@@ -18,7 +19,6 @@
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/fault"
-	"foxtailcroft/internal/entry/desk"
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/link/spread"
 	"foxtailcroft/internal/link/wire"
@@ -89,7 +89,7 @@
 	if !a.set.Engine.ChecksFence {
 		s.Grace = predecessorGrace
 	}
-	permits := &desk.Client{Self: a.Member.Self, Holder: a.Member.Holder, Pool: a.Member.Pool}
+	permits := &asks.Client{Self: a.Member.Self, Holder: a.Member.Holder, Pool: a.Member.Pool}
 	manager, closeSlots := slots.New(s, a.Member.Holder, eng, permits, func() { close(a.deposed) }, a.log.Named("Slots"))
 	a.Slots, a.Worker.Slots, a.Worker.Engine = manager, manager, eng
 	return closeSlots
