agent/slots: evictions are in the audit trail of the log

Cause, found by reading the issue again: of the decisions only evictions left no audit record. Ruled out: the store, because a wake must not wait for it.

--- a/internal/agent/slots/manager.go
+++ b/internal/agent/slots/manager.go
@@ -9,6 +9,7 @@
 
 	"foxtailcroft/internal/back/engine"
 	"foxtailcroft/internal/base/crew"
+	"foxtailcroft/internal/core/audit"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/core/plan"
 	"foxtailcroft/internal/core/view"
@@ -28,6 +29,8 @@
 	Grace time.Duration
 	// Check is called before each message of an order.
 	Check func(context.Context) error
+	// Note is told of each eviction, for the audit trail; it must not block.
+	Note func(audit.Record)
 }
 
 // Permitter asks for the right to load from the weight store; it returns a
--- a/internal/agent/slots/orders.go
+++ b/internal/agent/slots/orders.go
@@ -10,6 +10,8 @@
 
 	"foxtailcroft/internal/back/engine"
 	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/core/audit"
+	"foxtailcroft/internal/core/kinds"
 )
 
 const (
@@ -103,7 +105,11 @@
 func (m *Manager) evict(name string) {
 	model, adapter, isAdapter := strings.Cut(name, adapterMark)
 	r := m.replicas[model]
-	m.log.Info("evicting", zap.String("Item", name))
+	key := kinds.Key(kinds.Model, model)
+	if isAdapter {
+		key = kinds.Key(kinds.Adapter, adapter)
+	}
+	m.set.Note(audit.Record{Time: time.Now().UTC(), Actor: m.set.Node, Action: "Evicted", Key: key})
 	if isAdapter {
 		m.unload(r.adapters[adapter], r)
 		return
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -16,6 +16,7 @@
 	"foxtailcroft/internal/back/engine"
 	"foxtailcroft/internal/back/plain"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/logs"
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/fault"
@@ -85,6 +86,7 @@
 	s := slots.Settings{
 		Node: a.Member.Self.Name, MemoryBytes: a.set.Engine.MemoryBytes, OrderTimeout: a.set.Engine.OrderTimeout.Std(),
 		ReportLag: a.set.Engine.ReportLag.Std(), Check: a.guard.Check,
+		Note: logs.Audit(a.log),
 	}
 	if !a.set.Engine.ChecksFence {
 		s.Grace = predecessorGrace
