--- a/test/proofs/loaded_test.go
+++ b/test/proofs/loaded_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/standin/platf"
 )
 
@@ -95,6 +97,20 @@
 			r.markLeaving(r.holder("quote", 0))
 			r.entryNamed("entry-0").gate.set(false)
 		}},
+		{"two planners at once", func(r *rig) {
+			// The holder goes on renewing its lease, whose key another entry now takes too.
+			_, err := r.platform.Store.Commit(context.Background(), store.Txn{Deletes: []string{store.PlannerPrefix + "lease"}})
+			r.g.Expect(err).NotTo(HaveOccurred())
+			r.eventually(10*time.Second, func() string {
+				if _, held := r.platform.Store.Peek(store.PlannerPrefix + "lease"); !held {
+					return "no second planner"
+				}
+				return ""
+			})
+			r.markLeaving(r.holder("quote", 0))
+			time.Sleep(10 * time.Second)
+			r.put(r.anyEntry(), model("other", 30, 2), model("quote", 20, 1))
+		}},
 		{"holder of the slot parted from everyone", func(r *rig) {
 			time.Sleep(2 * time.Second)
 			holder := r.holder("quote", 0)
