entry/placer: a planner that steps outside its lease starts from nothing

Cause: the scale benchmark steps a planner directly, and the maps of what it has seen were made only with the lease; since the planner asks for nearness that panicked. Before: BenchmarkPlannerIdle panics.

--- a/internal/entry/placer/board.go
+++ b/internal/entry/placer/board.go
@@ -17,7 +17,7 @@
 func newBoard(v *view.View, leaving map[string]bool, near map[string]map[string]string) *board {
 	b := &board{endpoints: map[string]*place.Endpoint{}, near: near}
 	for name, n := range v.Nodes() {
-		if n.Role == plan.Agent && n.Back == plan.EngineBack && !leaving[name] {
+		if takesSlots(n) && !leaving[name] {
 			b.endpoints[name] = &place.Endpoint{Name: name, Domain: n.Domain, MemoryBytes: n.MemoryBytes}
 		}
 	}
@@ -29,6 +29,11 @@
 	return b
 }
 
+// takesSlots reports whether a node stands beside a model engine.
+func takesSlots(n plan.Node) bool {
+	return n.Role == plan.Agent && n.Back == plan.EngineBack
+}
+
 func (b *board) promise(endpoint string, bytes int64) {
 	if e := b.endpoints[endpoint]; e != nil {
 		e.Promised += bytes
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -56,6 +56,9 @@
 // Step brings the plan one step towards what is declared and listed.
 func (p *Placer) Step(ctx context.Context) {
 	v := p.Holder.View()
+	if p.missing == nil {
+		p.reset()
+	}
 	if time.Since(p.listed) >= listEvery {
 		p.readList(ctx, v)
 		p.readNear(ctx, v)
@@ -101,7 +104,13 @@
 
 // readNear asks the next few endpoints, in turn, how near their checkpoints are.
 func (p *Placer) readNear(ctx context.Context, v *view.View) {
-	names := slices.Sorted(maps.Keys(newBoard(v, p.leaving, nil).endpoints))
+	var names []string
+	for name, n := range v.Nodes() {
+		if takesSlots(n) && !p.leaving[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
 	first, _ := slices.BinarySearch(names, p.asked+"\x00")
 	for i := range min(nearAtOnce, len(names)) {
 		p.asked = names[(first+i)%len(names)]
