--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -46,7 +46,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(entryCommand(), agentCommand(), standinCommand(), devCommand(),
+	cmd.AddCommand(entryCommand(), frontCommand(), agentCommand(), standinCommand(), devCommand(),
 		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand())
 	return cmd
 }
--- /dev/null
+++ b/internal/base/conf/front.go
@@ -0,0 +1,58 @@
+package conf
+
+import "time"
+
+// FrontListen are the addresses that a front listens on.
+type FrontListen struct {
+	Callers string
+	// Ready answers the balancer's question.
+	Ready string
+	// Peers serves the other fronts.
+	Peers string
+	// Metrics serves counters and histograms; empty for none.
+	Metrics string
+}
+
+// RetryBudget bounds second sends over all fronts together.
+type RetryBudget struct {
+	// Ratio is the share of a service's requests that may be sent again.
+	Ratio float64
+	// Window is the span over which sends are counted.
+	Window time.Duration
+	// Slack is the number of second sends allowed beyond the ratio.
+	Slack float64
+}
+
+// Bounds are the times that the deployment promises or demands.
+type Bounds struct {
+	// Grace is the time from the stop signal to the kill.
+	Grace time.Duration
+	// InForce is how long a configuration may take to be in force.
+	InForce time.Duration
+	// Lease is the shortest time between orders of two holders to one server.
+	Lease time.Duration
+	// Returning is how long after an outage of the store announcements may take to come back.
+	Returning time.Duration
+	// LoadWindow and LoadExcess say over which span loads from the weight store are counted, and the tolerated excess.
+	LoadWindow time.Duration
+	LoadExcess float64
+	// MinLease is the shortest lease that the store grants.
+	MinLease time.Duration
+	// Heartbeat is the interval of the instances' announcements.
+	Heartbeat time.Duration
+}
+
+// Front is the settings of an entry that serves a platform's callers from a whole site's declarations.
+type Front struct {
+	Node   Node
+	Listen FrontListen
+	// Seeds are peer addresses that may be stale.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// ChecksFence says that servers refuse orders with an old fencing number.
+	ChecksFence bool
+	Retry       RetryBudget
+	Bounds      Bounds
+	MemoryBytes int64
+}
--- /dev/null
+++ b/internal/core/site/doc.go
@@ -0,0 +1,3 @@
+// Package site holds what operators declare for a whole deployment — routes,
+// services, engines and models — and the instances that serve it.
+package site
--- /dev/null
+++ b/internal/front/mates/mates.go
@@ -0,0 +1,156 @@
+package mates
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/link/peer"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+)
+
+// The methods between fronts.
+const (
+	methodNewer = "Newer"
+	methodWant  = "Want"
+	methodUse   = "Use"
+)
+
+// askTimeout bounds a question for a newer view.
+const askTimeout = 800 * time.Millisecond
+
+// Want asks the planner for an instance that can serve a model or adapter.
+type Want struct {
+	Service string
+	Target  site.Adapter
+	// Wait is how long the request can wait and still be served in time.
+	Wait time.Duration
+	// Value ranks wants that compete.
+	Value float64
+}
+
+// Found answers a Want: instances that can serve now, or when to come back.
+type Found struct {
+	Instances []site.Key
+	// ReadyIn is the forecast for a target that is being loaded or waits for it; 0 if not known.
+	ReadyIn time.Duration
+	Reason  string
+}
+
+// Use tells the planner how much a model or adapter at an instance was used since the last message.
+type Use struct {
+	Instance site.Key
+	Target   site.Adapter
+	Requests int
+	InFlight int
+}
+
+// Uses is what one front tells of all its requests.
+type Uses struct {
+	Front string
+	Uses  []Use
+	// Asked counts the requests by target, served or not.
+	Asked map[string]int
+}
+
+// Planner gives orders to instances; every front has one, which acts only while it holds the lease.
+type Planner interface {
+	Want(ctx context.Context, w Want) (Found, error)
+	Use(u Uses)
+}
+
+// Mates speaks to the other fronts.
+type Mates struct {
+	self  follow.Front
+	pool  *peer.Pool
+	state func() *follow.State
+	seeds []string
+	local Planner
+}
+
+// New returns the front's side towards others and registers its handlers.
+func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner) *Mates {
+	m := &Mates{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
+	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
+		list, _ := f.Snapshot(after)
+		return list, nil
+	})
+	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w Want) (Found, error) {
+		return local.Want(ctx, w)
+	})
+	peer.OnNote(mux, methodUse, func(_ *peer.Conn, u Uses) { local.Use(u) })
+	return m
+}
+
+// Newer asks other fronts, in random order, for a view newer than a revision; two are asked at the most.
+func (m *Mates) Newer(ctx context.Context, revision int64) (store.List, bool) {
+	addresses := slices.Clone(m.seeds)
+	for _, f := range m.state().Fronts {
+		addresses = append(addresses, f.Address)
+	}
+	slices.Sort(addresses)
+	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == m.self.Address })
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(2, len(addresses))] {
+		var list store.List
+		if m.call(ctx, address, methodNewer, askTimeout, revision, &list) == nil && list.Revision > revision {
+			return list, true
+		}
+	}
+	return store.List{}, false
+}
+
+// Want asks whoever gives orders now.
+func (m *Mates) Want(ctx context.Context, w Want) (Found, error) {
+	planner := m.state().Planner
+	if planner == nil {
+		return Found{}, &NoPlanner{}
+	}
+	if planner.Run == m.self.Run {
+		return m.local.Want(ctx, w)
+	}
+	var found Found
+	err := m.call(ctx, planner.Address, methodWant, w.Wait+askTimeout, w, &found)
+	return found, err
+}
+
+// Use tells the planner about the use of models.
+func (m *Mates) Use(ctx context.Context, u Uses) error {
+	planner := m.state().Planner
+	if planner == nil {
+		return &NoPlanner{}
+	}
+	if planner.Run == m.self.Run {
+		m.local.Use(u)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := m.pool.Get(ctx, planner.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Notify(methodUse, u)
+}
+
+func (m *Mates) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := m.pool.Get(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Begin()()
+	return conn.Call(ctx, method, params, reply)
+}
+
+// NoPlanner reports that no front gives orders at the moment.
+type NoPlanner struct{}
+
+// Error says so.
+func (*NoPlanner) Error() string {
+	return "no front holds the planner's lease"
+}
--- /dev/null
+++ b/internal/front/orders/carry.go
@@ -0,0 +1,156 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/policy/swap"
+)
+
+const (
+	// pollAfter is the time between reports read while a load or unload is about to end.
+	pollAfter = 150 * time.Millisecond
+	// reportLag is how old a report may be.
+	reportLag = 150 * time.Millisecond
+	// overdue is how much longer than its forecast a load or unload is followed.
+	overdue = 10 * time.Second
+)
+
+// carryOut unloads what makes way and loads the wanted model.
+func (p *Planner) carryOut(ctx context.Context, s *server, a swap.Action) {
+	defer p.release(s)
+	for _, model := range a.Evict {
+		target := site.Adapter{Model: model}
+		if !p.give(ctx, s, site.Order{Unload: true, Target: target}) {
+			return
+		}
+		if !p.until(ctx, s, overdue, func() bool { return !s.busy && s.models[model] == nil }) {
+			return
+		}
+	}
+	target := site.Adapter{Model: a.Load}
+	if !p.give(ctx, s, site.Order{Target: target}) {
+		return
+	}
+	p.mu.Lock()
+	wait := time.Until(s.readyAt)
+	p.mu.Unlock()
+	pause.For(ctx, wait)
+	p.until(ctx, s, overdue, func() bool { return s.models[a.Load] != nil })
+}
+
+// release ends a server's engagement.
+func (p *Planner) release(s *server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.engaged, s.awaited = false, ""
+	p.wake()
+}
+
+// until reads reports until a belief holds.
+func (p *Planner) until(ctx context.Context, s *server, limit time.Duration, holds func() bool) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		p.readReport(ctx, s)
+		p.mu.Lock()
+		ok, gone := holds(), p.servers[s.inst.Key] != s
+		p.mu.Unlock()
+		if ok || gone {
+			return ok && !gone
+		}
+		if !pause.For(ctx, pollAfter) {
+			return false
+		}
+	}
+	return false
+}
+
+// give gives one order and updates the belief; it reports whether the order was accepted or held already.
+func (p *Planner) give(ctx context.Context, s *server, o site.Order) bool {
+	s.turn.Lock()
+	defer s.turn.Unlock()
+	fence, ok := p.lead.Fence(p.set.ChecksFence)
+	p.mu.Lock()
+	if !ok || fence != p.fence || fence == p.deposed || p.servers[s.inst.Key] != s || !s.admits(o, engineOf(p.state(), s.inst.Service)) {
+		p.mu.Unlock()
+		return false
+	}
+	o.Holder, o.Fence, o.Sequence = p.set.Node, fence, s.sequence
+	in := s.inst
+	p.mu.Unlock()
+	p.orders.Inc()
+	began := time.Now()
+	outcome, err := p.wire.order(ctx, in, o)
+	p.mu.Lock()
+	p.settle(s, o, outcome)
+	p.mu.Unlock()
+	p.log.Infow("order", "Instance", in.ID, "Unload", o.Unload, "Model", o.Target.Model, "Adapter", o.Target.Name, "Sequence", o.Sequence,
+		"Fence", fence, "Outcome", string(outcome), "Took", time.Since(began).String(), "Error", text(err))
+	if outcome == site.Conflict {
+		pause.For(ctx, reportLag)
+		p.readReport(ctx, s)
+	}
+	return outcome == site.Accepted || outcome == site.Holds
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// settle updates the belief by an order's outcome; the caller holds the lock.
+func (p *Planner) settle(s *server, o site.Order, outcome site.Outcome) {
+	now := time.Now()
+	switch outcome {
+	case site.Accepted, site.Holds:
+		if outcome == site.Accepted || o.Unload {
+			s.sequence = o.Sequence + 1
+		}
+		s.adopt(o, now)
+	case site.Fenced:
+		p.deposed = o.Fence
+		p.log.Warnw("deposed: a server has seen a higher fencing number", "Fence", o.Fence, "Instance", s.inst.ID)
+	case site.Unknown:
+		// Accepted or not, or accepted later: a report will tell, and the number of orders keeps a late one out.
+		s.doubt = true
+	}
+	p.wake()
+}
+
+// adopt notes what an accepted order changes at once.
+func (s *server) adopt(o site.Order, now time.Time) {
+	switch {
+	case o.Unload && o.Target.Name != "":
+		delete(s.adapters, o.Target)
+	case o.Unload:
+		if h := s.models[o.Target.Model]; h != nil {
+			h.leaving = true
+		}
+		for a := range s.adapters {
+			if a.Model == o.Target.Model {
+				delete(s.adapters, a)
+			}
+		}
+		s.busy = true
+	case o.Target.Name != "":
+		s.adapters[o.Target] = keptOr(s.adapters[o.Target], now)
+	default:
+		s.busy = true
+	}
+}
+
+// loadAdapter makes room if there is a victim, and loads an adapter.
+func (p *Planner) loadAdapter(ctx context.Context, s *server, t, victim site.Adapter) {
+	ok := victim.Name == "" || p.give(ctx, s, site.Order{Unload: true, Target: victim})
+	if ok && p.give(ctx, s, site.Order{Target: t}) {
+		pause.For(ctx, adapterTime)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.placing, t)
+	p.wake()
+}
--- /dev/null
+++ b/internal/front/orders/planner.go
@@ -0,0 +1,241 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/crew"
+	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/plat/follow"
+)
+
+const (
+	// reportEvery is how often the planner reads each model server's report.
+	reportEvery = time.Second
+	// stepEvery bounds the time between two looks at what is wanted.
+	stepEvery = 100 * time.Millisecond
+	// useFor is how long a front's word on requests in flight holds.
+	useFor = 3 * time.Second
+)
+
+// Settings are what the planner needs to know of the deployment.
+type Settings struct {
+	Node        string
+	ChecksFence bool
+	LoadWindow  time.Duration
+	LoadExcess  float64
+}
+
+// Planner gives orders while its front holds the lease.
+type Planner struct {
+	set   Settings
+	lead  *Lead
+	state func() *follow.State
+	wire  *wire
+	log   *zap.SugaredLogger
+	group *crew.Group
+
+	mu      sync.Mutex
+	fence   int64
+	deposed int64
+	servers map[site.Key]*server
+	wants   map[site.Adapter]*wanted
+	placing map[site.Adapter]bool
+	uses    map[string]usage
+	demand  demand
+	loads   []time.Time
+	changed chan struct{}
+	kick    chan struct{}
+	orders  *metrics.Counter
+	cold    *metrics.Counter
+}
+
+// usage is what a front last told of its requests in flight.
+type usage struct {
+	at       time.Time
+	inFlight map[site.Key]map[site.Adapter]int
+}
+
+// New returns a planner and the function that waits for its orders to end.
+func New(set Settings, lead *Lead, state func() *follow.State, pool *conns.Pool, d Dialect, meters *metrics.Set, log *zap.SugaredLogger) (*Planner, func()) {
+	group := &crew.Group{}
+	p := &Planner{
+		set: set, lead: lead, state: state, wire: &wire{pool: pool, dialect: d}, log: log, group: group,
+		servers: map[site.Key]*server{}, wants: map[site.Adapter]*wanted{}, placing: map[site.Adapter]bool{},
+		uses: map[string]usage{}, demand: newDemand(), changed: make(chan struct{}), kick: make(chan struct{}, 1),
+		orders: meters.GetOrCreateCounter("foxtailcroft_orders_total"), cold: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"),
+	}
+	return p, group.Close
+}
+
+// Run looks at what is wanted whenever something changes, while the lease is held.
+func (p *Planner) Run(ctx context.Context) {
+	timer := time.NewTicker(stepEvery)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.kick:
+		case <-timer.C:
+		}
+		if p.leads() {
+			p.refresh(ctx)
+			p.step(ctx)
+		}
+	}
+}
+
+// RunReports reads the model servers' reports while the lease is held.
+func (p *Planner) RunReports(ctx context.Context) {
+	for pause.For(ctx, reportEvery) {
+		if !p.leads() {
+			continue
+		}
+		for _, s := range p.list() {
+			p.group.Go(func() { p.readReport(ctx, s) })
+		}
+	}
+}
+
+// leads takes note of the fencing number; a new one means that others may have given orders since.
+func (p *Planner) leads() bool {
+	fence, ok := p.lead.Fence(p.set.ChecksFence)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !ok || fence == p.deposed {
+		return false
+	}
+	if fence != p.fence {
+		p.log.Infow("planning", "Fence", fence)
+		p.fence = fence
+		p.servers = map[site.Key]*server{}
+		p.placing = map[site.Adapter]bool{}
+	}
+	return true
+}
+
+// refresh takes over the announced instances; those that are new get their report read.
+func (p *Planner) refresh(ctx context.Context) {
+	state := p.state()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := map[site.Key]bool{}
+	for _, in := range state.Instances {
+		svc := engineOf(state, in.Service)
+		if svc == nil {
+			continue
+		}
+		seen[in.Key] = true
+		s := p.servers[in.Key]
+		if s == nil {
+			s = newServer(in)
+			p.servers[in.Key] = s
+			p.group.Go(func() { p.readReport(ctx, s) })
+		}
+		s.inst = in
+	}
+	for key := range p.servers {
+		if !seen[key] {
+			delete(p.servers, key)
+		}
+	}
+}
+
+// engineOf returns the engine of a service, or nil.
+func engineOf(s *follow.State, service string) *site.Engine {
+	if s.Document == nil || s.Document.Services[service] == nil {
+		return nil
+	}
+	return s.Document.Services[service].Engine
+}
+
+func (p *Planner) list() []*server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*server, 0, len(p.servers))
+	for _, s := range p.servers {
+		out = append(out, s)
+	}
+	return out
+}
+
+// readReport updates the belief of one server.
+func (p *Planner) readReport(ctx context.Context, s *server) {
+	r, err := p.wire.report(ctx, s.inst)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.log.Warnw("no report", "Instance", s.inst.ID, "Error", err.Error())
+		return
+	}
+	first := !s.known
+	if s.take(r, time.Now()) && first {
+		p.log.Infow("server known", "Instance", s.inst.ID, "Born", s.inst.Born, "Sequence", r.Sequence, "Models", r.Models, "Adapters", len(r.Adapters), "OnDisk", r.OnDisk, "InMemory", r.InMemory)
+	}
+	p.wake()
+}
+
+// wake tells waiters that beliefs changed; the caller holds the lock.
+func (p *Planner) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Use takes over what a front tells of its requests.
+func (p *Planner) Use(u mates.Uses) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	use := usage{at: now, inFlight: map[site.Key]map[site.Adapter]int{}}
+	for _, x := range u.Uses {
+		if use.inFlight[x.Instance] == nil {
+			use.inFlight[x.Instance] = map[site.Adapter]int{}
+		}
+		use.inFlight[x.Instance][x.Target] += x.InFlight
+		if s := p.servers[x.Instance]; s != nil && x.Requests+x.InFlight > 0 {
+			s.touch(x.Target, now)
+		}
+	}
+	p.uses[u.Front] = use
+	for model, n := range u.Asked {
+		p.demand.add(model, n, now)
+	}
+}
+
+// touch notes the use of a model and of its adapter.
+func (s *server) touch(t site.Adapter, now time.Time) {
+	if h := s.models[t.Model]; h != nil {
+		h.lastUse = now
+	}
+	if h := s.adapters[t]; h != nil {
+		h.lastUse = now
+	}
+}
+
+// inUse returns the requests in flight at a server for a target, by the fronts' last word.
+func (p *Planner) inUse(k site.Key, t site.Adapter) int {
+	n := 0
+	for _, u := range p.uses {
+		if time.Since(u.at) > useFor {
+			continue
+		}
+		for x, count := range u.inFlight[k] {
+			if x == t || t.Name == "" && x.Model == t.Model {
+				n += count
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/front/orders/server.go
@@ -0,0 +1,150 @@
+package orders
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+)
+
+// server is what the planner believes of one incarnation of a model server.
+// All fields but turn belong to the planner's lock.
+type server struct {
+	inst site.Instance
+	// turn is held while an order is given, so that orders go out one at a time.
+	turn sync.Mutex
+	// known is false until a report was read.
+	known    bool
+	sequence int64
+	busy     bool
+	models   map[string]*held
+	adapters map[site.Adapter]*held
+	onDisk   []string
+	inMemory []string
+	running  int
+	// awaited is the model that the running job will load, and readyAt the forecast for it.
+	awaited string
+	readyAt time.Time
+	engaged bool
+	// doubt is set when an order's answer was lost: nothing is ordered until a report has been read.
+	doubt bool
+}
+
+// held is a model or adapter in a server's memory.
+type held struct {
+	since   time.Time
+	lastUse time.Time
+	// leaving is set once its unload was ordered.
+	leaving bool
+}
+
+func newServer(in site.Instance) *server {
+	return &server{inst: in, models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
+}
+
+// take updates the belief by a report unless it is older than the orders that were accepted since.
+func (s *server) take(r site.Report, now time.Time) bool {
+	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && r.Sequence < s.sequence {
+		return false
+	}
+	s.known, s.sequence, s.busy, s.running, s.doubt = true, r.Sequence, r.Busy, r.Running, false
+	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
+	models := map[string]*held{}
+	for _, m := range r.Models {
+		models[m] = keptOr(s.models[m], now)
+	}
+	adapters := map[site.Adapter]*held{}
+	for _, a := range r.Adapters {
+		adapters[a] = keptOr(s.adapters[a], now)
+	}
+	s.models, s.adapters = models, adapters
+	return true
+}
+
+func keptOr(h *held, now time.Time) *held {
+	if h != nil {
+		return h
+	}
+	return &held{since: now, lastUse: now}
+}
+
+// serves reports whether a target is loaded and stays.
+func (s *server) serves(t site.Adapter) bool {
+	m := s.models[t.Model]
+	if m == nil || m.leaving || s.inst.Leaving {
+		return false
+	}
+	if t.Name == "" {
+		return true
+	}
+	a := s.adapters[t]
+	return a != nil && !a.leaving && time.Since(a.since) >= adapterTime
+}
+
+// admits reports whether an order may go out on what is believed at this
+// number of accepted orders: one at a time, and never more than fits. A server
+// whose number differs refuses the order, so what was checked here is what it holds.
+func (s *server) admits(o site.Order, e *site.Engine) bool {
+	if !s.known || s.busy || s.doubt || s.inst.Leaving || e == nil {
+		return false
+	}
+	m := e.Model(o.Target.Model)
+	switch {
+	case m == nil:
+		return false
+	case o.Unload:
+		return true
+	case o.Target.Name != "":
+		return s.models[m.Name] != nil && len(s.adapters) < e.AdapterPlaces && s.usedMB(e)+m.AdapterMB <= e.WeightsMB
+	}
+	return s.usedMB(e)+m.SizeMB <= e.WeightsMB
+}
+
+// free reports whether an order may be given now.
+func (s *server) free() bool {
+	return s.known && !s.busy && !s.engaged && !s.doubt && !s.inst.Leaving
+}
+
+// oldest returns the adapter that was unused for longest, and since when; those in use are passed over.
+func (s *server) oldest(inUse func(site.Key, site.Adapter) int) (site.Adapter, time.Time, bool) {
+	var best site.Adapter
+	var at time.Time
+	for a, h := range s.adapters {
+		if h.leaving || inUse(s.inst.Key, a) > 0 {
+			continue
+		}
+		if at.IsZero() || h.lastUse.Before(at) {
+			best, at = a, h.lastUse
+		}
+	}
+	return best, at, !at.IsZero()
+}
+
+// usedMB sums the sizes of what the server holds.
+func (s *server) usedMB(e *site.Engine) float64 {
+	sum := 0.0
+	for name := range s.models {
+		if m := e.Model(name); m != nil {
+			sum += m.SizeMB
+		}
+	}
+	for a := range s.adapters {
+		if m := e.Model(a.Model); m != nil {
+			sum += m.AdapterMB
+		}
+	}
+	return sum
+}
+
+// modelNames returns the models that are loaded and stay, ordered.
+func (s *server) modelNames() []string {
+	var out []string
+	for name, h := range s.models {
+		if !h.leaving {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/front/orders/step.go
@@ -0,0 +1,157 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/policy/swap"
+)
+
+// loadsAtOnce is how many loads from the weight store may run at once before each takes longer.
+const loadsAtOnce = 4
+
+// step starts what the wants need.
+func (p *Planner) step(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	models := map[string][]swap.Want{}
+	for target, w := range p.wants {
+		if w.waiting == 0 && now.After(w.until) {
+			delete(p.wants, target)
+			continue
+		}
+		if len(p.holders(w.service, target.Model)) == 0 {
+			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(0.5, w.value)})
+			continue
+		}
+		if target.Name != "" {
+			p.placeAdapter(ctx, w.service, target)
+		}
+	}
+	for service, wants := range models {
+		p.swap(ctx, service, wants)
+	}
+}
+
+// swap carries out what the policy decides for a service.
+func (p *Planner) swap(ctx context.Context, service string, wants []swap.Want) {
+	engine := engineOf(p.state(), service)
+	if engine == nil {
+		return
+	}
+	now := time.Now()
+	in := swap.Input{Engine: engine, Wants: merged(wants), Rates: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading()}
+	for _, s := range p.servers {
+		if s.inst.Service == service && !s.inst.Leaving {
+			in.Servers = append(in.Servers, p.viewed(s, now))
+		}
+	}
+	slices.SortFunc(in.Servers, func(a, b swap.Server) int { return strings.Compare(a.ID, b.ID) })
+	for _, a := range swap.Decide(in) {
+		s := p.byID(a.Server)
+		s.engaged, s.awaited, s.readyAt = true, a.Load, now.Add(a.Takes)
+		if a.Source == swap.FromStore {
+			p.loads = append(p.loads, now)
+			p.cold.Inc()
+		}
+		p.log.Infow("swap", "Instance", a.Server, "Load", a.Load, "Evict", a.Evict, "Source", int(a.Source), "Takes", a.Takes.String(), "Sequence", s.sequence, "Fence", p.fence)
+		p.group.Go(func() { p.carryOut(ctx, s, a) })
+	}
+}
+
+// merged sums the wants of one model, with and without adapters.
+func merged(wants []swap.Want) []swap.Want {
+	var out []swap.Want
+	for _, w := range wants {
+		i := slices.IndexFunc(out, func(x swap.Want) bool { return x.Model == w.Model })
+		if i < 0 {
+			out = append(out, w)
+			continue
+		}
+		out[i].Weight += w.Weight
+	}
+	return out
+}
+
+// viewed returns a server as the policy sees it.
+func (p *Planner) viewed(s *server, now time.Time) swap.Server {
+	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory}
+	for _, name := range s.modelNames() {
+		h := s.models[name]
+		v.Copies = append(v.Copies, swap.Copy{
+			Model: name, InFlight: p.inUse(s.inst.Key, site.Adapter{Model: name}), Age: now.Sub(h.since), Idle: now.Sub(h.lastUse),
+		})
+	}
+	return v
+}
+
+func (p *Planner) byID(id string) *server {
+	for _, s := range p.servers {
+		if s.inst.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// loading counts the loads from the weight store that may still run.
+func (p *Planner) loading() int {
+	n := 0
+	for _, s := range p.servers {
+		if s.awaited != "" && !slices.Contains(s.onDisk, s.awaited) {
+			n++
+		}
+	}
+	return n
+}
+
+// loadsLeft returns how many loads from the weight store may begin now: no
+// more at once than run at full speed, and no more in the window than the
+// store's rate allows without the tolerated excess.
+func (p *Planner) loadsLeft(e *site.Engine, now time.Time) int {
+	p.loads = slices.DeleteFunc(p.loads, func(t time.Time) bool { return now.Sub(t) > p.set.LoadWindow })
+	inWindow := int(e.LoadsPerSecond*p.set.LoadWindow.Seconds()) - len(p.loads)
+	return max(0, min(inWindow, loadsAtOnce-p.loading()))
+}
+
+// adapterTime is how long an adapter's load is given before its first request goes out.
+const adapterTime = 12 * time.Millisecond
+
+// placeAdapter loads an adapter at a holder of its model with a free place, or in place of the one unused for longest.
+func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Adapter) {
+	if p.placing[t] {
+		return
+	}
+	engine := engineOf(p.state(), service)
+	model := engine.Model(t.Model)
+	if model == nil {
+		return
+	}
+	var best *server
+	var victim site.Adapter
+	var oldest time.Time
+	for _, s := range p.holders(service, t.Model) {
+		if !s.free() {
+			continue
+		}
+		if len(s.adapters) < engine.AdapterPlaces && s.usedMB(engine)+model.AdapterMB <= engine.WeightsMB {
+			if best == nil || victim.Name != "" || len(s.adapters) < len(best.adapters) {
+				best, victim = s, site.Adapter{}
+			}
+			continue
+		}
+		a, at, ok := s.oldest(p.inUse)
+		if ok && (best == nil || victim.Name != "" && at.Before(oldest)) {
+			best, victim, oldest = s, a, at
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.placing[t] = true
+	p.group.Go(func() { p.loadAdapter(ctx, best, t, victim) })
+}
--- /dev/null
+++ b/internal/front/orders/wants.go
@@ -0,0 +1,130 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+)
+
+// wanted is a target that requests wait for, or asked for lately.
+type wanted struct {
+	service string
+	// waiting is the number of requests that wait, and value the sum of their worth.
+	waiting int
+	value   float64
+	// until keeps a want alive after a refusal, so that the load is done when the caller returns.
+	until time.Time
+}
+
+// lingering is how long a refused want keeps its model on order.
+const lingering = 3 * time.Second
+
+// Want waits until an instance can serve the target, or says when one will.
+func (p *Planner) Want(ctx context.Context, w mates.Want) (mates.Found, error) {
+	if !p.leads() {
+		return mates.Found{}, &mates.NoPlanner{}
+	}
+	deadline := time.NewTimer(w.Wait)
+	defer deadline.Stop()
+	done := p.register(w)
+	defer done()
+	for {
+		found, wait := p.find(w)
+		if !wait {
+			return found, nil
+		}
+		select {
+		case <-p.next():
+		case <-deadline.C:
+			found.Reason = "not ready in time"
+			return found, nil
+		case <-ctx.Done():
+			return mates.Found{}, ctx.Err()
+		}
+	}
+}
+
+func (p *Planner) next() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// register counts a waiting request and returns the function that takes it off.
+func (p *Planner) register(w mates.Want) func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.wants[w.Target]
+	if x == nil {
+		x = &wanted{service: w.Service}
+		p.wants[w.Target] = x
+	}
+	x.waiting++
+	x.value += w.Value
+	x.until = time.Now().Add(w.Wait + lingering)
+	p.kickNow()
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		x.waiting--
+		x.value -= w.Value
+	}
+}
+
+// find returns who serves the target; wait is true if the request can wait for one.
+func (p *Planner) find(w mates.Want) (found mates.Found, wait bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.inst.Service == w.Service && s.serves(w.Target) {
+			found.Instances = append(found.Instances, s.inst.Key)
+		}
+	}
+	if len(found.Instances) > 0 {
+		delete(p.wants, w.Target)
+		return found, false
+	}
+	engine := engineOf(p.state(), w.Service)
+	if engine == nil || engine.Model(w.Target.Model) == nil {
+		found.Reason = "the service has no such model"
+		return found, false
+	}
+	if ready, ok := p.forecast(w.Target.Model); ok {
+		found.ReadyIn = time.Until(ready)
+		if found.ReadyIn > w.Wait {
+			found.Reason = "the load ends too late"
+			return found, false
+		}
+	}
+	return found, true
+}
+
+// forecast returns when a server that is being prepared for the model will be ready.
+func (p *Planner) forecast(model string) (time.Time, bool) {
+	for _, s := range p.servers {
+		if s.awaited == model {
+			return s.readyAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (p *Planner) kickNow() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// holders returns the servers that have the model of a target.
+func (p *Planner) holders(service, model string) []*server {
+	var out []*server
+	for _, s := range p.servers {
+		if s.inst.Service == service && s.serves(site.Adapter{Model: model}) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/front/relay/find.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+)
+
+const (
+	// serviceTime is kept of the time left for serving once a model is ready.
+	serviceTime = 500 * time.Millisecond
+	// plannerPause is the wait for a planner when there is none, or it cannot be reached.
+	plannerPause = 100 * time.Millisecond
+	// plannerWait is how long a request waits for a planner at the most.
+	plannerWait = 2 * time.Second
+)
+
+// find returns the instance to try next; false if the request has ended.
+func (c *call) find(ctx context.Context) (site.Instance, bool) {
+	if c.ask.Target.Model != "" {
+		c.server.track.ask(c.ask.Target.Model)
+	}
+	for {
+		c.state = c.server.sites.State()
+		list := c.untried(c.candidates())
+		if in, ok := c.server.track.pick(list, c.server.set.Node.Domain, &c.ask); ok {
+			return in, true
+		}
+		if !c.wait(ctx) {
+			return site.Instance{}, false
+		}
+	}
+}
+
+// candidates are the instances that could serve.
+func (c *call) candidates() []site.Instance {
+	list := c.state.Serving(c.service)
+	if !c.managed() {
+		return list
+	}
+	return c.server.track.holding(list, c.ask.Target)
+}
+
+// managed reports whether the request names a model that must be loaded.
+func (c *call) managed() bool {
+	svc := c.state.Document.Services[c.service]
+	return c.ask.Target.Model != "" && svc != nil && svc.Engine != nil
+}
+
+func (c *call) untried(list []site.Instance) []site.Instance {
+	return slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return c.tried[in.Key] })
+}
+
+// wait waits for an instance to come up; false if the request has ended.
+func (c *call) wait(ctx context.Context) bool {
+	began := time.Now()
+	defer func() { c.held += time.Since(began) }()
+	if c.unsent+c.sends > 0 && len(c.candidates()) > 0 {
+		// Those that are left have rejected the request; they may have room in a moment.
+		pause.For(ctx, fullPause)
+		clear(c.tried)
+		return !c.expired(ctx)
+	}
+	if c.managed() {
+		return c.waitForModel(ctx)
+	}
+	if c.held > plannerWait/4 || len(c.state.Serving(c.service)) > 0 {
+		c.none("no instance to try", soonRetry)
+		return false
+	}
+	pause.For(ctx, plannerPause)
+	return !c.expired(ctx)
+}
+
+// none ends a request for which there is no instance.
+func (c *call) none(reason string, after time.Duration) {
+	switch {
+	case c.stream != nil:
+		c.outcome, c.reason = "stream broken off", reason
+		panic(http.ErrAbortHandler)
+	case c.sends > 0:
+		c.fail(http.StatusBadGateway, reason)
+	default:
+		c.refuse(http.StatusServiceUnavailable, reason, after)
+	}
+}
+
+// waitForModel asks the planner for an instance with the model.
+func (c *call) waitForModel(ctx context.Context) bool {
+	left := time.Until(c.end) - serviceTime
+	if left <= 0 {
+		c.none("no instance has the model", soonRetry)
+		return false
+	}
+	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Value: c.value()})
+	if c.expired(ctx) {
+		return false
+	}
+	var none *mates.NoPlanner
+	if err != nil {
+		if c.held > plannerWait {
+			c.none("no planner: "+err.Error(), soonRetry)
+			return false
+		}
+		if !errors.As(err, &none) {
+			c.server.log.Warnw("planner not reached", "Request", c.ask.ID, "Error", err.Error())
+		}
+		pause.For(ctx, plannerPause)
+		return !c.expired(ctx)
+	}
+	if len(found.Instances) == 0 {
+		c.none("model not loaded: "+found.Reason, max(soonRetry, found.ReadyIn))
+		return false
+	}
+	c.server.track.place(c.ask.Target, found.Instances)
+	clear(c.tried)
+	if len(c.candidates()) == 0 {
+		pause.For(ctx, fullPause)
+	}
+	return !c.expired(ctx)
+}
+
+// value ranks requests that wait for models: the route's rank and the time that is left decide.
+func (c *call) value() float64 {
+	return 1
+}
--- /dev/null
+++ b/internal/front/relay/record.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"time"
+
+	"foxtailcroft/internal/core/site"
+)
+
+// note logs a decision on the way of a request.
+func (c *call) note(what string, in site.Instance, reason string) {
+	c.server.log.Infow(what, "Request", c.ask.ID, "Instance", in.ID, "Born", in.Born, "Announced", in.Seen,
+		"Sends", c.sends, "Unsent", c.unsent, "Reason", reason, "Ms", time.Since(c.arrived).Milliseconds())
+}
+
+// logEnd logs how a request ended, with what decided it.
+func (c *call) logEnd() {
+	route, kind := "", ""
+	if c.route != nil {
+		route, kind = c.route.Name, string(c.route.Kind)
+	}
+	version := int64(0)
+	if c.state.Document != nil {
+		version = c.state.Document.Version
+	}
+	events := 0
+	if c.stream != nil {
+		events = c.stream.events
+	}
+	took := time.Since(c.arrived)
+	c.server.meters.GetOrCreateCounter(`foxtailcroft_requests_total{outcome="` + c.outcome + `"}`).Inc()
+	c.server.meters.GetOrCreateHistogram("foxtailcroft_request_seconds").Update(took.Seconds())
+	c.server.log.Infow("request", "Request", c.ask.ID, "Route", route, "Kind", kind, "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
+		"Prompt", c.ask.PromptTokens, "Instance", c.instance, "Sends", c.sends, "Unsent", c.unsent, "Outcome", c.outcome, "Status", c.status,
+		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events,
+		"Patience", c.ask.Patience.Milliseconds(), "Version", version, "Revision", c.state.Revision)
+}
--- /dev/null
+++ b/internal/front/relay/server.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/retry"
+)
+
+// Dialect reads and writes the headers of requests and answers.
+type Dialect interface {
+	Request(h http.Header) site.Request
+	Outgoing(h http.Header, instance string, left time.Duration, priority int, lastEvent string)
+	Answers(h http.Header, id string) bool
+	Signed(h http.Header) bool
+	NotRun(status int, h http.Header) bool
+	Load(h http.Header) (site.Load, bool)
+	Refuse(h http.Header, id string, after time.Duration)
+}
+
+// Finder asks the planner for instances that can serve a model.
+type Finder interface {
+	Want(ctx context.Context, w mates.Want) (mates.Found, error)
+}
+
+// Sites shows the newest state.
+type Sites interface {
+	State() *follow.State
+}
+
+// Server serves callers.
+type Server struct {
+	set     conf.Front
+	sites   Sites
+	pool    *conns.Pool
+	dialect Dialect
+	finder  Finder
+	track   *tracker
+	log     *zap.SugaredLogger
+	meters  *metrics.Set
+	mu      sync.Mutex
+	budgets map[string]retry.Share
+}
+
+// New returns a server of callers' requests.
+func New(set conf.Front, sites Sites, pool *conns.Pool, d Dialect, finder Finder, meters *metrics.Set, log *zap.SugaredLogger) *Server {
+	return &Server{
+		set: set, sites: sites, pool: pool, dialect: d, finder: finder, track: newTracker(),
+		log: log, meters: meters, budgets: map[string]retry.Share{},
+	}
+}
+
+// Uses returns what was used of models since the last call.
+func (s *Server) Uses() mates.Uses {
+	state := s.sites.State()
+	return s.track.uses(s.set.Node.Name, func(k site.Key) bool {
+		in, ok := state.Instances[k.ID]
+		return ok && in.Key == k
+	})
+}
+
+// firstRetry is when callers come back to a front that knows no configuration yet.
+const firstRetry = 500 * time.Millisecond
+
+// ServeHTTP takes one request to its end.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{server: s, w: w, r: r, arrived: time.Now(), state: s.sites.State(), ask: s.dialect.Request(r.Header), tried: map[site.Key]bool{}}
+	defer c.logEnd()
+	doc := c.state.Document
+	if doc == nil {
+		c.refuse(http.StatusServiceUnavailable, "no configuration yet", firstRetry)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	c.route = doc.Route(host, path)
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, "no route", 0)
+		return
+	}
+	if !c.readBody(doc.Limits.BodyBytes) {
+		return
+	}
+	c.service = c.route.Pick(xxhash.Sum64String(c.ask.ID))
+	limit := c.route.Timeout
+	if c.ask.Patience > 0 && (limit <= 0 || c.ask.Patience < limit) {
+		limit = c.ask.Patience
+	}
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	c.end = c.arrived.Add(limit)
+	ctx, cancel := context.WithDeadline(r.Context(), c.end)
+	defer cancel()
+	s.earn(c.service)
+	c.run(ctx)
+}
+
+// defaultLimit bounds requests whose route and caller name no time.
+const defaultLimit = 60 * time.Second
+
+// readBody reads the whole body; false if it did not come or is too long.
+func (c *call) readBody(most int64) bool {
+	if c.r.Body == nil || c.r.ContentLength == 0 {
+		return true
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, max(most, 1)))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return false
+	case err != nil:
+		c.outcome, c.reason = "caller left", "body not read: "+err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	c.body = data
+	return true
+}
+
+// earn counts a first send towards a service.
+func (s *Server) earn(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgets[service] = s.budget(service).Earned()
+}
+
+// spend takes a second send from a service's budget; false if none is left.
+func (s *Server) spend(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.budget(service).Spent()
+	s.budgets[service] = b
+	return ok
+}
+
+// budgetParts is into how many parts the slack is divided beside the known fronts, for fronts that start or are not known.
+const budgetParts = 2
+
+func (s *Server) budget(service string) retry.Share {
+	b, ok := s.budgets[service]
+	if !ok {
+		b = retry.NewShare(s.set.Retry.Ratio, s.set.Retry.Slack, budgetParts*max(1, len(s.sites.State().Fronts)))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/front/relay/track.go
@@ -0,0 +1,238 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/policy/choose"
+)
+
+const (
+	// toldFor is how long the load that an answer told holds.
+	toldFor = time.Second
+	// failureWeight is the weight of the newest outcome in the share of failures.
+	failureWeight = 0.25
+	// failureMemory is the time in which a share of failures falls to a half while nothing is sent.
+	failureMemory = 2 * time.Second
+	// rememberedParts bounds the prompt parts remembered for each instance.
+	rememberedParts = 512
+)
+
+// tracker keeps what this front knows of instances from its own requests.
+type tracker struct {
+	mu     sync.Mutex
+	seen   map[site.Key]*seen
+	placed map[site.Adapter]map[site.Key]bool
+	asked  map[string]int
+}
+
+// seen is what the own requests have shown of one instance.
+type seen struct {
+	inFlight  map[site.Adapter]int
+	total     int
+	requests  map[site.Adapter]int
+	reading   int
+	told      int
+	toldAt    time.Time
+	failing   float64
+	failingAt time.Time
+	answers   time.Duration
+	parts     map[string]time.Time
+	// absent are models that the instance said it does not have, with the time of that.
+	absent map[site.Adapter]time.Time
+}
+
+func newTracker() *tracker {
+	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[string]int{}}
+}
+
+func (t *tracker) of(k site.Key) *seen {
+	s := t.seen[k]
+	if s == nil {
+		s = &seen{inFlight: map[site.Adapter]int{}, requests: map[site.Adapter]int{}, parts: map[string]time.Time{}, absent: map[site.Adapter]time.Time{}}
+		t.seen[k] = s
+	}
+	return s
+}
+
+// absentFor is how long an instance's word that it lacks a model outweighs its announcement, which lags by one heartbeat.
+const absentFor = 1500 * time.Millisecond
+
+// pick chooses among instances; ok is false if none is left.
+func (t *tracker) pick(list []site.Instance, domain string, r *site.Request) (site.Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	list = slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool {
+		s := t.of(in.Key)
+		return now.Sub(s.absent[r.Target]) < absentFor
+	})
+	var candidates []choose.Candidate
+	for _, in := range list {
+		s := t.of(in.Key)
+		c := choose.Candidate{
+			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
+			Missing: s.missing(r), Failing: s.failed(now), Answers: s.answers,
+		}
+		if now.Sub(s.toldAt) < toldFor {
+			c.Told = s.told
+		}
+		candidates = append(candidates, c)
+	}
+	i := choose.Best(candidates, rand.Float64)
+	if i < 0 {
+		return site.Instance{}, false
+	}
+	return list[i], true
+}
+
+// missing returns the tokens of a prompt that the instance has not read for the same model and adapter.
+func (s *seen) missing(r *site.Request) int {
+	total := r.PromptTokens
+	for _, p := range r.Parts {
+		if _, ok := s.parts[partKey(r.Target, p)]; !ok {
+			break
+		}
+		total -= p.Tokens
+	}
+	return max(0, total)
+}
+
+func partKey(t site.Adapter, p site.Part) string {
+	return t.Model + "/" + t.Name + "/" + p.ID
+}
+
+func (s *seen) failed(now time.Time) float64 {
+	return s.failing * float64(failureMemory) / float64(failureMemory+now.Sub(s.failingAt))
+}
+
+// begin notes a request that is sent, and returns the functions that note its first answer and its end.
+func (t *tracker) begin(k site.Key, r *site.Request, plain bool) (answered func(), ended func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	began := time.Now()
+	reading := s.missing(r)
+	s.inFlight[r.Target]++
+	s.requests[r.Target]++
+	s.total++
+	s.reading += reading
+	s.remember(r, began)
+	answered = sync.OnceFunc(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		s.reading -= reading
+		if plain {
+			s.answers += (time.Since(began) - s.answers) / 4
+		}
+	})
+	return answered, func() {
+		answered()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		s.inFlight[r.Target]--
+		s.total--
+	}
+}
+
+func (s *seen) remember(r *site.Request, now time.Time) {
+	for _, p := range r.Parts {
+		s.parts[partKey(r.Target, p)] = now
+	}
+	for key, at := range s.parts {
+		if len(s.parts) <= rememberedParts {
+			return
+		}
+		if now.Sub(at) > time.Second {
+			delete(s.parts, key)
+		}
+	}
+}
+
+// outcome notes whether an instance served a request.
+func (t *tracker) outcome(k site.Key, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	now := time.Now()
+	was := s.failed(now)
+	s.failing, s.failingAt = was*(1-failureWeight), now
+	if failed {
+		s.failing += failureWeight
+	}
+}
+
+// told notes the load that an answer tells.
+func (t *tracker) told(k site.Key, l site.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	s.told, s.toldAt = l.Running+l.Waiting, time.Now()
+}
+
+// absent notes that an instance lacks a model or adapter.
+func (t *tracker) absent(k site.Key, target site.Adapter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(k).absent[target] = time.Now()
+	delete(t.placed[target], k)
+}
+
+// place notes which instances have an adapter.
+func (t *tracker) place(target site.Adapter, keys []site.Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := map[site.Key]bool{}
+	for _, k := range keys {
+		at[k] = true
+		delete(t.of(k).absent, target)
+	}
+	t.placed[target] = at
+}
+
+// holding returns those instances that are known to serve a target.
+func (t *tracker) holding(list []site.Instance, target site.Adapter) []site.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []site.Instance
+	for _, in := range list {
+		if t.placed[target][in.Key] || target.Name == "" && slices.Contains(in.Models, target.Model) {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// ask counts a request for a model.
+func (t *tracker) ask(model string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked[model]++
+}
+
+// uses returns what was used since the last call, and forgets instances that are gone.
+func (t *tracker) uses(front string, live func(site.Key) bool) mates.Uses {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := mates.Uses{Front: front, Asked: t.asked}
+	t.asked = map[string]int{}
+	for k, s := range t.seen {
+		for target, n := range s.inFlight {
+			if n > 0 || s.requests[target] > 0 {
+				u.Uses = append(u.Uses, mates.Use{Instance: k, Target: target, Requests: s.requests[target], InFlight: n})
+			}
+			if n == 0 {
+				delete(s.inFlight, target)
+			}
+		}
+		clear(s.requests)
+		if s.total == 0 && !live(k) {
+			delete(t.seen, k)
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/internal/node/front/front.go
@@ -0,0 +1,164 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/base/tree"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/orders"
+	"foxtailcroft/internal/front/relay"
+	"foxtailcroft/internal/link/peer"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+)
+
+// Dialect is all that the front needs translated.
+type Dialect interface {
+	relay.Dialect
+	orders.Dialect
+	follow.Decoder
+}
+
+// Store is the metadata store as the front uses it.
+type Store interface {
+	store.Store
+	orders.Leases
+}
+
+// Options are the parts that differ between deployments.
+type Options struct {
+	Settings  conf.Front
+	Store     Store
+	Dialect   Dialect
+	Layout    follow.Layout
+	Dial      conns.Dial
+	ReadyPath string
+	Meters    *metrics.Set
+	Log       *zap.Logger
+}
+
+// Listeners are the open listeners of a front; Metrics may be nil.
+type Listeners struct {
+	Callers net.Listener
+	Ready   net.Listener
+	Peers   net.Listener
+	Metrics net.Listener
+}
+
+// Front is a front process.
+type Front struct {
+	set      conf.Front
+	follower *follow.Follower
+	lead     *orders.Lead
+	planner  *orders.Planner
+	mates    *mates.Mates
+	relay    *relay.Server
+	pool     *conns.Pool
+	mux      *peer.Mux
+	hello    func() peer.Hello
+	callers  *callers
+	opts     Options
+	log      *zap.SugaredLogger
+	state    lifecycle
+}
+
+// New returns a front that does not serve yet, and the function that closes it.
+func New(o Options) (*Front, func()) {
+	log := o.Log.Sugar()
+	set := o.Settings
+	follower := follow.New(o.Store, o.Dialect, o.Layout, set.Bounds.Returning, log.Named("Follow"))
+	pool, closePool := conns.New(o.Dial, o.Meters)
+	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, log.Named("Lead"))
+	planner, closePlanner := orders.New(orders.Settings{
+		Node: set.Node.Name, ChecksFence: set.ChecksFence, LoadWindow: set.Bounds.LoadWindow, LoadExcess: set.Bounds.LoadExcess,
+	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
+	mux := peer.NewMux()
+	hello := func() peer.Hello { return peer.Hello{Node: set.Node.Name} }
+	peers, closePeers := peer.NewPool(conns.TCP, mux, hello)
+	m := mates.New(lead.Self, peers, mux, follower, set.Seeds, planner)
+	follower.SetMates(m)
+	f := &Front{
+		set: set, follower: follower, lead: lead, planner: planner, mates: m, pool: pool, mux: mux, hello: hello, opts: o, log: log,
+		relay: relay.New(set, follower, pool, o.Dialect, m, o.Meters, log.Named("Relay")),
+	}
+	f.callers = newCallers(f.relay, follower)
+	return f, func() {
+		closePeers()
+		closePlanner()
+		closePool()
+	}
+}
+
+const (
+	// useEvery is how often a front tells the planner what it used.
+	useEvery = 500 * time.Millisecond
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = 500 * time.Millisecond
+)
+
+// Start serves on the listeners.
+func (f *Front) Start(t *tree.Tree, l Listeners) {
+	peerServer, closePeerServer := peer.NewServer(l.Peers, f.mux, f.hello)
+	t.OnClose(closePeerServer)
+	t.Critical("Peers", peerServer.Serve)
+	t.Critical("Ready", f.serveAside(t, l.Ready, f.readyHandler()))
+	if l.Metrics != nil {
+		t.Critical("Metrics", f.serveAside(t, l.Metrics, f.metricsHandler()))
+	}
+	t.OnClose(f.callers.close)
+	t.Critical("Callers", func(context.Context) error { return f.callers.serve(l.Callers) })
+	t.Keep("Follow", f.follower.Run)
+	t.Keep("Reread", f.follower.RunReread)
+	t.Keep("Mates", f.follower.RunMates)
+	t.Keep("Missing", f.follower.RunMissing)
+	t.Keep("Lead", f.lead.Run)
+	t.Keep("Planner", f.planner.Run)
+	t.Keep("Reports", f.planner.RunReports)
+	t.Keep("Uses", f.tellUses)
+	t.Keep("Sweep", f.sweep)
+}
+
+// serveAside serves a small handler beside the callers.
+func (f *Front) serveAside(t *tree.Tree, l net.Listener, h http.Handler) func(context.Context) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
+	t.OnClose(func() {
+		// The process ends; a connection that fails to close ends with it.
+		_ = server.Close()
+	})
+	return func(context.Context) error { return closedIsFine(server.Serve(l)) }
+}
+
+// tellUses tells the planner what this front used, if it used anything.
+func (f *Front) tellUses(ctx context.Context) {
+	for pause.For(ctx, useEvery) {
+		u := f.relay.Uses()
+		if len(u.Uses) == 0 && len(u.Asked) == 0 {
+			continue
+		}
+		if err := f.mates.Use(ctx, u); err != nil {
+			f.log.Debugw("use not told", "Error", err.Error())
+		}
+	}
+}
+
+// sweep closes idle connections to instances that are gone, and to callers that were idle for too long.
+func (f *Front) sweep(ctx context.Context) {
+	for pause.For(ctx, sweepEvery) {
+		state := f.follower.State()
+		f.pool.Sweep(func(k site.Key) bool {
+			in, ok := state.Instances[k.ID]
+			return ok && in.Key == k && !in.Leaving
+		})
+		f.callers.sweep()
+	}
+}
--- /dev/null
+++ b/internal/plat/follow/follower.go
@@ -0,0 +1,291 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/base/pause"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/store"
+)
+
+const (
+	// retryPause is between tries at a store that does not answer; each try is priced.
+	retryPause = 300 * time.Millisecond
+	// firstRetryPause is the same while nothing is known yet.
+	firstRetryPause = 100 * time.Millisecond
+	// matePause is between questions to other fronts while the store is away.
+	matePause = 250 * time.Millisecond
+	// rereadEvery is how often the document is read linearizably beside the watch.
+	rereadEvery = 5 * time.Second
+)
+
+// Mates asks other fronts for a view newer than a revision.
+type Mates interface {
+	Newer(ctx context.Context, revision int64) (store.List, bool)
+}
+
+// Follower keeps the newest state that the store or another front has shown.
+type Follower struct {
+	store     store.Store
+	decoder   Decoder
+	layout    Layout
+	returning time.Duration
+	mates     Mates
+	log       *zap.SugaredLogger
+	state     atomic.Pointer[State]
+	// changing is held while a new state is made; missing belongs to it.
+	changing sync.Mutex
+	mu       sync.Mutex
+	// awaySince is when the store was last found away; zero while it answers.
+	awaySince time.Time
+	// backAt is when it answered again.
+	backAt time.Time
+	// missing are the instances that lapsed around an outage, by key, with the time at which they count as gone.
+	missing map[string]time.Time
+}
+
+// New returns a follower with an empty state; returning is how long instances may take to come back after an outage.
+func New(s store.Store, d Decoder, l Layout, returning time.Duration, log *zap.SugaredLogger) *Follower {
+	f := &Follower{store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]time.Time{}}
+	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, next: make(chan struct{})})
+	return f
+}
+
+// SetMates sets whom to ask while the store is away; call it before Run.
+func (f *Follower) SetMates(m Mates) {
+	f.mates = m
+}
+
+// State returns the newest state.
+func (f *Follower) State() *State {
+	return f.state.Load()
+}
+
+// Away reports whether the store does not answer, or has answered again for less than a span.
+func (f *Follower) Away(span time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.awaySince.IsZero() || time.Since(f.backAt) < span && !f.backAt.IsZero()
+}
+
+// Run reads and watches the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := f.readAll(ctx)
+		if err != nil {
+			f.away(err)
+			wait := retryPause
+			if f.State().Document == nil {
+				wait = firstRetryPause
+			}
+			pause.For(ctx, wait)
+			continue
+		}
+		f.back()
+		f.replace(list)
+		f.watch(ctx)
+	}
+}
+
+// readAll reads every prefix; the revision is the lowest of them, so that a watch from there misses nothing.
+func (f *Follower) readAll(ctx context.Context) (store.List, error) {
+	var all store.List
+	for _, prefix := range f.layout.Prefixes {
+		list, err := f.store.Range(ctx, prefix)
+		if err != nil {
+			return store.List{}, err
+		}
+		if all.Revision == 0 || list.Revision < all.Revision {
+			all.Revision = list.Revision
+		}
+		all.KVs = append(all.KVs, list.KVs...)
+	}
+	return all, nil
+}
+
+// watch follows changes until the history is lost; a store that does not answer is asked again from the same revision.
+func (f *Follower) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
+			f.back()
+			f.apply(b)
+			return nil
+		})
+		var compacted *store.Compacted
+		if errors.As(err, &compacted) {
+			f.log.Infow("history lost, reading all again", "Revision", compacted.Revision)
+			return
+		}
+		if ctx.Err() == nil {
+			f.away(err)
+			pause.For(ctx, retryPause)
+		}
+	}
+}
+
+// RunReread reads the document linearizably now and then, in case a watch stays silent.
+func (f *Follower) RunReread(ctx context.Context) {
+	for pause.For(ctx, rereadEvery) {
+		kv, ok, err := f.store.Get(ctx, f.layout.DocumentKey)
+		if err != nil || !ok {
+			continue
+		}
+		f.update(func(old *State) *State {
+			if kv.Revision <= old.Keys[kv.Key].Revision {
+				return old
+			}
+			f.log.Warnw("the watch missed a document", "Revision", kv.Revision, "Known", old.Keys[kv.Key].Revision)
+			return f.derive(old, withEvents(old.Keys, []store.Event{{KV: kv}}), old.Revision)
+		})
+	}
+}
+
+// RunMates asks other fronts for newer views while the store is away.
+func (f *Follower) RunMates(ctx context.Context) {
+	for pause.For(ctx, matePause) {
+		if f.mates == nil || !f.Away(0) && f.State().Document != nil {
+			continue
+		}
+		if list, ok := f.mates.Newer(ctx, f.State().Revision); ok {
+			f.log.Infow("newer view from another front", "Revision", list.Revision)
+			f.replace(list)
+		}
+	}
+}
+
+// RunMissing drops instances that did not come back after an outage.
+func (f *Follower) RunMissing(ctx context.Context) {
+	for pause.For(ctx, retryPause) {
+		f.update(func(old *State) *State {
+			keys := old.Keys
+			for key, at := range f.missing {
+				if time.Now().Before(at) {
+					continue
+				}
+				keys = withEvents(keys, []store.Event{{KV: store.KV{Key: key, Revision: old.Revision + 1}, Deleted: true}})
+				delete(f.missing, key)
+			}
+			if len(keys) == len(old.Keys) {
+				return old
+			}
+			return f.derive(old, keys, old.Revision)
+		})
+	}
+}
+
+// Snapshot returns all keys if they are newer than a revision.
+func (f *Follower) Snapshot(after int64) (store.List, bool) {
+	s := f.State()
+	if s.Revision <= after {
+		return store.List{}, false
+	}
+	list := store.List{Revision: s.Revision}
+	for _, kv := range s.Keys {
+		list.KVs = append(list.KVs, kv)
+	}
+	return list, true
+}
+
+func (f *Follower) away(err error) {
+	f.mu.Lock()
+	first := f.awaySince.IsZero()
+	if first {
+		f.awaySince = time.Now()
+	}
+	f.mu.Unlock()
+	if first {
+		f.log.Warnw("store away", "Error", err.Error())
+	}
+}
+
+func (f *Follower) back() {
+	f.mu.Lock()
+	since := f.awaySince
+	if !since.IsZero() {
+		f.awaySince, f.backAt = time.Time{}, time.Now()
+	}
+	f.mu.Unlock()
+	if !since.IsZero() {
+		f.log.Infow("store answers again", "After", time.Since(since).String())
+	}
+}
+
+// replace takes over a whole view if it is not older.
+func (f *Follower) replace(list store.List) {
+	f.update(func(old *State) *State {
+		if list.Revision < old.Revision {
+			return old
+		}
+		keys := make(map[string]store.KV, len(list.KVs))
+		for _, kv := range list.KVs {
+			if have, ok := old.Keys[kv.Key]; ok && have.Revision > kv.Revision {
+				kv = have
+			}
+			keys[kv.Key] = kv
+		}
+		f.keepMissing(old, keys)
+		return f.derive(old, keys, list.Revision)
+	})
+}
+
+// apply takes over the changes that a watch has shown.
+func (f *Follower) apply(b store.Batch) {
+	f.update(func(old *State) *State {
+		if len(b.Events) == 0 {
+			if b.Revision <= old.Revision {
+				return old
+			}
+			s := *old
+			s.Revision = b.Revision
+			s.next = make(chan struct{})
+			return &s
+		}
+		keys := withEvents(old.Keys, b.Events)
+		f.keepMissing(old, keys)
+		return f.derive(old, keys, max(old.Revision, b.Revision))
+	})
+}
+
+// keepMissing keeps for a while the instances and the document that vanished around an outage of the store.
+func (f *Follower) keepMissing(old *State, keys map[string]store.KV) {
+	if kv, ok := old.Keys[f.layout.DocumentKey]; ok && keys[f.layout.DocumentKey].Revision == 0 {
+		keys[f.layout.DocumentKey] = kv
+	}
+	for _, in := range old.Instances {
+		key := f.layout.InstancePrefix + in.ID
+		if _, ok := keys[key]; ok {
+			if keys[key].Revision != old.Keys[key].Revision {
+				delete(f.missing, key)
+			}
+			continue
+		}
+		if in.Leaving || !f.Away(f.returning) {
+			continue
+		}
+		keys[key] = old.Keys[key]
+		if _, ok := f.missing[key]; !ok {
+			f.missing[key] = time.Now().Add(f.returning)
+			f.log.Infow("announcement lapsed around an outage, kept for now", "Instance", in.ID)
+		}
+	}
+}
+
+// update replaces the state; waiters on the old one wake up.
+func (f *Follower) update(change func(*State) *State) {
+	f.changing.Lock()
+	defer f.changing.Unlock()
+	old := f.state.Load()
+	s := change(old)
+	if s == old {
+		return
+	}
+	f.gone(old, s)
+	f.state.Store(s)
+	close(old.next)
+}
--- /dev/null
+++ b/internal/plat/follow/state.go
@@ -0,0 +1,165 @@
+package follow
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/store"
+)
+
+// The keys of the project's own in the store.
+const (
+	// OwnPrefix is before all of them.
+	OwnPrefix = "foxtailcroft/"
+	// FrontPrefix is before the fronts' registrations, which lapse with their leases.
+	FrontPrefix = OwnPrefix + "fronts/"
+	// PlannerKey names the front that gives orders; the revision at which it was written is the fencing number.
+	PlannerKey = OwnPrefix + "planner"
+)
+
+// Front is another process of the site.
+type Front struct {
+	Name    string
+	Address string
+	// Run tells the process from others of the same name.
+	Run string
+}
+
+// Planner is the front that gives orders, and its fencing number.
+type Planner struct {
+	Front
+	Fence int64
+}
+
+// State is one view of the site; it does not change.
+type State struct {
+	Revision  int64
+	Keys      map[string]store.KV
+	Document  *site.Document
+	Instances map[string]site.Instance
+	Fronts    map[string]Front
+	Planner   *Planner
+	next      chan struct{}
+}
+
+// Next is closed when a newer state replaces this one.
+func (s *State) Next() <-chan struct{} {
+	return s.next
+}
+
+// Serving returns the instances of a service that take new requests, ordered by id.
+func (s *State) Serving(service string) []site.Instance {
+	var out []site.Instance
+	for _, in := range s.Instances {
+		if in.Service == service && !in.Leaving {
+			out = append(out, in)
+		}
+	}
+	slices.SortFunc(out, func(a, b site.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Decoder reads what the operator and the instances write.
+type Decoder interface {
+	Document(data []byte) (*site.Document, error)
+	Instance(key string, data []byte, revision int64) (site.Instance, error)
+}
+
+// Layout says where in the store things lie.
+type Layout struct {
+	DocumentKey    string
+	InstancePrefix string
+	// Prefixes are all that is read.
+	Prefixes []string
+}
+
+// derive returns the state after changes of keys; what did not change is taken over.
+func (f *Follower) derive(old *State, keys map[string]store.KV, revision int64) *State {
+	s := &State{Revision: revision, Keys: keys, Document: old.Document, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, next: make(chan struct{})}
+	f.document(old, s)
+	for key, kv := range keys {
+		switch {
+		case strings.HasPrefix(key, f.layout.InstancePrefix):
+			f.instance(old, s, kv)
+		case strings.HasPrefix(key, FrontPrefix):
+			var front Front
+			if err := json.Unmarshal(kv.Value, &front); err == nil {
+				s.Fronts[front.Name] = front
+			}
+		}
+	}
+	if kv, ok := keys[PlannerKey]; ok {
+		var front Front
+		if err := json.Unmarshal(kv.Value, &front); err == nil {
+			s.Planner = &Planner{Front: front, Fence: kv.Revision}
+		}
+	}
+	return s
+}
+
+// document decodes the operator's document if it changed; an older version never replaces a newer one.
+func (f *Follower) document(old, s *State) {
+	kv, ok := s.Keys[f.layout.DocumentKey]
+	if !ok || kv.Revision == old.Keys[f.layout.DocumentKey].Revision {
+		return
+	}
+	doc, err := f.decoder.Document(kv.Value)
+	if err != nil {
+		f.log.Errorw("document rejected", "Revision", kv.Revision, "Error", err.Error())
+		return
+	}
+	if old.Document != nil && doc.Version < old.Document.Version {
+		f.log.Errorw("older document ignored", "Version", doc.Version, "InForce", old.Document.Version)
+		return
+	}
+	s.Document = doc
+	f.log.Infow("document in force", "Version", doc.Version, "Revision", kv.Revision, "Routes", len(doc.Routes))
+}
+
+func (f *Follower) instance(old, s *State, kv store.KV) {
+	id := strings.TrimPrefix(kv.Key, f.layout.InstancePrefix)
+	before, known := old.Instances[id]
+	if known && before.Seen == kv.Revision {
+		s.Instances[id] = before
+		return
+	}
+	in, err := f.decoder.Instance(kv.Key, kv.Value, kv.Revision)
+	if err != nil {
+		if old.Keys[kv.Key].Revision != kv.Revision {
+			f.log.Errorw("announcement rejected", "Key", kv.Key, "Revision", kv.Revision, "Error", err.Error())
+		}
+		return
+	}
+	s.Instances[id] = in
+	if !known || before.Leaving != in.Leaving || before.Key != in.Key || before.Address != in.Address {
+		f.log.Infow("instance", "Instance", in.ID, "Born", in.Born, "Service", in.Service, "Address", in.Address, "Leaving", in.Leaving, "Models", in.Models, "Revision", kv.Revision)
+	}
+}
+
+// gone logs the instances that a new state lacks.
+func (f *Follower) gone(old, s *State) {
+	for id, in := range old.Instances {
+		if _, ok := s.Instances[id]; !ok {
+			f.log.Infow("instance gone", "Instance", id, "Born", in.Born, "Service", in.Service, "Revision", s.Revision)
+		}
+	}
+}
+
+// withEvents returns the keys after events, each key moving only forward.
+func withEvents(keys map[string]store.KV, events []store.Event) map[string]store.KV {
+	out := maps.Clone(keys)
+	for _, e := range events {
+		if have, ok := out[e.Key]; ok && have.Revision >= e.Revision {
+			continue
+		}
+		if e.Deleted {
+			delete(out, e.Key)
+			continue
+		}
+		out[e.Key] = e.KV
+	}
+	return out
+}
--- /dev/null
+++ b/internal/policy/swap/swap.go
@@ -0,0 +1,240 @@
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+)
+
+const (
+	// drainTime is the forecast for each request that still runs on a model that makes way.
+	drainTime = 1500 * time.Millisecond
+	// unloadTime is the forecast for an unload that nothing holds up.
+	unloadTime = 50 * time.Millisecond
+	// horizon is the time over which the return of an evicted model is weighed.
+	horizon = 10 * time.Second
+	// youngest is how long a copy stays at the least, so that two models do not push each other out.
+	youngest = 1500 * time.Millisecond
+	// warmLoads is how many loads from the weight store run at full speed at once.
+	warmLoads = 4
+)
+
+// Copy is a model that a server holds.
+type Copy struct {
+	Model    string
+	InFlight int
+	// Age is the time since it was loaded, and Idle that since its last use.
+	Age  time.Duration
+	Idle time.Duration
+}
+
+// Server is a model server as the planner believes it to be.
+type Server struct {
+	ID     string
+	Copies []Copy
+	// Engaged servers carry out an order, or their state is not known; they get none.
+	Engaged bool
+	// Awaited is the model that an engaged server is about to have.
+	Awaited  string
+	OnDisk   []string
+	InMemory []string
+}
+
+// Want is a model that requests wait for.
+type Want struct {
+	Model string
+	// Weight is what a second of waiting costs, such as the number of requests that wait.
+	Weight float64
+}
+
+// Input is all that a decision depends on.
+type Input struct {
+	Engine  *site.Engine
+	Servers []Server
+	Wants   []Want
+	// Rates are requests a second by model.
+	Rates map[string]float64
+	// StoreLoads is the number of loads from the weight store that may begin now, and Loading those that run.
+	StoreLoads int
+	Loading    int
+}
+
+// Action makes a server unload models and then load one.
+type Action struct {
+	Server string
+	Evict  []string
+	Load   string
+	// Source tells where the weights come from.
+	Source Source
+	// Takes is the forecast until the model serves.
+	Takes time.Duration
+}
+
+// Source is where a server finds weights.
+type Source int
+
+// The sources of weights, slowest first.
+const (
+	FromStore Source = iota
+	FromDisk
+	FromMemory
+)
+
+// Decide returns at most one action for each server and each wanted model, the weightiest wants first.
+func Decide(in Input) []Action {
+	wants := slices.Clone(in.Wants)
+	slices.SortStableFunc(wants, func(a, b Want) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
+	})
+	used := map[string]bool{}
+	var out []Action
+	for _, w := range wants {
+		best, ok := in.best(w, used)
+		if !ok {
+			continue
+		}
+		used[best.Server] = true
+		if best.Source == FromStore {
+			in.StoreLoads--
+			in.Loading++
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+// best returns the cheapest way to a model; ok is false if it is under way or nothing fits.
+func (in *Input) best(w Want, used map[string]bool) (Action, bool) {
+	model := in.Engine.Model(w.Model)
+	if model == nil {
+		return Action{}, false
+	}
+	for _, s := range in.Servers {
+		if s.Awaited == w.Model {
+			return Action{}, false
+		}
+	}
+	var best Action
+	least, found := 0.0, false
+	for i := range in.Servers {
+		s := &in.Servers[i]
+		if s.Engaged || used[s.ID] {
+			continue
+		}
+		a, cost, ok := in.at(s, model, w)
+		if ok && (!found || cost < least) {
+			best, least, found = a, cost, true
+		}
+	}
+	return best, found
+}
+
+// at weighs a load at one server: the wait of the wanted model against what the evicted ones lose.
+func (in *Input) at(s *Server, model *site.Model, w Want) (Action, float64, bool) {
+	if slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model.Name }) {
+		return Action{}, 0, false
+	}
+	source, takes := in.load(s, model)
+	if source == FromStore && in.StoreLoads <= 0 {
+		return Action{}, 0, false
+	}
+	evict, harm, wait, ok := in.room(s, model)
+	if !ok {
+		return Action{}, 0, false
+	}
+	takes += wait
+	return Action{Server: s.ID, Evict: evict, Load: model.Name, Source: source, Takes: takes}, max(1, w.Weight)*takes.Seconds() + harm, true
+}
+
+// load returns where a server finds a model's weights, and the time that takes.
+func (in *Input) load(s *Server, model *site.Model) (Source, time.Duration) {
+	switch {
+	case slices.Contains(s.InMemory, model.Name) && model.FromMemory > 0:
+		return FromMemory, model.FromMemory
+	case slices.Contains(s.OnDisk, model.Name) && model.FromDisk > 0:
+		return FromDisk, model.FromDisk
+	}
+	slow := max(1, float64(in.Loading+1)/warmLoads)
+	return FromStore, time.Duration(float64(model.FromStore) * slow)
+}
+
+// room chooses what makes way, least harm first, until the model fits.
+func (in *Input) room(s *Server, model *site.Model) (evict []string, harm float64, wait time.Duration, ok bool) {
+	free := in.Engine.WeightsMB - in.reserve(s, model)
+	for _, c := range s.Copies {
+		free -= in.size(c.Model)
+	}
+	copies := slices.Clone(s.Copies)
+	slices.SortStableFunc(copies, func(a, b Copy) int { return cmp.Compare(in.harm(s, a), in.harm(s, b)) })
+	for _, c := range copies {
+		if free >= model.SizeMB {
+			break
+		}
+		if c.Age < youngest || in.wanted(c.Model) {
+			continue
+		}
+		evict = append(evict, c.Model)
+		harm += in.harm(s, c)
+		wait = max(wait, unloadTime+time.Duration(c.InFlight)*drainTime)
+		free += in.size(c.Model)
+	}
+	return evict, harm, wait, free >= model.SizeMB
+}
+
+// reserve is the room for adapters of the models that a server will hold.
+func (in *Input) reserve(s *Server, model *site.Model) float64 {
+	largest := model.AdapterMB * float64(min(1, model.Adapters))
+	for _, c := range s.Copies {
+		if m := in.Engine.Model(c.Model); m != nil && m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(in.Engine.AdapterPlaces)
+}
+
+func (in *Input) size(model string) float64 {
+	if m := in.Engine.Model(model); m != nil {
+		return m.SizeMB
+	}
+	return in.Engine.WeightsMB
+}
+
+func (in *Input) wanted(model string) bool {
+	return slices.ContainsFunc(in.Wants, func(w Want) bool { return w.Model == model })
+}
+
+// harm is the waiting that the loss of a copy will cost: for a last copy the
+// time until it is back, for others the load that moves to the remaining ones.
+func (in *Input) harm(s *Server, c Copy) float64 {
+	rate := in.Rates[c.Model]
+	running := float64(c.InFlight) * drainTime.Seconds()
+	others := 0
+	for i := range in.Servers {
+		o := &in.Servers[i]
+		if o.ID != s.ID && slices.ContainsFunc(o.Copies, func(x Copy) bool { return x.Model == c.Model }) {
+			others++
+		}
+	}
+	if others > 0 {
+		return running + rate*horizon.Seconds()*shareLost/float64(others*others)
+	}
+	model := in.Engine.Model(c.Model)
+	if model == nil {
+		return running
+	}
+	_, back := in.load(s, model)
+	if back == model.FromStore && model.FromDisk > 0 {
+		// What a server has loaded once stays on its disk.
+		back = model.FromDisk
+	}
+	return running + lastCopy + rate*horizon.Seconds()*back.Seconds()
+}
+
+const (
+	// shareLost is the waiting in seconds that a request of a model costs when one of two copies goes.
+	shareLost = 0.2
+	// lastCopy is the least harm of evicting a model's last copy, in seconds of waiting.
+	lastCopy = 0.3
+)
