policy/swap: copies by demand, so that busy models are not pushed out

Ruled out: slow loads (5 of 316 orders were loads from the store). Change: demand by model and adapters in use give the copies needed; eviction costs what the missing copies cost, and missing copies are added where that gains more than it loses.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -53,7 +53,13 @@
 	Front string
 	Uses  []Use
 	// Asked counts the requests by target, served or not.
-	Asked map[string]int
+	Asked []Ask
+}
+
+// Ask is how often a model or adapter was asked for.
+type Ask struct {
+	Target   site.Adapter
+	Requests int
 }
 
 // Planner gives orders to instances; every front has one, which acts only while it holds the lease.
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -209,8 +209,8 @@
 		}
 	}
 	p.uses[u.Front] = use
-	for model, n := range u.Asked {
-		p.demand.add(model, n, now)
+	for _, a := range u.Asked {
+		p.demand.add(a.Target, a.Requests, now)
 	}
 }
 
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -19,6 +19,9 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	models := map[string][]swap.Want{}
+	for _, s := range p.servers {
+		models[s.inst.Service] = nil
+	}
 	for target, w := range p.wants {
 		if w.waiting == 0 && now.After(w.until) {
 			delete(p.wants, target)
@@ -44,7 +47,7 @@
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: merged(wants), Rates: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading()}
+	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading()}
 	for _, s := range p.servers {
 		if s.inst.Service == service && !s.inst.Leaving {
 			in.Servers = append(in.Servers, p.viewed(s, now))
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -23,8 +23,8 @@
 
 // find returns the instance to try next; false if the request has ended.
 func (c *call) find(ctx context.Context) (site.Instance, bool) {
-	if c.ask.Target.Model != "" {
-		c.server.track.ask(c.ask.Target.Model)
+	if c.ask.Target.Model != "" && c.sends+c.unsent == 0 {
+		c.server.track.ask(c.ask.Target)
 	}
 	for {
 		c.state = c.server.sites.State()
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -27,7 +27,7 @@
 	mu     sync.Mutex
 	seen   map[site.Key]*seen
 	placed map[site.Adapter]map[site.Key]bool
-	asked  map[string]int
+	asked  map[site.Adapter]int
 }
 
 // seen is what the own requests have shown of one instance.
@@ -47,7 +47,7 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[string]int{}}
+	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[site.Adapter]int{}}
 }
 
 func (t *tracker) of(k site.Key) *seen {
@@ -207,19 +207,22 @@
 	return out
 }
 
-// ask counts a request for a model.
-func (t *tracker) ask(model string) {
+// ask counts a request for a model or adapter.
+func (t *tracker) ask(target site.Adapter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asked[model]++
+	t.asked[target]++
 }
 
 // uses returns what was used since the last call, and forgets instances that are gone.
 func (t *tracker) uses(front string, live func(site.Key) bool) mates.Uses {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := mates.Uses{Front: front, Asked: t.asked}
-	t.asked = map[string]int{}
+	u := mates.Uses{Front: front}
+	for target, n := range t.asked {
+		u.Asked = append(u.Asked, mates.Ask{Target: target, Requests: n})
+	}
+	clear(t.asked)
 	for k, s := range t.seen {
 		for target, n := range s.inFlight {
 			if n > 0 || s.requests[target] > 0 {
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -54,13 +55,37 @@
 	Engine  *site.Engine
 	Servers []Server
 	Wants   []Want
-	// Rates are requests a second by model.
-	Rates map[string]float64
+	// Demand is what is asked of each model.
+	Demand map[string]Demand
 	// StoreLoads is the number of loads from the weight store that may begin now, and Loading those that run.
 	StoreLoads int
 	Loading    int
 }
 
+// Demand is what is asked of a model.
+type Demand struct {
+	// Rate is requests a second.
+	Rate float64
+	// Adapters is the number of its adapters in use.
+	Adapters int
+}
+
+// perCopy is the rate of requests that one copy of a model bears before answers slow down noticeably.
+const perCopy = 3.0
+
+// need returns how many copies a model's demand asks for.
+func (in *Input) need(model string) int {
+	d := in.Demand[model]
+	need := int(math.Ceil(d.Rate/perCopy - rounding))
+	if in.Engine.AdapterPlaces > 0 {
+		need = max(need, (d.Adapters+in.Engine.AdapterPlaces-1)/in.Engine.AdapterPlaces)
+	}
+	return min(max(need, 1), len(in.Servers))
+}
+
+// rounding is the part of a copy's rate that is not worth a copy of its own.
+const rounding = 0.3
+
 // Action makes a server unload models and then load one.
 type Action struct {
 	Server string
@@ -102,9 +127,61 @@
 		}
 		out = append(out, best)
 	}
+	return append(out, in.grow(used)...)
+}
+
+// grow adds copies of models whose demand is more than their copies bear,
+// where what makes way is missed less than the copy gains.
+func (in *Input) grow(used map[string]bool) []Action {
+	type short struct {
+		model string
+		gain  float64
+	}
+	var list []short
+	for model, d := range in.Demand {
+		have := in.copies(model)
+		if need := in.need(model); have > 0 && have < need {
+			list = append(list, short{model, growth * d.Rate * horizon.Seconds() * float64(need-have) / float64(have)})
+		}
+	}
+	slices.SortFunc(list, func(a, b short) int { return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.model, b.model)) })
+	var out []Action
+	for _, m := range list {
+		var best Action
+		least := m.gain
+		for i := range in.Servers {
+			s := &in.Servers[i]
+			if s.Engaged || used[s.ID] {
+				continue
+			}
+			a, cost, ok := in.at(s, in.Engine.Model(m.model), Want{Model: m.model})
+			if ok && cost < least && (a.Source != FromStore || len(in.Wants) == 0) {
+				best, least = a, cost
+			}
+		}
+		if best.Server != "" {
+			used[best.Server] = true
+			out = append(out, best)
+		}
+	}
 	return out
 }
 
+// growth is the waiting in seconds that a missing copy costs each request.
+const growth = 0.15
+
+// copies counts the servers that have a model or are about to.
+func (in *Input) copies(model string) int {
+	n := 0
+	for i := range in.Servers {
+		s := &in.Servers[i]
+		if s.Awaited == model || slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model }) {
+			n++
+		}
+	}
+	return n
+}
+
 // best returns the cheapest way to a model; ok is false if it is under way or nothing fits.
 func (in *Input) best(w Want, used map[string]bool) (Action, bool) {
 	model := in.Engine.Model(w.Model)
@@ -208,17 +285,15 @@
 // harm is the waiting that the loss of a copy will cost: for a last copy the
 // time until it is back, for others the load that moves to the remaining ones.
 func (in *Input) harm(s *Server, c Copy) float64 {
-	rate := in.Rates[c.Model]
+	rate := in.Demand[c.Model].Rate
 	running := float64(c.InFlight) * drainTime.Seconds()
-	others := 0
-	for i := range in.Servers {
-		o := &in.Servers[i]
-		if o.ID != s.ID && slices.ContainsFunc(o.Copies, func(x Copy) bool { return x.Model == c.Model }) {
-			others++
-		}
+	others := in.copies(c.Model) - 1
+	need := in.need(c.Model)
+	if others >= need {
+		return running
 	}
 	if others > 0 {
-		return running + rate*horizon.Seconds()*shareLost/float64(others*others)
+		return running + shareLost*rate*horizon.Seconds()*float64(need-others)/float64(others)
 	}
 	model := in.Engine.Model(c.Model)
 	if model == nil {
@@ -229,12 +304,14 @@
 		// What a server has loaded once stays on its disk.
 		back = model.FromDisk
 	}
-	return running + lastCopy + rate*horizon.Seconds()*back.Seconds()
+	return running + lastCopy + rate*horizon.Seconds()*back.Seconds() + recency/(1+c.Idle.Seconds())
 }
 
 const (
 	// shareLost is the waiting in seconds that a request of a model costs when one of two copies goes.
-	shareLost = 0.2
+	shareLost = 0.3
 	// lastCopy is the least harm of evicting a model's last copy, in seconds of waiting.
 	lastCopy = 0.3
+	// recency is the harm of evicting a last copy that was used this moment; it fades with its idle time.
+	recency = 1.0
 )
