front/orders: swaps follow announcements, wants follow the planner, watches gather changes

Cause: a swap took 1.2 s against a load of 0.76 s, since its ends were polled; requests waited at a planner that had lost its lease (7.7 s held); adapters were ordered twice; each front called the store 4 times a second.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -28,6 +28,9 @@
 	Target  site.Adapter
 	// Wait is how long the request can wait and still be served in time.
 	Wait time.Duration
+	// Answer is how long the planner may hold the question; the asker asks
+	// again, so that a planner that was replaced holds nobody for longer.
+	Answer time.Duration
 	// Value ranks wants that compete.
 	Value float64
 }
@@ -35,6 +38,8 @@
 // Found answers a Want: instances that can serve now, or when to come back.
 type Found struct {
 	Instances []site.Key
+	// Waiting is true if the question ended before the wait did.
+	Waiting bool
 	// ReadyIn is the forecast for a target that is being loaded or waits for it; 0 if not known.
 	ReadyIn time.Duration
 	Reason  string
@@ -119,7 +124,7 @@
 		return m.local.Want(ctx, w)
 	}
 	var found Found
-	err := m.call(ctx, planner.Address, methodWant, w.Wait+askTimeout, w, &found)
+	err := m.call(ctx, planner.Address, methodWant, w.Answer+askTimeout, w, &found)
 	return found, err
 }
 
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -11,7 +11,7 @@
 
 const (
 	// pollAfter is the time between reports read while a load or unload is about to end.
-	pollAfter = 150 * time.Millisecond
+	pollAfter = 60 * time.Millisecond
 	// reportLag is how old a report may be.
 	reportLag = 150 * time.Millisecond
 	// overdue is how much longer than its forecast a load or unload is followed.
@@ -30,17 +30,39 @@
 			return
 		}
 	}
-	target := site.Adapter{Model: a.Load}
-	if !p.give(ctx, s, site.Order{Target: target}) {
+	if !p.give(ctx, s, site.Order{Target: site.Adapter{Model: a.Load}}) {
 		return
 	}
 	p.mu.Lock()
-	wait := time.Until(s.readyAt)
+	s.readyAt = time.Now().Add(a.Takes)
 	p.mu.Unlock()
-	pause.For(ctx, wait)
+	if p.announced(ctx, s, a.Load, a.Takes) {
+		return
+	}
 	p.until(ctx, s, overdue, func() bool { return s.models[a.Load] != nil })
 }
 
+// announced waits until the server announces the model, which it does as soon
+// as it is loaded; false if that took longer than forecast.
+func (p *Planner) announced(ctx context.Context, s *server, model string, takes time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, takes+reportLag)
+	defer cancel()
+	for {
+		next := p.next()
+		p.mu.Lock()
+		ok, gone := s.models[model] != nil, p.servers[s.inst.Key] != s
+		p.mu.Unlock()
+		if ok || gone {
+			return true
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // release ends a server's engagement.
 func (p *Planner) release(s *server) {
 	p.mu.Lock()
--- a/internal/front/orders/lead.go
+++ b/internal/front/orders/lead.go
@@ -44,6 +44,8 @@
 	lease   int64
 	renewed time.Time
 	leaving bool
+	// failing is true while renewals fail; it belongs to Run.
+	failing bool
 }
 
 // NewLead returns the lead of a front; shortest is the shortest lease that the store grants.
@@ -57,9 +59,11 @@
 // Run keeps the registration and the claim until the context ends.
 func (l *Lead) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := l.keep(ctx); err != nil {
+		err := l.keep(ctx)
+		if err != nil && !l.failing {
 			l.log.Warnw("lease not renewed", "Error", err.Error())
 		}
+		l.failing = err != nil
 		l.untilDue(ctx)
 	}
 }
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,6 +85,7 @@
 		case <-ctx.Done():
 			return
 		case <-p.kick:
+		case <-p.state().Next():
 		case <-timer.C:
 		}
 		if p.leads() {
@@ -140,6 +142,9 @@
 			p.servers[in.Key] = s
 			p.group.Go(func() { p.readReport(ctx, s) })
 		}
+		if s.inst.Seen != in.Seen {
+			p.takeAnnounced(s, in)
+		}
 		s.inst = in
 	}
 	for key := range p.servers {
@@ -149,6 +154,16 @@
 	}
 }
 
+// takeAnnounced notes a model whose load an announcement shows to be complete.
+func (p *Planner) takeAnnounced(s *server, in site.Instance) {
+	if s.awaited == "" || !s.busy || s.models[s.awaited] != nil || !slices.Contains(in.Models, s.awaited) {
+		return
+	}
+	s.models[s.awaited] = keptOr(nil, time.Now())
+	s.busy = false
+	p.wake()
+}
+
 // engineOf returns the engine of a service, or nil.
 func engineOf(s *follow.State, service string) *site.Engine {
 	if s.Document == nil || s.Document.Services[service] == nil {
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -137,7 +137,11 @@
 	var best *server
 	var victim site.Adapter
 	var oldest time.Time
-	for _, s := range p.holders(service, t.Model) {
+	holders := p.holders(service, t.Model)
+	if slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil }) {
+		return
+	}
+	for _, s := range holders {
 		if !s.free() {
 			continue
 		}
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -14,6 +14,8 @@
 	// waiting is the number of requests that wait, and value the sum of their worth.
 	waiting int
 	value   float64
+	// since is when the first of them asked.
+	since time.Time
 	// until keeps a want alive after a refusal, so that the load is done when the caller returns.
 	until time.Time
 }
@@ -26,11 +28,14 @@
 	if !p.leads() {
 		return mates.Found{}, &mates.NoPlanner{}
 	}
-	deadline := time.NewTimer(w.Wait)
+	deadline := time.NewTimer(min(w.Wait, w.Answer))
 	defer deadline.Stop()
 	done := p.register(w)
 	defer done()
 	for {
+		if !p.leads() {
+			return mates.Found{}, &mates.NoPlanner{}
+		}
 		found, wait := p.find(w)
 		if !wait {
 			return found, nil
@@ -38,6 +43,7 @@
 		select {
 		case <-p.next():
 		case <-deadline.C:
+			found.Waiting = w.Answer < w.Wait
 			found.Reason = "not ready in time"
 			return found, nil
 		case <-ctx.Done():
@@ -58,7 +64,7 @@
 	defer p.mu.Unlock()
 	x := p.wants[w.Target]
 	if x == nil {
-		x = &wanted{service: w.Service}
+		x = &wanted{service: w.Service, since: time.Now()}
 		p.wants[w.Target] = x
 	}
 	x.waiting++
@@ -97,10 +103,25 @@
 			found.Reason = "the load ends too late"
 			return found, false
 		}
+		return found, true
+	}
+	if model := engine.Model(w.Target.Model); p.unplanned(w.Target) && model.FromStore > w.Wait {
+		found.ReadyIn = model.FromStore
+		found.Reason = "no server can load the model in time"
+		return found, false
 	}
 	return found, true
 }
 
+// planTime is how long after a want was first heard a server should be preparing for it.
+const planTime = 400 * time.Millisecond
+
+// unplanned reports whether a want has been known for a while and no server has the model or prepares for it.
+func (p *Planner) unplanned(t site.Adapter) bool {
+	x := p.wants[t]
+	return x != nil && time.Since(x.since) > planTime && len(p.holders(x.service, t.Model)) == 0
+}
+
 // forecast returns when a server that is being prepared for the model will be ready.
 func (p *Planner) forecast(model string) (time.Time, bool) {
 	for _, s := range p.servers {
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -17,6 +17,14 @@
 	serviceTime = 500 * time.Millisecond
 	// plannerPause is the wait for a planner when there is none, or it cannot be reached.
 	plannerPause = 100 * time.Millisecond
+	// askAgain is how often a waiting request asks the planner anew.
+	askAgain = time.Second
+	// leastPatience, goalPatience and gapPatience say when callers abandon a
+	// stream without events: the longest of a time, a multiple of the route's
+	// goal and one of its longest pause, from the callers' published behaviour.
+	leastPatience = 2 * time.Second
+	goalPatience  = 4
+	gapPatience   = 8
 	// plannerWait is how long a request waits for a planner at the most.
 	plannerWait = 2 * time.Second
 )
@@ -93,12 +101,12 @@
 
 // waitForModel asks the planner for an instance with the model.
 func (c *call) waitForModel(ctx context.Context) bool {
-	left := time.Until(c.end) - serviceTime
+	left := time.Until(c.patience()) - serviceTime
 	if left <= 0 {
 		c.none("no instance has the model", soonRetry)
 		return false
 	}
-	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Value: c.value()})
+	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value()})
 	if c.expired(ctx) {
 		return false
 	}
@@ -114,6 +122,9 @@
 		pause.For(ctx, plannerPause)
 		return !c.expired(ctx)
 	}
+	if found.Waiting {
+		return true
+	}
 	if len(found.Instances) == 0 {
 		c.none("model not loaded: "+found.Reason, max(soonRetry, found.ReadyIn))
 		return false
@@ -126,6 +137,18 @@
 	return !c.expired(ctx)
 }
 
+// patience returns when the caller gives up a stream without a first event.
+func (c *call) patience() time.Time {
+	if c.route.Kind != site.Streaming || c.route.Goal <= 0 {
+		return c.end
+	}
+	at := c.arrived.Add(max(leastPatience, goalPatience*c.route.Goal, gapPatience*c.route.MaxGap))
+	if at.Before(c.end) {
+		return at
+	}
+	return c.end
+}
+
 // value ranks requests that wait for models: the route's rank and the time that is left decide.
 func (c *call) value() float64 {
 	return 1
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -76,7 +76,7 @@
 func New(o Options) (*Front, func()) {
 	log := o.Log.Sugar()
 	set := o.Settings
-	follower := follow.New(o.Store, o.Dialect, o.Layout, set.Bounds.Returning, log.Named("Follow"))
+	follower := follow.New(set.Node.Name, o.Store, o.Dialect, o.Layout, set.Bounds.Returning, log.Named("Follow"))
 	pool, closePool := conns.New(o.Dial, o.Meters)
 	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, log.Named("Lead"))
 	planner, closePlanner := orders.New(orders.Settings{
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -16,11 +16,14 @@
 
 const (
 	// retryPause is between tries at a store that does not answer; each try is priced.
-	retryPause = 300 * time.Millisecond
+	retryPause = 400 * time.Millisecond
 	// firstRetryPause is the same while nothing is known yet.
 	firstRetryPause = 100 * time.Millisecond
 	// matePause is between questions to other fronts while the store is away.
 	matePause = 250 * time.Millisecond
+	// planningGather and restingGather are the pauses after a watch has shown changes.
+	planningGather = 60 * time.Millisecond
+	restingGather  = 600 * time.Millisecond
 	// rereadEvery is how often the document is read linearizably beside the watch.
 	rereadEvery = 5 * time.Second
 )
@@ -36,6 +39,7 @@
 	decoder   Decoder
 	layout    Layout
 	returning time.Duration
+	self      string
 	mates     Mates
 	log       *zap.SugaredLogger
 	state     atomic.Pointer[State]
@@ -51,8 +55,8 @@
 }
 
 // New returns a follower with an empty state; returning is how long instances may take to come back after an outage.
-func New(s store.Store, d Decoder, l Layout, returning time.Duration, log *zap.SugaredLogger) *Follower {
-	f := &Follower{store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]time.Time{}}
+func New(self string, s store.Store, d Decoder, l Layout, returning time.Duration, log *zap.SugaredLogger) *Follower {
+	f := &Follower{self: self, store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]time.Time{}}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, next: make(chan struct{})})
 	return f
 }
@@ -115,6 +119,9 @@
 		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 			f.back()
 			f.apply(b)
+			if len(b.Events) > 0 {
+				pause.For(ctx, f.gather())
+			}
 			return nil
 		})
 		var compacted *store.Compacted
@@ -129,6 +136,16 @@
 	}
 }
 
+// gather is how long changes are left to gather before the next call, as each
+// call is priced: the planner hears of loads that end, the others only have to
+// hear of documents and leaving instances in time.
+func (f *Follower) gather() time.Duration {
+	if s := f.State(); s.Planner != nil && s.Planner.Name == f.self {
+		return planningGather
+	}
+	return restingGather
+}
+
 // RunReread reads the document linearizably now and then, in case a watch stays silent.
 func (f *Follower) RunReread(ctx context.Context) {
 	for pause.For(ctx, rereadEvery) {
