front/orders: lost servers are known at once, models are loaded ahead where there is room

Change: a refused connection or report marks a server lost until its report comes; entries name the servers they could not use; a rejection by a server with free slots means that the model makes way; nothing makes way with more than two requests running; models that no server has are loaded where they fit.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -31,6 +31,8 @@
 	// Answer is how long the planner may hold the question; the asker asks
 	// again, so that a planner that was replaced holds nobody for longer.
 	Answer time.Duration
+	// Avoid are instances that the asker could not use a moment ago.
+	Avoid []site.Key
 	// Value ranks wants that compete.
 	Value float64
 }
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/policy/swap"
@@ -106,7 +108,12 @@
 	began := time.Now()
 	outcome, err := p.wire.order(ctx, in, o)
 	p.mu.Lock()
-	p.settle(s, o, outcome)
+	var unsent *conns.Failure
+	if errors.As(err, &unsent) && !unsent.Sent {
+		p.lose(s, err)
+	} else {
+		p.settle(s, o, outcome)
+	}
 	p.mu.Unlock()
 	p.log.Infow("order", "Instance", in.ID, "Unload", o.Unload, "Model", o.Target.Model, "Adapter", o.Target.Name, "Sequence", o.Sequence,
 		"Fence", fence, "Outcome", string(outcome), "Took", time.Since(began).String(), "Error", text(err))
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -184,13 +184,18 @@
 
 // readReport updates the belief of one server.
 func (p *Planner) readReport(ctx context.Context, s *server) {
-	r, err := p.wire.report(ctx, s.inst)
+	p.mu.Lock()
+	in := s.inst
+	s.asked = time.Now()
+	p.mu.Unlock()
+	r, err := p.wire.report(ctx, in)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.log.Warnw("no report", "Instance", s.inst.ID, "Error", err.Error())
+		p.lose(s, err)
 		return
 	}
+	s.lost = false
 	first := !s.known
 	if s.take(r, time.Now()) && first {
 		p.log.Infow("server known", "Instance", s.inst.ID, "Born", s.inst.Born, "Sequence", r.Sequence, "Models", r.Models, "Adapters", len(r.Adapters), "OnDisk", r.OnDisk, "InMemory", r.InMemory)
@@ -198,6 +203,15 @@
 	p.wake()
 }
 
+// lose notes that a server did not give its report.
+func (p *Planner) lose(s *server, err error) {
+	if !s.lost {
+		p.log.Warnw("server lost", "Instance", s.inst.ID, "Born", s.inst.Born, "Error", err.Error())
+		s.lost = true
+		p.wake()
+	}
+}
+
 // wake tells waiters that beliefs changed; the caller holds the lock.
 func (p *Planner) wake() {
 	close(p.changed)
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -27,6 +27,10 @@
 	awaited string
 	readyAt time.Time
 	engaged bool
+	// lost is set while the server does not take connections.
+	lost bool
+	// asked is when its report was last asked for.
+	asked time.Time
 	// doubt is set when an order's answer was lost: nothing is ordered until a report has been read.
 	doubt bool
 }
@@ -72,7 +76,7 @@
 // serves reports whether a target is loaded and stays.
 func (s *server) serves(t site.Adapter) bool {
 	m := s.models[t.Model]
-	if m == nil || m.leaving || s.inst.Leaving {
+	if m == nil || m.leaving || s.inst.Leaving || s.lost {
 		return false
 	}
 	if t.Name == "" {
@@ -86,7 +90,7 @@
 // number of accepted orders: one at a time, and never more than fits. A server
 // whose number differs refuses the order, so what was checked here is what it holds.
 func (s *server) admits(o site.Order, e *site.Engine) bool {
-	if !s.known || s.busy || s.doubt || s.inst.Leaving || e == nil {
+	if !s.known || s.lost || s.busy || s.doubt || s.inst.Leaving || e == nil {
 		return false
 	}
 	m := e.Model(o.Target.Model)
@@ -103,7 +107,7 @@
 
 // free reports whether an order may be given now.
 func (s *server) free() bool {
-	return s.known && !s.busy && !s.engaged && !s.doubt && !s.inst.Leaving
+	return s.known && !s.lost && !s.busy && !s.engaged && !s.doubt && !s.inst.Leaving
 }
 
 // oldest returns the adapter that was unused for longest, and since when; those in use are passed over.
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"foxtailcroft/internal/core/site"
@@ -52,6 +53,21 @@
 	}
 }
 
+// verifyEvery bounds how often a server that a front could not use is asked for its report.
+const verifyEvery = 200 * time.Millisecond
+
+// verify reads the reports of servers that a front could not use; the caller holds the lock.
+func (p *Planner) verify(keys []site.Key) {
+	for _, k := range keys {
+		s := p.servers[k]
+		if s == nil || time.Since(s.asked) < verifyEvery {
+			continue
+		}
+		s.asked = time.Now()
+		p.group.Go(func() { p.readReport(context.Background(), s) })
+	}
+}
+
 func (p *Planner) next() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,6 +86,7 @@
 	x.waiting++
 	x.value += w.Value
 	x.until = time.Now().Add(w.Wait + lingering)
+	p.verify(w.Avoid)
 	p.kickNow()
 	return func() {
 		p.mu.Lock()
@@ -84,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		if s.inst.Service == w.Service && s.serves(w.Target) {
+		if s.inst.Service == w.Service && s.serves(w.Target) && !slices.Contains(w.Avoid, s.inst.Key) {
 			found.Instances = append(found.Instances, s.inst.Key)
 		}
 	}
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -147,6 +147,9 @@
 		return again
 	}
 	c.server.track.outcome(in.Key, true)
+	if !sent {
+		c.server.track.shun(in.Key, shunDown)
+	}
 	c.note("no answer", in, err.Error())
 	return c.afterFailure(sent)
 }
@@ -182,8 +185,13 @@
 	res.Discard()
 	c.unsent++
 	c.reason = "instance did not run it: " + http.StatusText(res.Status)
-	if res.Status == http.StatusMisdirectedRequest {
+	load, told := c.server.dialect.Load(res.Header)
+	switch {
+	case res.Status == http.StatusMisdirectedRequest, c.managed() && told && load.Running < load.Slots:
+		// The model is not there, or makes way at the moment.
 		c.server.track.absent(in.Key, c.ask.Target)
+	default:
+		c.server.track.shun(in.Key, shunFull)
 	}
 	c.note("not run", in, c.reason)
 	if c.unsent >= maxUnsent || !c.server.spend(c.service) {
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -25,6 +25,8 @@
 	leastPatience = 2 * time.Second
 	goalPatience  = 4
 	gapPatience   = 8
+	// plainWait is how long a request to a plain service waits for an instance.
+	plainWait = 300 * time.Millisecond
 	// plannerWait is how long a request waits for a planner at the most.
 	plannerWait = 2 * time.Second
 )
@@ -69,20 +71,16 @@
 func (c *call) wait(ctx context.Context) bool {
 	began := time.Now()
 	defer func() { c.held += time.Since(began) }()
-	if c.unsent+c.sends > 0 && len(c.candidates()) > 0 {
-		// Those that are left have rejected the request; they may have room in a moment.
-		pause.For(ctx, fullPause)
-		clear(c.tried)
-		return !c.expired(ctx)
-	}
 	if c.managed() {
 		return c.waitForModel(ctx)
 	}
-	if c.held > plannerWait/4 || len(c.state.Serving(c.service)) > 0 {
+	if c.held > plainWait {
 		c.none("no instance to try", soonRetry)
 		return false
 	}
-	pause.For(ctx, plannerPause)
+	// Those that are left have rejected the request or a connection; they may have room in a moment.
+	pause.For(ctx, fullPause)
+	clear(c.tried)
 	return !c.expired(ctx)
 }
 
@@ -106,7 +104,7 @@
 		c.none("no instance has the model", soonRetry)
 		return false
 	}
-	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value()})
+	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value(), Avoid: c.avoid()})
 	if c.expired(ctx) {
 		return false
 	}
@@ -137,6 +135,18 @@
 	return !c.expired(ctx)
 }
 
+// avoid returns the instances that this request or others could not use a moment ago.
+func (c *call) avoid() []site.Key {
+	list := c.state.Serving(c.service)
+	out := c.server.track.unusable(list, c.ask.Target)
+	for _, in := range list {
+		if c.tried[in.Key] && !slices.Contains(out, in.Key) {
+			out = append(out, in.Key)
+		}
+	}
+	return out
+}
+
 // patience returns when the caller gives up a stream without a first event.
 func (c *call) patience() time.Time {
 	if c.route.Kind != site.Streaming || c.route.Goal <= 0 {
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -42,6 +42,8 @@
 	failingAt time.Time
 	answers   time.Duration
 	parts     map[string]time.Time
+	// shunned is until when nothing is sent, after a refused connection or request.
+	shunned time.Time
 	// absent are models that the instance said it does not have, with the time of that.
 	absent map[site.Adapter]time.Time
 }
@@ -69,7 +71,7 @@
 	now := time.Now()
 	list = slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool {
 		s := t.of(in.Key)
-		return now.Sub(s.absent[r.Target]) < absentFor
+		return now.Sub(s.absent[r.Target]) < absentFor || now.Before(s.shunned)
 	})
 	var candidates []choose.Candidate
 	for _, in := range list {
@@ -174,6 +176,35 @@
 	s.told, s.toldAt = l.Running+l.Waiting, time.Now()
 }
 
+const (
+	// shunDown is how long an instance gets nothing after it refused a connection.
+	shunDown = 700 * time.Millisecond
+	// shunFull is the same after it rejected a request as full.
+	shunFull = 60 * time.Millisecond
+)
+
+// shun keeps requests from an instance for a while.
+func (t *tracker) shun(k site.Key, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	s.shunned = time.Now().Add(d)
+}
+
+// unusable returns those of the announced holders that cannot be used at the moment.
+func (t *tracker) unusable(list []site.Instance, target site.Adapter) []site.Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var out []site.Key
+	for _, in := range list {
+		if s := t.of(in.Key); now.Before(s.shunned) || now.Sub(s.absent[target]) < absentFor {
+			out = append(out, in.Key)
+		}
+	}
+	return out
+}
+
 // absent notes that an instance lacks a model or adapter.
 func (t *tracker) absent(k site.Key, target site.Adapter) {
 	t.mu.Lock()
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -18,6 +18,8 @@
 	horizon = 10 * time.Second
 	// youngest is how long a copy stays at the least, so that two models do not push each other out.
 	youngest = 1500 * time.Millisecond
+	// maxInFlight is how many running requests an unload may wait for at the most.
+	maxInFlight = 2
 	// warmLoads is how many loads from the weight store run at full speed at once.
 	warmLoads = 4
 )
@@ -127,7 +129,40 @@
 		}
 		out = append(out, best)
 	}
-	return append(out, in.grow(used)...)
+	out = append(out, in.grow(used)...)
+	return append(out, in.cover(used)...)
+}
+
+// cover loads models that no server has where there is room for them, so that
+// a first request finds them; from the weight store one at a time and only
+// while nothing is wanted.
+func (in *Input) cover(used map[string]bool) []Action {
+	var out []Action
+	fromStore := in.Loading == 0 && in.StoreLoads > 0 && len(in.Wants) == 0
+	for i := range in.Engine.Models {
+		model := &in.Engine.Models[i]
+		if in.copies(model.Name) > 0 || in.wanted(model.Name) {
+			continue
+		}
+		var best Action
+		for j := range in.Servers {
+			s := &in.Servers[j]
+			if s.Engaged || used[s.ID] {
+				continue
+			}
+			a, _, ok := in.at(s, model, Want{Model: model.Name})
+			if ok && len(a.Evict) == 0 && (a.Source != FromStore || fromStore) && (best.Server == "" || a.Takes < best.Takes) {
+				best = a
+			}
+		}
+		if best.Server == "" {
+			continue
+		}
+		used[best.Server] = true
+		fromStore = fromStore && best.Source != FromStore
+		out = append(out, best)
+	}
+	return out
 }
 
 // grow adds copies of models whose demand is more than their copies bear,
@@ -249,7 +284,7 @@
 		if free >= model.SizeMB {
 			break
 		}
-		if c.Age < youngest || in.wanted(c.Model) {
+		if c.Age < youngest || c.InFlight > maxInFlight || in.wanted(c.Model) {
 			continue
 		}
 		evict = append(evict, c.Model)
