--- a/internal/standin/platf/memory.go
+++ b/internal/standin/platf/memory.go
@@ -53,6 +53,8 @@
 	calls    Calls
 	changed  chan struct{}
 	rnd      *rand.Rand
+	// compacted is the revision up to which the history is dropped.
+	compacted int64
 }
 
 var errAway = errors.New("the store is away")
@@ -262,6 +264,28 @@
 	return ok, nil
 }
 
+// Release ends a lease; its keys are removed.
+func (m *Memory) Release(ctx context.Context, id int64) error {
+	if err := m.begin(ctx, &m.calls.Leases); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.leases[id]; ok {
+		m.leases[id] = lease{}
+		m.expire()
+	}
+	return nil
+}
+
+// Compact drops the history up to now; watches that are behind have to read all again.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.compacted = m.revision
+	m.wake()
+}
+
 // Watch calls fn for changes under the prefix after a revision.
 func (m *Memory) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
 	if err := m.begin(ctx, &m.calls.Watches); err != nil {
@@ -273,6 +297,10 @@
 			m.mu.Unlock()
 			return &fault.Away{Part: "store watch", Err: errAway}
 		}
+		if after < m.compacted {
+			m.mu.Unlock()
+			return &store.Compacted{Revision: after}
+		}
 		batch, changed := m.since(prefix, after), m.changed
 		m.mu.Unlock()
 		if len(batch.Events) > 0 {
--- a/test/contract/contract_test.go
+++ b/test/contract/contract_test.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,8 @@
 	"foxtailcroft/internal/standin/motor"
 	"foxtailcroft/internal/standin/platf"
 	"foxtailcroft/internal/standin/shop"
+	"foxtailcroft/platform"
+	"foxtailcroft/platform/mimic"
 )
 
 func TestContracts(t *testing.T) {
@@ -44,6 +47,11 @@
 			p := platf.NewPlatform(1, 0, nil)
 			return store.NewClient(serve(p.Handler()), &http.Transport{}, 1000, metrics.NewSet()), p.Store
 		},
+		"platform client": func() (store.Store, *platf.Memory) {
+			m := platf.NewMemory(1)
+			address := strings.TrimPrefix(serve(mimic.NewStore(m)), "http://")
+			return platform.NewStore(address, &http.Transport{}, metrics.NewSet()), m
+		},
 	}
 }
 
--- /dev/null
+++ b/test/pipes/doc.go
@@ -0,0 +1,2 @@
+// Package pipes is a network in memory for tests in virtual time.
+package pipes
