front/orders: a refused order for its number brings the planner back in step

Cause: two placements chose the same adapter to make way; the second unload found nothing and did not count as an order, but the planner counted it; from then on every order was refused for its number (75 in a row at one server of the grown site) and every report passed for older. Ruled out: late orders of another front (one fencing number in those seconds). Change: a conflict lets the next report be believed whole; an adapter that makes way is marked when chosen; what is not held is not unloaded. A new planner is told the demand that still counts, and evicts nothing for its first 1.2 s.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -59,14 +59,15 @@
 type Uses struct {
 	Front string
 	Uses  []Use
-	// Asked counts the requests by target, served or not.
+	// Asked counts the requests by target, served or not: those since the last
+	// message or, for a planner that is new, those that still count.
 	Asked []Ask
 }
 
 // Ask is how often a model or adapter was asked for.
 type Ask struct {
 	Target   site.Adapter
-	Requests int
+	Requests float64
 }
 
 // Planner gives orders to instances; every front has one, which acts only while it holds the lease.
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -93,8 +93,12 @@
 
 // give gives one order and updates the belief; it reports whether the order was accepted or held already.
 func (p *Planner) give(ctx context.Context, s *server, o site.Order) bool {
-	s.turn.Lock()
-	defer s.turn.Unlock()
+	select {
+	case s.turn <- struct{}{}:
+		defer func() { <-s.turn }()
+	case <-ctx.Done():
+		return false
+	}
 	fence, ok := p.lead.Fence(p.set.ChecksFence)
 	p.mu.Lock()
 	if !ok || fence != p.fence || fence == p.deposed || p.servers[s.inst.Key] != s || !s.admits(o, engineOf(p.state(), s.inst.Service)) {
@@ -140,6 +144,8 @@
 			s.sequence = o.Sequence + 1
 		}
 		s.adopt(o, now)
+	case site.Conflict:
+		s.resync = true
 	case site.Fenced:
 		p.deposed = o.Fence
 		p.log.Warnw("deposed: a server has seen a higher fencing number", "Fence", o.Fence, "Instance", s.inst.ID)
@@ -180,6 +186,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if h := s.adapters[victim]; h != nil {
+		h.leaving = false
+	}
 	delete(p.placing, t)
 	p.wake()
 }
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -46,6 +46,8 @@
 	mu      sync.Mutex
 	fence   int64
 	deposed int64
+	// since is when this front took over.
+	since   time.Time
 	servers map[site.Key]*server
 	wants   map[site.Adapter]*wanted
 	placing map[site.Adapter]bool
@@ -118,8 +120,10 @@
 	if fence != p.fence {
 		p.log.Infow("planning", "Fence", fence)
 		p.fence = fence
+		p.since = time.Now()
 		p.servers = map[site.Key]*server{}
 		p.placing = map[site.Adapter]bool{}
+		p.demand = newDemand()
 	}
 	return true
 }
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"foxtailcroft/internal/core/site"
@@ -12,8 +11,8 @@
 // All fields but turn belong to the planner's lock.
 type server struct {
 	inst site.Instance
-	// turn is held while an order is given, so that orders go out one at a time.
-	turn sync.Mutex
+	// turn holds a token while an order is given, so that orders go out one at a time.
+	turn chan struct{}
 	// known is false until a report was read.
 	known    bool
 	sequence int64
@@ -31,6 +30,9 @@
 	lost bool
 	// asked is when its report was last asked for.
 	asked time.Time
+	// resync is set when the server refused an order for its number: the next
+	// report is believed even if it counts fewer orders.
+	resync bool
 	// doubt is set when an order's answer was lost: nothing is ordered until a report has been read.
 	doubt bool
 }
@@ -44,15 +46,15 @@
 }
 
 func newServer(in site.Instance) *server {
-	return &server{inst: in, models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
+	return &server{inst: in, turn: make(chan struct{}, 1), models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
 }
 
 // take updates the belief by a report unless it is older than the orders that were accepted since.
 func (s *server) take(r site.Report, now time.Time) bool {
-	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && r.Sequence < s.sequence {
+	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && !s.resync && r.Sequence < s.sequence {
 		return false
 	}
-	s.known, s.sequence, s.busy, s.running, s.doubt = true, r.Sequence, r.Busy, r.Running, false
+	s.known, s.sequence, s.busy, s.running, s.doubt, s.resync = true, r.Sequence, r.Busy, r.Running, false, false
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	models := map[string]*held{}
 	for _, m := range r.Models {
@@ -97,8 +99,10 @@
 	switch {
 	case m == nil:
 		return false
+	case o.Unload && o.Target.Name != "":
+		return s.adapters[o.Target] != nil
 	case o.Unload:
-		return true
+		return s.models[m.Name] != nil
 	case o.Target.Name != "":
 		return s.models[m.Name] != nil && len(s.adapters) < e.AdapterPlaces && s.usedMB(e)+m.AdapterMB <= e.WeightsMB
 	}
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -10,6 +10,9 @@
 	"foxtailcroft/internal/policy/swap"
 )
 
+// settling is how long a new planner evicts nothing, until the fronts have told it what is asked for.
+const settling = 1200 * time.Millisecond
+
 // loadsAtOnce is how many loads from the weight store may run at once before each takes longer.
 const loadsAtOnce = 4
 
@@ -47,7 +50,7 @@
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading()}
+	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), Keep: now.Sub(p.since) < settling}
 	for _, s := range p.servers {
 		if s.inst.Service == service && !s.inst.Leaving {
 			in.Servers = append(in.Servers, p.viewed(s, now))
@@ -159,6 +162,9 @@
 	if best == nil {
 		return
 	}
+	if victim.Name != "" {
+		best.adapters[victim].leaving = true
+	}
 	p.placing[t] = true
 	p.group.Go(func() { p.loadAdapter(ctx, best, t, victim) })
 }
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -65,10 +65,10 @@
 	}
 }
 
-// Uses returns what was used of models since the last call.
-func (s *Server) Uses() mates.Uses {
+// Uses returns what was used of models since the last call, or all that still counts for a planner that is new.
+func (s *Server) Uses(all bool) mates.Uses {
 	state := s.sites.State()
-	return s.track.uses(s.set.Node.Name, func(k site.Key) bool {
+	return s.track.uses(s.set.Node.Name, all, func(k site.Key) bool {
 		in, ok := state.Instances[k.ID]
 		return ok && in.Key == k
 	})
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -9,6 +9,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/mates"
 	"foxtailcroft/internal/policy/choose"
+	"foxtailcroft/internal/policy/fade"
 )
 
 const (
@@ -27,7 +28,9 @@
 	mu     sync.Mutex
 	seen   map[site.Key]*seen
 	placed map[site.Adapter]map[site.Key]bool
-	asked  map[site.Adapter]int
+	asked  map[site.Adapter]float64
+	// recent are the requests that still count, for a planner that is new.
+	recent map[site.Adapter]fade.Count
 }
 
 // seen is what the own requests have shown of one instance.
@@ -49,7 +52,7 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[site.Adapter]int{}}
+	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[site.Adapter]float64{}, recent: map[site.Adapter]fade.Count{}}
 }
 
 func (t *tracker) of(k site.Key) *seen {
@@ -243,17 +246,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked[target]++
+	t.recent[target] = t.recent[target].Add(1, time.Now())
 }
 
-// uses returns what was used since the last call, and forgets instances that are gone.
-func (t *tracker) uses(front string, live func(site.Key) bool) mates.Uses {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	u := mates.Uses{Front: front}
-	for target, n := range t.asked {
-		u.Asked = append(u.Asked, mates.Ask{Target: target, Requests: n})
+// leastCount is the weight below which past requests are forgotten.
+const leastCount = 0.2
+
+// requests returns the requests since the last call or, if all is set, those that still count.
+func (t *tracker) requests(all bool) []mates.Ask {
+	var out []mates.Ask
+	now := time.Now()
+	for target, c := range t.recent {
+		n := t.asked[target]
+		if all {
+			n = c.Weight(now)
+		}
+		if n > 0 {
+			out = append(out, mates.Ask{Target: target, Requests: n})
+		}
+		if c.Weight(now) < leastCount {
+			delete(t.recent, target)
+		}
 	}
 	clear(t.asked)
+	return out
+}
+
+// uses returns what was used since the last call, with all requests that still
+// count if all is set, and forgets instances that are gone.
+func (t *tracker) uses(front string, all bool, live func(site.Key) bool) mates.Uses {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := mates.Uses{Front: front, Asked: t.requests(all)}
 	for k, s := range t.seen {
 		for target, n := range s.inFlight {
 			if n > 0 || s.requests[target] > 0 {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -140,8 +140,14 @@
 
 // tellUses tells the planner what this front used, if it used anything.
 func (f *Front) tellUses(ctx context.Context) {
+	var told int64
 	for pause.For(ctx, useEvery) {
-		u := f.relay.Uses()
+		planner := f.follower.State().Planner
+		if planner == nil {
+			continue
+		}
+		u := f.relay.Uses(planner.Fence != told)
+		told = planner.Fence
 		if len(u.Uses) == 0 && len(u.Asked) == 0 {
 			continue
 		}
--- /dev/null
+++ b/internal/policy/fade/doc.go
@@ -0,0 +1,2 @@
+// Package fade counts events so that older ones weigh less.
+package fade
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -59,6 +59,8 @@
 	Wants   []Want
 	// Demand is what is asked of each model.
 	Demand map[string]Demand
+	// Keep forbids evictions.
+	Keep bool
 	// StoreLoads is the number of loads from the weight store that may begin now, and Loading those that run.
 	StoreLoads int
 	Loading    int
@@ -281,7 +283,7 @@
 	copies := slices.Clone(s.Copies)
 	slices.SortStableFunc(copies, func(a, b Copy) int { return cmp.Compare(in.harm(s, a), in.harm(s, b)) })
 	for _, c := range copies {
-		if free >= model.SizeMB {
+		if free >= model.SizeMB || in.Keep {
 			break
 		}
 		if c.Age < youngest || c.InFlight > maxInFlight || in.wanted(c.Model) {
