--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,11 +62,11 @@
 type cutStore struct {
 	*platf.Memory
 	away *platf.Memory
-	on   bool
+	on   atomic.Bool
 }
 
 func (c *cutStore) reach() *platf.Memory {
-	if c.on {
+	if c.on.Load() {
 		return c.away
 	}
 	return c.Memory
@@ -251,7 +252,7 @@
 	open(t, 2, 3, 6, func(y *yard) {
 		first := y.planner()
 		time.Sleep(4 * time.Second)
-		first.cut.on = true
+		first.cut.on.Store(true)
 		time.Sleep(4 * time.Second)
 		var next *planning
 		for _, p := range y.fronts {
@@ -297,7 +298,7 @@
 			y.addServer(i, time.Now().UnixMilli())
 		case 2:
 			p := y.fronts[rnd.IntN(len(y.fronts))]
-			p.cut.on = !p.cut.on
+			p.cut.on.Store(!p.cut.on.Load())
 		default:
 			adapter := ""
 			if rnd.IntN(2) == 0 {
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -127,44 +127,61 @@
 // adapterTime is how long an adapter's load is given before its first request goes out.
 const adapterTime = 12 * time.Millisecond
 
-// placeAdapter loads an adapter at a holder of its model with a free place, or in place of the one unused for longest.
+// place is where an adapter may be loaded, and what makes way for it.
+type place struct {
+	server *server
+	// victim is empty if there is a free place.
+	victim site.Adapter
+	// unused is since when the victim was not used.
+	unused time.Time
+}
+
+// better reports whether an adapter had rather be loaded here: a free place at
+// the server with the fewest adapters first, else the victim unused for longest.
+func (x place) better(than place) bool {
+	switch {
+	case than.server == nil:
+		return true
+	case (x.victim.Name == "") != (than.victim.Name == ""):
+		return x.victim.Name == ""
+	case x.victim.Name == "":
+		return len(x.server.adapters) < len(than.server.adapters)
+	}
+	return x.unused.Before(than.unused)
+}
+
+// placeAdapter loads an adapter at a holder of its model.
 func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Adapter) {
-	if p.placing[t] {
-		return
-	}
 	engine := engineOf(p.state(), service)
-	model := engine.Model(t.Model)
-	if model == nil {
-		return
-	}
-	var best *server
-	var victim site.Adapter
-	var oldest time.Time
 	holders := p.holders(service, t.Model)
-	if slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil }) {
+	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil })
+	if p.placing[t] || present || engine == nil || engine.Model(t.Model) == nil {
 		return
 	}
+	var best place
 	for _, s := range holders {
-		if !s.free() {
-			continue
-		}
-		if len(s.adapters) < engine.AdapterPlaces && s.usedMB(engine)+model.AdapterMB <= engine.WeightsMB {
-			if best == nil || victim.Name != "" || len(s.adapters) < len(best.adapters) {
-				best, victim = s, site.Adapter{}
-			}
-			continue
-		}
-		a, at, ok := s.oldest(p.inUse)
-		if ok && (best == nil || victim.Name != "" && at.Before(oldest)) {
-			best, victim, oldest = s, a, at
+		if x, ok := p.placeAt(s, engine, engine.Model(t.Model)); ok && x.better(best) {
+			best = x
 		}
 	}
-	if best == nil {
+	if best.server == nil {
 		return
 	}
-	if victim.Name != "" {
-		best.adapters[victim].leaving = true
+	if best.victim.Name != "" {
+		best.server.adapters[best.victim].leaving = true
 	}
 	p.placing[t] = true
-	p.group.Go(func() { p.loadAdapter(ctx, best, t, victim) })
+	p.group.Go(func() { p.loadAdapter(ctx, best.server, t, best.victim) })
+}
+
+// placeAt returns the place for one more adapter at a server, if there is one.
+func (p *Planner) placeAt(s *server, e *site.Engine, m *site.Model) (place, bool) {
+	if !s.free() {
+		return place{}, false
+	}
+	if len(s.adapters) < e.AdapterPlaces && s.usedMB(e)+m.AdapterMB <= e.WeightsMB {
+		return place{server: s}, true
+	}
+	victim, at, ok := s.oldest(p.inUse)
+	return place{s, victim, at}, ok
 }
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -101,7 +101,7 @@
 }
 
 // send takes a request through the relay; aborted is true if the answer was broken off.
-func (r *rig) send(path, id string, ctx context.Context) (w *httptest.ResponseRecorder, aborted bool) {
+func (r *rig) send(ctx context.Context, path, id string) (w *httptest.ResponseRecorder, aborted bool) {
 	method, body := http.MethodPost, "order"
 	if strings.HasPrefix(path, "/safe/") {
 		method, body = http.MethodGet, ""
@@ -163,7 +163,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			play(t, 3, func(r *rig) {
 				r.faults(c.faults)
-				w, aborted := r.send(c.path, "id-1", r.t.Context())
+				w, aborted := r.send(r.t.Context(), c.path, "id-1")
 				r.g.Expect(aborted).To(Equal(c.aborted))
 				r.g.Expect(w.Code).To(Equal(c.status))
 				r.g.Expect(r.book.Runs("id-1")).To(HaveLen(c.runs))
@@ -206,7 +206,7 @@
 				}
 				for i := range 6 {
 					id := "id-" + string(rune('a'+i))
-					w, aborted := r.send(c.path, id, r.t.Context())
+					w, aborted := r.send(r.t.Context(), c.path, id)
 					r.g.Expect(aborted).To(BeFalse())
 					r.g.Expect(w.Code).To(Equal(c.status))
 					r.g.Expect(w.Body.String()).To(Equal(c.body))
@@ -226,7 +226,7 @@
 func TestResumeNamesTheLastWholeEvent(t *testing.T) {
 	play(t, 2, func(r *rig) {
 		r.faults(mimic.Faults{Cut: 1, CutAfter: 3})
-		w, aborted := r.send("/resume/x", "id-1", r.t.Context())
+		w, aborted := r.send(r.t.Context(), "/resume/x", "id-1")
 		r.g.Expect(aborted).To(BeTrue(), "both servers cut it, and two attempts are allowed")
 		r.g.Expect(w.Body.String()).To(Equal(whole[:strings.Index(whole, "id: 4")]), "no piece of an event is passed on")
 		runs := r.book.Runs("id-1")
@@ -239,7 +239,7 @@
 	play(t, 3, func(r *rig) {
 		r.ends["10.0.0.1:80"]()
 		r.ends["10.0.0.2:80"]()
-		w, _ := r.send("/unsafe/x", "id-1", r.t.Context())
+		w, _ := r.send(r.t.Context(), "/unsafe/x", "id-1")
 		r.g.Expect(w.Code).To(Equal(200))
 		r.g.Expect(r.book.Runs("id-1")).To(HaveLen(1))
 	})
@@ -252,7 +252,7 @@
 			r.state.Instances[id] = in
 		}
 		began := time.Now()
-		w, _ := r.send("/stream/x", "id-1", r.t.Context())
+		w, _ := r.send(r.t.Context(), "/stream/x", "id-1")
 		r.g.Expect(w.Code).To(Equal(503))
 		r.g.Expect(w.Header().Get("Retry-After")).To(Equal("2.000"))
 		r.g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
@@ -264,7 +264,7 @@
 	play(t, 1, func(r *rig) {
 		ctx, cancel := context.WithTimeout(r.t.Context(), 50*time.Millisecond)
 		defer cancel()
-		_, aborted := r.send("/stream/x", "id-1", ctx)
+		_, aborted := r.send(ctx, "/stream/x", "id-1")
 		r.g.Expect(aborted).To(BeTrue())
 		time.Sleep(500 * time.Millisecond)
 		r.g.Expect(r.servers[1].Running()).To(BeZero(), "the server stops once its connection is closed")
@@ -276,7 +276,7 @@
 		r.state.Document.Routes[1].Timeout = time.Second
 		r.faults(mimic.Faults{Hang: true})
 		began := time.Now()
-		w, _ := r.send("/unsafe/x", "id-1", r.t.Context())
+		w, _ := r.send(r.t.Context(), "/unsafe/x", "id-1")
 		r.g.Expect(w.Code).To(Equal(504))
 		r.g.Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
 	})
@@ -285,7 +285,7 @@
 func TestNoConfigurationIsSaidSo(t *testing.T) {
 	play(t, 1, func(r *rig) {
 		r.state.Document = nil
-		w, _ := r.send("/unsafe/x", "id-1", r.t.Context())
+		w, _ := r.send(r.t.Context(), "/unsafe/x", "id-1")
 		r.g.Expect(w.Code).To(Equal(503), "a front without a configuration cannot say 404")
 		r.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
 	})
@@ -294,7 +294,7 @@
 func TestLargeBodyIsRefused(t *testing.T) {
 	play(t, 1, func(r *rig) {
 		r.state.Document.Limits.BodyBytes = 3
-		w, _ := r.send("/unsafe/x", "id-1", r.t.Context())
+		w, _ := r.send(r.t.Context(), "/unsafe/x", "id-1")
 		r.g.Expect(w.Code).To(Equal(413))
 		r.g.Expect(r.book.Runs("id-1")).To(BeEmpty())
 	})
@@ -307,7 +307,7 @@
 		sends := 0
 		for i := range requests {
 			id := "id-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
-			r.send("/safe/x", id, r.t.Context())
+			r.send(r.t.Context(), "/safe/x", id)
 			sends += len(r.book.Runs(id))
 		}
 		set := r.relay.set.Retry
