--- /dev/null
+++ b/internal/policy/choose/choose_test.go
@@ -0,0 +1,34 @@
+package choose
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestBest(t *testing.T) {
+	cases := []struct {
+		name string
+		list []Candidate
+		want string
+	}{
+		{"nobody", nil, ""},
+		{"own failure domain at equal load", []Candidate{{ID: "far", Slots: 8}, {ID: "near", Near: true, Slots: 8}}, "near"},
+		{"an idle one far away before a full one nearby", []Candidate{{ID: "near", Near: true, Slots: 8, Told: 9}, {ID: "far", Slots: 8}}, "far"},
+		{"the one that has read the prompt's parts", []Candidate{{ID: "new", Near: true, Slots: 64, Missing: 9000}, {ID: "read", Slots: 64, Missing: 2800}}, "read"},
+		{"another if that one has much to read first", []Candidate{{ID: "read", Slots: 64, Missing: 2800, Reading: 30000}, {ID: "new", Slots: 64, Missing: 9000}}, "new"},
+		{"not the one that fails", []Candidate{{ID: "grey", Near: true, Slots: 8, Failing: 0.5}, {ID: "sound", Slots: 8, InFlight: 3}}, "sound"},
+		{"not the slow one", []Candidate{{ID: "slow", Near: true, Slots: 8, Answers: 200 * time.Millisecond}, {ID: "quick", Slots: 8, Answers: 20 * time.Millisecond}}, "quick"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := ""
+			if i := Best(c.list, func() float64 { return 0 }); i >= 0 {
+				got = c.list[i].ID
+			}
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/retry/share_test.go
@@ -0,0 +1,36 @@
+package retry
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestSharesTogetherStayInTheBudget draws first and second sends at several
+// processes: over any span the second sends are at most slack and ratio.
+func TestSharesTogetherStayInTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		const ratio, slack = 0.2, 58.0
+		processes := rapid.IntRange(1, 30).Draw(rt, "processes")
+		shares := make([]Share, processes)
+		for i := range shares {
+			shares[i] = NewShare(ratio, slack, processes)
+		}
+		first, second := 0, 0
+		for _, send := range rapid.SliceOfN(rapid.IntRange(0, 3*processes-1), 0, 600).Draw(rt, "sends") {
+			i := send % processes
+			if send < processes {
+				shares[i] = shares[i].Earned()
+				first++
+				continue
+			}
+			var ok bool
+			if shares[i], ok = shares[i].Spent(); ok {
+				second++
+			}
+		}
+		g.Expect(float64(second)).To(BeNumerically("<=", ratio*float64(first)+slack))
+	})
+}
