front/orders, policy: copies of busy models before cold loads for rare ones, learned pace of the weight store, loads told to all fronts

Cause: on the grown site a model with 29 requests a second had four copies and one with 14 had one: copies were added from the weight store only while nothing was wanted, and something always is. Loads ran four at a time on a store that bears one, 52 s each. Each of 23 fronts knew the load of few servers. Change: wants with weights at hand, then copies of busy models, then cold wants; policy/pace learns how many loads run at full speed; the planner's reports reach the fronts in the answer to their use. A line a second says what is asked for and how many copies there are.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -70,10 +70,18 @@
 	Requests float64
 }
 
+// Load is what a server last reported of its requests.
+type Load struct {
+	Instance site.Key
+	Requests int
+	// Age is how old the report is.
+	Age time.Duration
+}
+
 // Planner gives orders to instances; every front has one, which acts only while it holds the lease.
 type Planner interface {
 	Want(ctx context.Context, w Want) (Found, error)
-	Use(u Uses)
+	Use(u Uses) []Load
 }
 
 // Mates speaks to the other fronts.
@@ -95,7 +103,9 @@
 	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w Want) (Found, error) {
 		return local.Want(ctx, w)
 	})
-	peer.OnNote(mux, methodUse, func(_ *peer.Conn, u Uses) { local.Use(u) })
+	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u Uses) ([]Load, error) {
+		return local.Use(u), nil
+	})
 	return m
 }
 
@@ -131,23 +141,18 @@
 	return found, err
 }
 
-// Use tells the planner about the use of models.
-func (m *Mates) Use(ctx context.Context, u Uses) error {
+// Use tells the planner about the use of models; the answer is the servers' load.
+func (m *Mates) Use(ctx context.Context, u Uses) ([]Load, error) {
 	planner := m.state().Planner
 	if planner == nil {
-		return &NoPlanner{}
+		return nil, &NoPlanner{}
 	}
 	if planner.Run == m.self.Run {
-		m.local.Use(u)
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	conn, err := m.pool.Get(ctx, planner.Address)
-	if err != nil {
-		return err
+		return m.local.Use(u), nil
 	}
-	return conn.Notify(methodUse, u)
+	var loads []Load
+	err := m.call(ctx, planner.Address, methodUse, askTimeout, u, &loads)
+	return loads, err
 }
 
 func (m *Mates) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -17,7 +17,7 @@
 	// reportLag is how old a report may be.
 	reportLag = 150 * time.Millisecond
 	// overdue is how much longer than its forecast a load or unload is followed.
-	overdue = 10 * time.Second
+	overdue = 60 * time.Second
 )
 
 // carryOut unloads what makes way and loads the wanted model.
@@ -35,13 +35,27 @@
 	if !p.give(ctx, s, site.Order{Target: site.Adapter{Model: a.Load}}) {
 		return
 	}
+	began := time.Now()
 	p.mu.Lock()
-	s.readyAt = time.Now().Add(a.Takes)
+	s.readyAt = began.Add(a.Takes)
+	beside := p.loading()
 	p.mu.Unlock()
-	if p.announced(ctx, s, a.Load, a.Takes) {
+	if p.announced(ctx, s, a.Load, a.Takes) || p.until(ctx, s, overdue, func() bool { return s.models[a.Load] != nil }) {
+		p.learn(s, a, beside, time.Since(began))
+	}
+}
+
+// learn notes how long a load from the weight store took beside others.
+func (p *Planner) learn(s *server, a swap.Action, beside int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	engine := engineOf(p.state(), s.inst.Service)
+	if a.Source != swap.FromStore || engine == nil || engine.Model(a.Load) == nil || s.models[a.Load] == nil {
 		return
 	}
-	p.until(ctx, s, overdue, func() bool { return s.models[a.Load] != nil })
+	was := p.pace.AtOnce()
+	p.pace = p.pace.Ended(max(beside, p.loading()), took, engine.Model(a.Load).FromStore)
+	p.log.Infow("load from the store ended", "Instance", s.inst.ID, "Model", a.Load, "Took", took.String(), "Beside", beside, "AtOnceBefore", was, "AtOnce", p.pace.AtOnce())
 }
 
 // announced waits until the server announces the model, which it does as soon
@@ -76,6 +90,7 @@
 // until reads reports until a belief holds.
 func (p *Planner) until(ctx context.Context, s *server, limit time.Duration, holds func() bool) bool {
 	end := time.Now().Add(limit)
+	wait := pollAfter
 	for time.Now().Before(end) {
 		p.readReport(ctx, s)
 		p.mu.Lock()
@@ -84,9 +99,10 @@
 		if ok || gone {
 			return ok && !gone
 		}
-		if !pause.For(ctx, pollAfter) {
+		if !pause.For(ctx, wait) {
 			return false
 		}
+		wait = min(2*wait, reportEvery)
 	}
 	return false
 }
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -1,7 +1,9 @@
 package orders
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +17,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/mates"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/pace"
 )
 
 const (
@@ -54,6 +57,7 @@
 	uses    map[string]usage
 	demand  demand
 	loads   []time.Time
+	pace    pace.Loads
 	changed chan struct{}
 	kick    chan struct{}
 	orders  *metrics.Counter
@@ -106,6 +110,7 @@
 		for _, s := range p.list() {
 			p.group.Go(func() { p.readReport(ctx, s) })
 		}
+		p.logDemand()
 	}
 }
 
@@ -207,6 +212,33 @@
 	p.wake()
 }
 
+// busiest is how many models the line on demand names.
+const busiest = 6
+
+// logDemand logs the models that are asked for most, with their copies.
+func (p *Planner) logDemand() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	type asked struct {
+		Model    string
+		Rate     float64
+		Adapters int
+		Copies   int
+	}
+	var list []asked
+	copies := map[string]int{}
+	for _, s := range p.servers {
+		for _, m := range s.modelNames() {
+			copies[m]++
+		}
+	}
+	for m, d := range p.demand.all(time.Now()) {
+		list = append(list, asked{m, math.Round(d.Rate*10) / 10, d.Adapters, copies[m]})
+	}
+	slices.SortFunc(list, func(a, b asked) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Model, b.Model)) })
+	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(busiest, len(list))], "Wants", len(p.wants), "Servers", len(p.servers))
+}
+
 // lose notes that a server did not give its report.
 func (p *Planner) lose(s *server, err error) {
 	if !s.lost {
@@ -226,8 +258,8 @@
 	}
 }
 
-// Use takes over what a front tells of its requests.
-func (p *Planner) Use(u mates.Uses) {
+// Use takes over what a front tells of its requests, and returns the servers' load.
+func (p *Planner) Use(u mates.Uses) []mates.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -245,6 +277,13 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
+	var loads []mates.Load
+	for _, s := range p.servers {
+		if s.known && !s.lost {
+			loads = append(loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
+		}
+	}
+	return loads
 }
 
 // touch notes the use of a model and of its adapter.
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -21,7 +21,9 @@
 	adapters map[site.Adapter]*held
 	onDisk   []string
 	inMemory []string
+	// running counts the requests that run or wait, by the report that came in at reported.
 	running  int
+	reported time.Time
 	// awaited is the model that the running job will load, and readyAt the forecast for it.
 	awaited string
 	readyAt time.Time
@@ -54,7 +56,8 @@
 	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && !s.resync && r.Sequence < s.sequence {
 		return false
 	}
-	s.known, s.sequence, s.busy, s.running, s.doubt, s.resync = true, r.Sequence, r.Busy, r.Running, false, false
+	s.known, s.sequence, s.busy, s.running, s.doubt, s.resync = true, r.Sequence, r.Busy, r.Running+r.Waiting, false, false
+	s.reported = now
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	models := map[string]*held{}
 	for _, m := range r.Models {
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -13,9 +13,6 @@
 // settling is how long a new planner evicts nothing, until the fronts have told it what is asked for.
 const settling = 1200 * time.Millisecond
 
-// loadsAtOnce is how many loads from the weight store may run at once before each takes longer.
-const loadsAtOnce = 4
-
 // step starts what the wants need.
 func (p *Planner) step(ctx context.Context) {
 	p.mu.Lock()
@@ -50,7 +47,7 @@
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), Keep: now.Sub(p.since) < settling}
+	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), AtOnce: p.pace.AtOnce(), Keep: now.Sub(p.since) < settling}
 	for _, s := range p.servers {
 		if s.inst.Service == service && !s.inst.Leaving {
 			in.Servers = append(in.Servers, p.viewed(s, now))
@@ -121,7 +118,7 @@
 func (p *Planner) loadsLeft(e *site.Engine, now time.Time) int {
 	p.loads = slices.DeleteFunc(p.loads, func(t time.Time) bool { return now.Sub(t) > p.set.LoadWindow })
 	inWindow := int(e.LoadsPerSecond*p.set.LoadWindow.Seconds()) - len(p.loads)
-	return max(0, min(inWindow, loadsAtOnce-p.loading()))
+	return max(0, min(inWindow, p.pace.AtOnce()-p.loading()))
 }
 
 // adapterTime is how long an adapter's load is given before its first request goes out.
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -121,7 +121,7 @@
 	}
 	answered()
 	if load, ok := c.server.dialect.Load(res.Header); ok {
-		t.told(in.Key, load)
+		t.told(in.Key, load.Running+load.Waiting, time.Now())
 	}
 	if c.server.dialect.NotRun(res.Status, res.Header) {
 		return c.notRun(in, res)
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -74,6 +74,13 @@
 	})
 }
 
+// SetLoads takes over the load of instances as the planner knows it.
+func (s *Server) SetLoads(loads []mates.Load) {
+	for _, l := range loads {
+		s.track.told(l.Instance, l.Requests, time.Now().Add(-l.Age))
+	}
+}
+
 // firstRetry is when callers come back to a front that knows no configuration yet.
 const firstRetry = 500 * time.Millisecond
 
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -14,7 +14,7 @@
 
 const (
 	// toldFor is how long the load that an answer told holds.
-	toldFor = time.Second
+	toldFor = 2 * time.Second
 	// failureWeight is the weight of the newest outcome in the share of failures.
 	failureWeight = 0.25
 	// failureMemory is the time in which a share of failures falls to a half while nothing is sent.
@@ -171,12 +171,14 @@
 	}
 }
 
-// told notes the load that an answer tells.
-func (t *tracker) told(k site.Key, l site.Load) {
+// told notes the requests that an instance had at a time, unless something newer is known.
+func (t *tracker) told(k site.Key, requests int, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(k)
-	s.told, s.toldAt = l.Running+l.Waiting, time.Now()
+	if at.After(s.toldAt) {
+		s.told, s.toldAt = requests, at
+	}
 }
 
 const (
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -102,6 +102,8 @@
 const (
 	// useEvery is how often a front tells the planner what it used.
 	useEvery = 500 * time.Millisecond
+	// usePerFront is the least time between what two fronts tell.
+	usePerFront = 30 * time.Millisecond
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = 500 * time.Millisecond
 )
@@ -141,7 +143,7 @@
 // tellUses tells the planner what this front used, if it used anything.
 func (f *Front) tellUses(ctx context.Context) {
 	var told int64
-	for pause.For(ctx, useEvery) {
+	for pause.For(ctx, f.useInterval()) {
 		planner := f.follower.State().Planner
 		if planner == nil {
 			continue
@@ -151,12 +153,20 @@
 		if len(u.Uses) == 0 && len(u.Asked) == 0 {
 			continue
 		}
-		if err := f.mates.Use(ctx, u); err != nil {
+		loads, err := f.mates.Use(ctx, u)
+		if err != nil {
 			f.log.Debugw("use not told", "Error", err.Error())
+			continue
 		}
+		f.relay.SetLoads(loads)
 	}
 }
 
+// useInterval grows with the number of fronts, so that the planner's work does not.
+func (f *Front) useInterval() time.Duration {
+	return max(useEvery, time.Duration(len(f.follower.State().Fronts))*usePerFront)
+}
+
 // sweep closes idle connections to instances that are gone, and to callers that were idle for too long.
 func (f *Front) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepEvery) {
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -20,8 +20,6 @@
 	youngest = 1500 * time.Millisecond
 	// maxInFlight is how many running requests an unload may wait for at the most.
 	maxInFlight = 2
-	// warmLoads is how many loads from the weight store run at full speed at once.
-	warmLoads = 4
 )
 
 // Copy is a model that a server holds.
@@ -64,6 +62,8 @@
 	// StoreLoads is the number of loads from the weight store that may begin now, and Loading those that run.
 	StoreLoads int
 	Loading    int
+	// AtOnce is how many loads from the weight store are believed to run at full speed side by side.
+	AtOnce int
 }
 
 // Demand is what is asked of a model.
@@ -111,97 +111,111 @@
 	FromMemory
 )
 
-// Decide returns at most one action for each server and each wanted model, the weightiest wants first.
+// Decide returns at most one action for each server and each wanted model.
+// Wanted models come first where weights are at hand; then copies of busy
+// models; a load from the weight store goes to a wanted model only after those.
 func Decide(in Input) []Action {
-	wants := slices.Clone(in.Wants)
-	slices.SortStableFunc(wants, func(a, b Want) int {
+	slices.SortStableFunc(in.Wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
 	})
-	used := map[string]bool{}
-	var out []Action
-	for _, w := range wants {
-		best, ok := in.best(w, used)
-		if !ok {
+	d := &decision{Input: in, used: map[string]bool{}, chosen: map[string]bool{}}
+	d.serve(FromDisk)
+	d.grow()
+	d.serve(FromStore)
+	d.cover()
+	return d.actions
+}
+
+// decision is a decision in the making.
+type decision struct {
+	Input
+	// used are the servers that have an action, and chosen the models.
+	used    map[string]bool
+	chosen  map[string]bool
+	actions []Action
+}
+
+// take adds an action.
+func (d *decision) take(a Action) {
+	d.used[a.Server], d.chosen[a.Load] = true, true
+	if a.Source == FromStore {
+		d.StoreLoads--
+		d.Loading++
+	}
+	d.actions = append(d.actions, a)
+}
+
+// serve finds a server for each wanted model that has none yet; its weights come from a source as fast as the slowest one allowed.
+func (d *decision) serve(slowest Source) {
+	for _, w := range d.Wants {
+		if d.chosen[w.Model] {
 			continue
 		}
-		used[best.Server] = true
-		if best.Source == FromStore {
-			in.StoreLoads--
-			in.Loading++
+		if best, ok := d.best(w, slowest); ok {
+			d.take(best)
 		}
-		out = append(out, best)
 	}
-	out = append(out, in.grow(used)...)
-	return append(out, in.cover(used)...)
 }
 
 // cover loads models that no server has where there is room for them, so that
 // a first request finds them; from the weight store one at a time and only
 // while nothing is wanted.
-func (in *Input) cover(used map[string]bool) []Action {
-	var out []Action
-	fromStore := in.Loading == 0 && in.StoreLoads > 0 && len(in.Wants) == 0
-	for i := range in.Engine.Models {
-		model := &in.Engine.Models[i]
-		if in.copies(model.Name) > 0 || in.wanted(model.Name) {
+func (d *decision) cover() {
+	for i := range d.Engine.Models {
+		model := &d.Engine.Models[i]
+		if d.copies(model.Name) > 0 || d.wanted(model.Name) {
 			continue
 		}
+		fromStore := d.Loading == 0 && len(d.Wants) == 0
 		var best Action
-		for j := range in.Servers {
-			s := &in.Servers[j]
-			if s.Engaged || used[s.ID] {
+		for j := range d.Servers {
+			s := &d.Servers[j]
+			if s.Engaged || d.used[s.ID] {
 				continue
 			}
-			a, _, ok := in.at(s, model, Want{Model: model.Name})
+			a, _, ok := d.at(s, model, Want{Model: model.Name})
 			if ok && len(a.Evict) == 0 && (a.Source != FromStore || fromStore) && (best.Server == "" || a.Takes < best.Takes) {
 				best = a
 			}
 		}
-		if best.Server == "" {
-			continue
+		if best.Server != "" {
+			d.take(best)
 		}
-		used[best.Server] = true
-		fromStore = fromStore && best.Source != FromStore
-		out = append(out, best)
 	}
-	return out
 }
 
 // grow adds copies of models whose demand is more than their copies bear,
 // where what makes way is missed less than the copy gains.
-func (in *Input) grow(used map[string]bool) []Action {
+func (d *decision) grow() {
 	type short struct {
 		model string
 		gain  float64
 	}
 	var list []short
-	for model, d := range in.Demand {
-		have := in.copies(model)
-		if need := in.need(model); have > 0 && have < need {
-			list = append(list, short{model, growth * d.Rate * horizon.Seconds() * float64(need-have) / float64(have)})
+	for model, asked := range d.Demand {
+		have := d.copies(model)
+		if need := d.need(model); have > 0 && have < need {
+			list = append(list, short{model, growth * asked.Rate * horizon.Seconds() * float64(need-have) / float64(have)})
 		}
 	}
 	slices.SortFunc(list, func(a, b short) int { return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.model, b.model)) })
-	var out []Action
 	for _, m := range list {
 		var best Action
 		least := m.gain
-		for i := range in.Servers {
-			s := &in.Servers[i]
-			if s.Engaged || used[s.ID] {
+		for i := range d.Servers {
+			s := &d.Servers[i]
+			if s.Engaged || d.used[s.ID] {
 				continue
 			}
-			a, cost, ok := in.at(s, in.Engine.Model(m.model), Want{Model: m.model})
-			if ok && cost < least && (a.Source != FromStore || len(in.Wants) == 0) {
+			a, cost, ok := d.at(s, d.Engine.Model(m.model), Want{Model: m.model})
+			if ok && cost < least {
 				best, least = a, cost
 			}
 		}
 		if best.Server != "" {
-			used[best.Server] = true
-			out = append(out, best)
+			d.take(best)
 		}
 	}
-	return out
 }
 
 // growth is the waiting in seconds that a missing copy costs each request.
@@ -220,25 +234,25 @@
 }
 
 // best returns the cheapest way to a model; ok is false if it is under way or nothing fits.
-func (in *Input) best(w Want, used map[string]bool) (Action, bool) {
-	model := in.Engine.Model(w.Model)
+func (d *decision) best(w Want, slowest Source) (Action, bool) {
+	model := d.Engine.Model(w.Model)
 	if model == nil {
 		return Action{}, false
 	}
-	for _, s := range in.Servers {
+	for _, s := range d.Servers {
 		if s.Awaited == w.Model {
 			return Action{}, false
 		}
 	}
 	var best Action
 	least, found := 0.0, false
-	for i := range in.Servers {
-		s := &in.Servers[i]
-		if s.Engaged || used[s.ID] {
+	for i := range d.Servers {
+		s := &d.Servers[i]
+		if s.Engaged || d.used[s.ID] {
 			continue
 		}
-		a, cost, ok := in.at(s, model, w)
-		if ok && (!found || cost < least) {
+		a, cost, ok := d.at(s, model, w)
+		if ok && a.Source >= slowest && (!found || cost < least) {
 			best, least, found = a, cost, true
 		}
 	}
@@ -270,7 +284,7 @@
 	case slices.Contains(s.OnDisk, model.Name) && model.FromDisk > 0:
 		return FromDisk, model.FromDisk
 	}
-	slow := max(1, float64(in.Loading+1)/warmLoads)
+	slow := max(1, float64(in.Loading+1)/float64(max(1, in.AtOnce)))
 	return FromStore, time.Duration(float64(model.FromStore) * slow)
 }
 
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -27,7 +27,9 @@
 
 func TestDecisions(t *testing.T) {
 	old := time.Minute
-	held := func(model string, inFlight int) Copy { return Copy{Model: model, InFlight: inFlight, Age: old, Idle: old} }
+	held := func(model string, inFlight int) Copy {
+		return Copy{Model: model, InFlight: inFlight, Age: old, Idle: old}
+	}
 	cases := []struct {
 		name string
 		in   Input
