--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -219,7 +219,7 @@
 }
 
 // growth is the waiting in seconds that a missing copy costs each request.
-const growth = 0.15
+const growth = 0.3
 
 // copies counts the servers that have a model or are about to.
 func (in *Input) copies(model string) int {
