--- a/cmd/foxtailcroft/front.go
+++ b/cmd/foxtailcroft/front.go
@@ -52,7 +52,7 @@
 	}
 	out, closeOut := logs.NewBounded(os.Stdout, logBuffer)
 	defer closeOut()
-	log, err := logs.New(out, "info", set.Node.Name)
+	log, err := logs.NewSplit(out, "info", set.Node.Name)
 	if err != nil {
 		return eris.Wrap(err, "logger")
 	}
@@ -61,7 +61,14 @@
 		return err
 	}
 	meters := metrics.NewSet()
-	meters.NewGauge("foxtailcroft_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
+	meters.NewGauge(`foxtailcroft_log_lines_dropped{kind="failures"}`, func() float64 {
+		urgent, _ := out.Dropped()
+		return float64(urgent)
+	})
+	meters.NewGauge(`foxtailcroft_log_lines_dropped{kind="routine"}`, func() float64 {
+		_, routine := out.Dropped()
+		return float64(routine)
+	})
 	f, closeFront := front.New(front.Options{
 		Settings: set, Dialect: platform.Dialect{}, Dial: conns.TCP, ReadyPath: platform.ReadyPath, Meters: meters, Log: log,
 		Store: platform.NewStore(set.Store, &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -15,13 +15,17 @@
 	if err != nil {
 		return nil, err
 	}
-	enc := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+	core := zapcore.NewCore(encoder(), zapcore.Lock(zapcore.AddSync(w)), at)
+	return zap.New(core).With(zap.String("Node", node)), nil
+}
+
+// encoder returns the encoder of all logs.
+func encoder() zapcore.Encoder {
+	return zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey: "Time", LevelKey: "Level", MessageKey: "Message", NameKey: "Part", CallerKey: zapcore.OmitKey,
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
 		EncodeDuration: zapcore.StringDurationEncoder, EncodeName: zapcore.FullNameEncoder,
 	})
-	core := zapcore.NewCore(enc, zapcore.Lock(zapcore.AddSync(w)), at)
-	return zap.New(core).With(zap.String("Node", node)), nil
 }
 
 // Audit returns a function that writes audit records to the log, whole.
--- a/internal/front/relay/answer.go
+++ b/internal/front/relay/answer.go
@@ -64,7 +64,7 @@
 	}
 	copyHeader(c.w.Header(), res.Header)
 	c.w.WriteHeader(res.Status)
-	c.outcome, c.status = "answered", res.Status
+	c.outcome, c.status = outcomeAnswered, res.Status
 	c.first = time.Since(c.arrived)
 	if _, err := c.w.Write(data); err != nil {
 		c.outcome = "answered, caller left"
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -49,6 +49,9 @@
 	first    time.Duration
 }
 
+// outcomeAnswered is the outcome of a request that got an instance's whole answer.
+const outcomeAnswered = "answered"
+
 // step is what follows a try.
 type step int
 
--- a/internal/front/relay/record.go
+++ b/internal/front/relay/record.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"foxtailcroft/internal/core/site"
@@ -29,7 +30,11 @@
 	took := time.Since(c.arrived)
 	c.server.meters.GetOrCreateCounter(`foxtailcroft_requests_total{outcome="` + c.outcome + `"}`).Inc()
 	c.server.meters.GetOrCreateHistogram("foxtailcroft_request_seconds").Update(took.Seconds())
-	c.server.log.Infow("request", "Request", c.ask.ID, "Route", route, "Kind", kind, "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
+	log := c.server.log.Infow
+	if c.outcome != outcomeAnswered && c.status != http.StatusNotFound {
+		log = c.server.log.Warnw
+	}
+	log("request", "Request", c.ask.ID, "Route", route, "Kind", kind, "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
 		"Prompt", c.ask.PromptTokens, "Instance", c.instance, "Sends", c.sends, "Unsent", c.unsent, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events,
 		"Patience", c.ask.Patience.Milliseconds(), "Version", version, "Revision", c.state.Revision)
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -11,10 +12,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/logs"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/mates"
 	"foxtailcroft/internal/plat/follow"
@@ -34,6 +35,7 @@
 	servers []*mimic.Server
 	state   *follow.State
 	asked   int
+	log     *bytes.Buffer
 }
 
 func (r *rig) State() *follow.State { return r.state }
@@ -46,7 +48,7 @@
 // play runs a test against n servers that hold model m; routes are below /safe/, /unsafe/, /resume/ and /stream/.
 func play(t *testing.T, n int, test func(*rig)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{t: t, g: NewWithT(t), net: pipes.New(), ends: map[string]func(){}, book: &mimic.Book{}}
+		r := &rig{t: t, g: NewWithT(t), net: pipes.New(), ends: map[string]func(){}, book: &mimic.Book{}, log: &bytes.Buffer{}}
 		route := func(prefix string, kind site.Kind, attempts int, resumable bool, service string) site.Route {
 			return site.Route{
 				Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Attempts: attempts, Resumable: resumable,
@@ -70,8 +72,10 @@
 			}
 		}
 		pool, closePool := conns.New(r.net.Dial, metrics.NewSet())
+		log, err := logs.New(r.log, "info", "f")
+		r.g.Expect(err).NotTo(HaveOccurred())
 		set := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
-		r.relay = New(set, r, pool, platform.Dialect{}, r, metrics.NewSet(), zap.NewNop().Sugar())
+		r.relay = New(set, r, pool, platform.Dialect{}, r, metrics.NewSet(), log.Sugar())
 		defer r.net.Close()
 		defer closePool()
 		test(r)
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -80,7 +80,7 @@
 func (c *call) streamEnded(in site.Instance, res *conns.Response) step {
 	c.head(res)
 	c.server.track.outcome(in.Key, false)
-	c.outcome, c.status = "answered", res.Status
+	c.outcome, c.status = outcomeAnswered, res.Status
 	return done
 }
 
