--- a/cmd/foxtailcroft/config.go
+++ b/cmd/foxtailcroft/config.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
 
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/platform"
 )
 
 func configCommand() *cobra.Command {
@@ -19,7 +21,7 @@
 func configCheck() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check files of resources or of an entry's or agent's settings",
+		Short: "Check files of resources, of an entry's or agent's settings, or of the platform's settings",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			for _, file := range args {
@@ -43,6 +45,9 @@
 		return "", err
 	}
 	switch {
+	case json.Valid(data):
+		_, err := platform.DecodeSettings(file, data)
+		return "platform settings", err
 	case hasField(data, "Kind"):
 		list, err := conf.Resources(file, data)
 		return fmt.Sprintf("file of %d resources", len(list)), err
