front/relay: nothing but events follows the events of a stream

Cause: soak seed 145: a resumable stream was cut, the second server did not answer before the time was over, and the refusal's body was written behind the events that had gone out; the answer looked complete. Ruled out: the stand-in (its event was whole). Change: an ending writes to the caller only while no event went out; otherwise it aborts the connection. One place decides it, in place of four. Tests: TestTimeOverDuringAResumedStream fails without it; seed 145 stays in the soak.

--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -164,9 +164,6 @@
 		return again
 	case sent && c.mayRepeat():
 		return again
-	case c.stream != nil:
-		c.outcome = "stream broken off"
-		panic(http.ErrAbortHandler)
 	case c.sends == 0:
 		c.refuse(http.StatusServiceUnavailable, c.reason, soonRetry)
 	default:
@@ -198,10 +195,6 @@
 	}
 	c.note("not run", in, c.reason)
 	if c.unsent >= maxUnsent || !c.server.spend(c.service) {
-		if c.stream != nil {
-			c.outcome = "stream broken off"
-			panic(http.ErrAbortHandler)
-		}
 		if c.sends > 0 {
 			c.fail(http.StatusBadGateway, c.reason)
 			return done
@@ -223,6 +216,11 @@
 }
 
 func (c *call) finish(outcome string, status int, reason string, after time.Duration) {
+	if c.stream != nil {
+		// Events went out: nothing but events may follow, so the answer is ended visibly.
+		c.outcome, c.reason = "stream broken off", reason
+		panic(http.ErrAbortHandler)
+	}
 	c.outcome, c.status, c.reason = outcome, status, reason
 	h := c.w.Header()
 	c.server.dialect.Refuse(h, c.ask.ID, after)
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -86,15 +86,11 @@
 
 // none ends a request for which there is no instance.
 func (c *call) none(reason string, after time.Duration) {
-	switch {
-	case c.stream != nil:
-		c.outcome, c.reason = "stream broken off", reason
-		panic(http.ErrAbortHandler)
-	case c.sends > 0:
+	if c.sends > 0 {
 		c.fail(http.StatusBadGateway, reason)
-	default:
-		c.refuse(http.StatusServiceUnavailable, reason, after)
+		return
 	}
+	c.refuse(http.StatusServiceUnavailable, reason, after)
 }
 
 // waitForModel asks the planner for an instance with the model.
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -239,6 +239,17 @@
 	})
 }
 
+// TestTimeOverDuringAResumedStream cuts a stream, lets the second server hang,
+// and expects that nothing is added to the events that went out.
+func TestTimeOverDuringAResumedStream(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.faults(mimic.Faults{Cut: 1, CutAfter: 2, HangAfter: true})
+		w, aborted := r.send(r.t.Context(), "/resume/x", "id-1")
+		r.g.Expect(aborted).To(BeTrue())
+		r.g.Expect(w.Body.String()).To(Equal(whole[:strings.Index(whole, "id: 3")]))
+	})
+}
+
 func TestRefusedConnectionsAreTriedElsewhere(t *testing.T) {
 	play(t, 3, func(r *rig) {
 		r.ends["10.0.0.1:80"]()
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -88,10 +88,6 @@
 func (c *call) streamBroke(ctx context.Context, in site.Instance, err error) step {
 	c.reason = err.Error()
 	if ctx.Err() != nil {
-		if c.stream != nil && c.r.Context().Err() == nil {
-			c.outcome, c.reason = "stream broken off", "time is over"
-			panic(http.ErrAbortHandler)
-		}
 		return again
 	}
 	c.server.track.outcome(in.Key, true)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{145, "a stream was resumed, the time was over during the second try, and a refusal's body followed the events that had gone out"},
+}
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "foxtailcroft")
