--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -46,6 +46,8 @@
 	status   int
 	instance string
 	held     time.Duration
+	// planless is the time in which no planner answered.
+	planless time.Duration
 	first    time.Duration
 }
 
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -27,8 +27,9 @@
 	gapPatience   = 8
 	// plainWait is how long a request to a plain service waits for an instance.
 	plainWait = 300 * time.Millisecond
-	// plannerWait is how long a request waits for a planner at the most.
-	plannerWait = 2 * time.Second
+	// plannerWait is how long a request goes without a planner at the most: a
+	// lost one is replaced within its lease and the time to hear of it.
+	plannerWait = 4 * time.Second
 )
 
 // find returns the instance to try next; false if the request has ended.
@@ -100,13 +101,15 @@
 		c.none("no instance has the model", soonRetry)
 		return false
 	}
+	asked := time.Now()
 	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value(), Avoid: c.avoid()})
 	if c.expired(ctx) {
 		return false
 	}
 	var none *mates.NoPlanner
 	if err != nil {
-		if c.held > plannerWait {
+		c.planless += time.Since(asked)
+		if c.planless > plannerWait {
 			c.none("no planner: "+err.Error(), soonRetry)
 			return false
 		}
