policy/swap: loads from the weight store go where they save most requests; a place is kept for what comes

Each new planner learned the store's pace anew, two loads at 26 s. Change: wants and copies compete for the store by the requests they save; nothing is loaded ahead from a store that bears one load, but before traffic; the planner tells the fronts the pace, and its successor starts from it.

--- a/internal/front/mates/mates.go
+++ b/internal/front/mates/mates.go
@@ -78,10 +78,18 @@
 	Age time.Duration
 }
 
+// Board is what the planner tells fronts: the servers' load, and what it has
+// learned that a successor would have to learn anew.
+type Board struct {
+	Loads []Load
+	// StoreLoads is how many loads from the weight store run at full speed side by side.
+	StoreLoads int
+}
+
 // Planner gives orders to instances; every front has one, which acts only while it holds the lease.
 type Planner interface {
 	Want(ctx context.Context, w Want) (Found, error)
-	Use(u Uses) []Load
+	Use(u Uses) Board
 }
 
 // Mates speaks to the other fronts.
@@ -103,7 +111,7 @@
 	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w Want) (Found, error) {
 		return local.Want(ctx, w)
 	})
-	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u Uses) ([]Load, error) {
+	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u Uses) (Board, error) {
 		return local.Use(u), nil
 	})
 	return m
@@ -141,18 +149,18 @@
 	return found, err
 }
 
-// Use tells the planner about the use of models; the answer is the servers' load.
-func (m *Mates) Use(ctx context.Context, u Uses) ([]Load, error) {
+// Use tells the planner about the use of models.
+func (m *Mates) Use(ctx context.Context, u Uses) (Board, error) {
 	planner := m.state().Planner
 	if planner == nil {
-		return nil, &NoPlanner{}
+		return Board{}, &NoPlanner{}
 	}
 	if planner.Run == m.self.Run {
 		return m.local.Use(u), nil
 	}
-	var loads []Load
-	err := m.call(ctx, planner.Address, methodUse, askTimeout, u, &loads)
-	return loads, err
+	var board Board
+	err := m.call(ctx, planner.Address, methodUse, askTimeout, u, &board)
+	return board, err
 }
 
 func (m *Mates) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -259,7 +259,7 @@
 }
 
 // Use takes over what a front tells of its requests, and returns the servers' load.
-func (p *Planner) Use(u mates.Uses) []mates.Load {
+func (p *Planner) Use(u mates.Uses) mates.Board {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -277,13 +277,22 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	var loads []mates.Load
+	board := mates.Board{StoreLoads: p.pace.AtOnce()}
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			loads = append(loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
+			board.Loads = append(board.Loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
 		}
 	}
-	return loads
+	return board
+}
+
+// Learn takes over what another planner has learned, for when this front succeeds it.
+func (p *Planner) Learn(b mates.Board) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pace.AtOnce() != b.StoreLoads && b.StoreLoads > 0 {
+		p.pace = pace.Known(b.StoreLoads)
+	}
 }
 
 // touch notes the use of a model and of its adapter.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -154,12 +154,13 @@
 		if len(u.Uses) == 0 && len(u.Asked) == 0 {
 			continue
 		}
-		loads, err := f.mates.Use(ctx, u)
+		board, err := f.mates.Use(ctx, u)
 		if err != nil {
 			f.log.Debugw("use not told", "Error", err.Error())
 			continue
 		}
-		f.relay.SetLoads(loads)
+		f.relay.SetLoads(board.Loads)
+		f.planner.Learn(board)
 	}
 }
 
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -22,6 +22,11 @@
 	calm int
 }
 
+// Known returns what another process has learned.
+func Known(atOnce int) Loads {
+	return Loads{atOnce: max(0, min(most, atOnce))}
+}
+
 // AtOnce returns how many loads run at full speed side by side, as far as known.
 func (l Loads) AtOnce() int {
 	if l.atOnce == 0 {
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -111,21 +111,39 @@
 	FromMemory
 )
 
-// Decide returns at most one action for each server and each wanted model.
-// Wanted models come first where weights are at hand; then copies of busy
-// models; a load from the weight store goes to a wanted model only after those.
+// Decide returns at most one action for each server and each model: wanted
+// models and copies of busy ones where weights are at hand, then loads from the
+// weight store in the order of what they gain, then models that no server has.
 func Decide(in Input) []Action {
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
 	})
 	d := &decision{Input: in, used: map[string]bool{}, chosen: map[string]bool{}}
-	d.serve(FromDisk)
-	d.grow()
-	d.serve(FromStore)
+	for _, w := range d.Wants {
+		d.try(goal{want: w, limit: math.Inf(1)}, FromDisk)
+	}
+	shorts := d.shorts()
+	for _, g := range shorts {
+		d.try(g, FromDisk)
+	}
+	for _, g := range d.fetches(shorts) {
+		d.try(g, FromStore)
+	}
 	d.cover()
 	return d.actions
 }
 
+// goal is a copy that is to be had.
+type goal struct {
+	want Want
+	// limit is the waiting in seconds that the copy may cost others.
+	limit float64
+	// saves ranks goals that compete for the weight store.
+	saves float64
+	// more is set if the model has copies already.
+	more bool
+}
+
 // decision is a decision in the making.
 type decision struct {
 	Input
@@ -145,16 +163,47 @@
 	d.actions = append(d.actions, a)
 }
 
-// serve finds a server for each wanted model that has none yet; its weights come from a source as fast as the slowest one allowed.
-func (d *decision) serve(slowest Source) {
+// try takes the cheapest way to a goal if it costs less than its limit; the
+// weights come from a source at least as fast as the slowest one allowed.
+func (d *decision) try(g goal, slowest Source) {
+	if d.chosen[g.want.Model] || !g.more && d.awaited(g.want.Model) {
+		return
+	}
+	if best, cost, ok := d.best(g.want, slowest); ok && cost < g.limit {
+		d.take(best)
+	}
+}
+
+// fetches orders what is worth a load from the weight store by the requests that
+// it saves: all of a wanted model that nobody has, and those that copies of busy ones spare waiting.
+func (d *decision) fetches(shorts []goal) []goal {
+	out := slices.Clone(shorts)
 	for _, w := range d.Wants {
-		if d.chosen[w.Model] {
-			continue
-		}
-		if best, ok := d.best(w, slowest); ok {
-			d.take(best)
+		out = append(out, goal{want: w, limit: math.Inf(1), saves: max(w.Weight, d.Demand[w.Model].Rate*horizon.Seconds())})
+	}
+	slices.SortStableFunc(out, func(a, b goal) int { return cmp.Compare(b.saves, a.saves) })
+	return out
+}
+
+// shorts are the models whose demand is more than their copies bear, the most urgent first.
+func (d *decision) shorts() []goal {
+	var list []goal
+	for model, asked := range d.Demand {
+		have := d.copies(model)
+		if need := d.need(model); have > 0 && have < need && d.Engine.Model(model) != nil {
+			gain := growth * asked.Rate * horizon.Seconds() * float64(need-have) / float64(have)
+			list = append(list, goal{want: Want{Model: model}, limit: gain, saves: gain, more: true})
 		}
 	}
+	slices.SortFunc(list, func(a, b goal) int {
+		return cmp.Or(cmp.Compare(b.saves, a.saves), cmp.Compare(a.want.Model, b.want.Model))
+	})
+	return list
+}
+
+// awaited reports whether a server is about to have a model.
+func (d *decision) awaited(model string) bool {
+	return slices.ContainsFunc(d.Servers, func(s Server) bool { return s.Awaited == model })
 }
 
 // cover loads models that no server has where there is room for them, so that
@@ -166,7 +215,8 @@
 		if d.copies(model.Name) > 0 || d.wanted(model.Name) {
 			continue
 		}
-		fromStore := d.Loading == 0 && len(d.Wants) == 0
+		// A place at the weight store is kept for what may be wanted next.
+		fromStore := d.Loading == 0 && len(d.Wants) == 0 && !d.Keep && (d.AtOnce > 1 || len(d.Demand) == 0)
 		var best Action
 		for j := range d.Servers {
 			s := &d.Servers[j]
@@ -184,40 +234,6 @@
 	}
 }
 
-// grow adds copies of models whose demand is more than their copies bear,
-// where what makes way is missed less than the copy gains.
-func (d *decision) grow() {
-	type short struct {
-		model string
-		gain  float64
-	}
-	var list []short
-	for model, asked := range d.Demand {
-		have := d.copies(model)
-		if need := d.need(model); have > 0 && have < need {
-			list = append(list, short{model, growth * asked.Rate * horizon.Seconds() * float64(need-have) / float64(have)})
-		}
-	}
-	slices.SortFunc(list, func(a, b short) int { return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.model, b.model)) })
-	for _, m := range list {
-		var best Action
-		least := m.gain
-		for i := range d.Servers {
-			s := &d.Servers[i]
-			if s.Engaged || d.used[s.ID] {
-				continue
-			}
-			a, cost, ok := d.at(s, d.Engine.Model(m.model), Want{Model: m.model})
-			if ok && cost < least {
-				best, least = a, cost
-			}
-		}
-		if best.Server != "" {
-			d.take(best)
-		}
-	}
-}
-
 // growth is the waiting in seconds that a missing copy costs each request.
 const growth = 0.3
 
@@ -233,30 +249,23 @@
 	return n
 }
 
-// best returns the cheapest way to a model; ok is false if it is under way or nothing fits.
-func (d *decision) best(w Want, slowest Source) (Action, bool) {
+// best returns the cheapest way to a model and its cost; ok is false if nothing fits.
+func (d *decision) best(w Want, slowest Source) (best Action, least float64, ok bool) {
 	model := d.Engine.Model(w.Model)
 	if model == nil {
-		return Action{}, false
-	}
-	for _, s := range d.Servers {
-		if s.Awaited == w.Model {
-			return Action{}, false
-		}
+		return Action{}, 0, false
 	}
-	var best Action
-	least, found := 0.0, false
 	for i := range d.Servers {
 		s := &d.Servers[i]
 		if s.Engaged || d.used[s.ID] {
 			continue
 		}
-		a, cost, ok := d.at(s, model, w)
-		if ok && a.Source >= slowest && (!found || cost < least) {
-			best, least, found = a, cost, true
+		a, cost, fits := d.at(s, model, w)
+		if fits && a.Source >= slowest && (!ok || cost < least) {
+			best, least, ok = a, cost, true
 		}
 	}
-	return best, found
+	return best, least, ok
 }
 
 // at weighs a load at one server: the wait of the wanted model against what the evicted ones lose.
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -67,6 +67,15 @@
 		{"a model that nobody has is loaded where there is room", Input{
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}, OnDisk: []string{"m1"}}},
 		}, []Action{{Server: "a", Load: "m1", Source: FromDisk, Takes: 840 * time.Millisecond}}},
+		{"the one load from the store goes to the busy model that nobody has", Input{
+			Wants: []Want{{Model: "m4", Weight: 1}, {Model: "m5", Weight: 6}}, StoreLoads: 1, AtOnce: 1,
+			Demand:  map[string]Demand{"m5": {Rate: 10}, "m4": {Rate: 0.1}, "m0": {Rate: 8}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 9)}}, {ID: "b", Copies: []Copy{held("m1", 0)}}},
+		}, []Action{{Server: "a", Load: "m5", Source: FromStore, Takes: 6 * time.Second}}},
+		{"and to the busy model with one copy before a rare one", Input{
+			Wants: []Want{{Model: "m4", Weight: 1}}, StoreLoads: 1, AtOnce: 1, Demand: map[string]Demand{"m0": {Rate: 16}, "m4": {Rate: 0.1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 9)}}, {ID: "b", Copies: []Copy{held("m1", 0)}}},
+		}, []Action{{Server: "b", Load: "m0", Source: FromStore, Takes: 6 * time.Second}}},
 		{"a planner that knows no demand yet evicts nothing", Input{
 			Keep: true, Wants: []Want{{Model: "m5", Weight: 1}},
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0), held("m1", 0), held("m2", 0)}, OnDisk: []string{"m5"}}},
@@ -163,7 +172,7 @@
 	dayTime  = 40 * time.Second
 	rareRate = 3.2
 	busyRate = 8.0
-	goal     = 2500 * time.Millisecond
+	patience = 2500 * time.Millisecond
 )
 
 func newFleet(rnd *rand.Rand) *fleet {
@@ -234,7 +243,7 @@
 				continue
 			}
 			for _, at := range since {
-				if now-at <= goal {
+				if now-at <= patience {
 					served++
 				}
 			}
