front/orders: the planner's reports and board do not grow with the fleet

Change: reports are spread to 200 a second at the most, and a board holds the 64 busiest servers, made five times a second for all.

--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -23,6 +23,10 @@
 const (
 	// reportEvery is how often the planner reads each model server's report.
 	reportEvery = time.Second
+	// reportGap is the least time between two reports on average, so that their number does not grow with the servers.
+	reportGap = 5 * time.Millisecond
+	// boardSize bounds the servers on a board: the busiest ones, which others are to avoid.
+	boardSize = 64
 	// stepEvery bounds the time between two looks at what is wanted.
 	stepEvery = 100 * time.Millisecond
 	// useFor is how long a front's word on requests in flight holds.
@@ -58,6 +62,8 @@
 	demand  demand
 	loads   []time.Time
 	pace    pace.Loads
+	board   []mates.Load
+	boardAt time.Time
 	changed chan struct{}
 	kick    chan struct{}
 	orders  *metrics.Counter
@@ -103,7 +109,7 @@
 
 // RunReports reads the model servers' reports while the lease is held.
 func (p *Planner) RunReports(ctx context.Context) {
-	for pause.For(ctx, reportEvery) {
+	for pause.For(ctx, max(reportEvery, time.Duration(len(p.list()))*reportGap)) {
 		if !p.leads() {
 			continue
 		}
@@ -277,15 +283,30 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	board := mates.Board{StoreLoads: p.pace.AtOnce()}
+	return mates.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now)}
+}
+
+// busiestServers returns the load of the servers with most requests; the caller holds the lock.
+func (p *Planner) busiestServers(now time.Time) []mates.Load {
+	if p.board != nil && now.Sub(p.boardAt) < boardAge {
+		return p.board
+	}
+	var loads []mates.Load
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			board.Loads = append(board.Loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
+			loads = append(loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
 		}
 	}
-	return board
+	slices.SortFunc(loads, func(a, b mates.Load) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Instance.ID, b.Instance.ID))
+	})
+	p.board, p.boardAt = loads[:min(boardSize, len(loads))], now
+	return p.board
 }
 
+// boardAge is how long a board serves all fronts that ask.
+const boardAge = 200 * time.Millisecond
+
 // Learn takes over what another planner has learned, for when this front succeeds it.
 func (p *Planner) Learn(b mates.Board) {
 	p.mu.Lock()
