test/procs: the paused agent is the one that holds the replica

Cause: the test waited for the replica to lie at engine-1, which the tests before it do not bring about: they end agents of either engine, and where the replica is loaded again is decided by placement. Change: whichever engine holds the replica has its agent paused and succeeded; all that is checked after that is unchanged.

--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -323,12 +323,13 @@
 	})
 
 	It("ends an agent that was paused past its successor's start and resumed", func() {
-		Eventually(d.holder, startTimeout, poll).Should(Equal("engine-1"))
-		d.signal("engine-1", syscall.SIGSTOP)
-		paused := d.running["engine-1"]
-		delete(d.ports, "engine-1")
-		delete(d.ports, "engine-1-metrics")
-		d.startEngineAgent("engine-1", "a")
+		holder := ""
+		Eventually(func() string { holder = d.holder(); return holder }, startTimeout, poll).ShouldNot(BeEmpty())
+		d.signal(holder, syscall.SIGSTOP)
+		paused := d.running[holder]
+		delete(d.ports, holder)
+		delete(d.ports, holder+"-metrics")
+		d.startEngineAgent(holder, string(holder[len(holder)-1]-'1'+'a'))
 		whole, others := d.ask("entry-2", 8, func() { time.Sleep(4 * time.Second) })
 		Expect(whole).To(Equal(8), "%v", others)
 		Expect(paused.Process.Signal(syscall.SIGCONT)).To(Succeed())
