policy/choose: long prompts are kept from streams that they would hold up

Change: a server that would read more without a break than the route's longest pause allows costs as much as the streams there; requests that run weigh less again. The line of a request names its longest pause.

--- a/internal/front/relay/record.go
+++ b/internal/front/relay/record.go
@@ -23,9 +23,9 @@
 	if c.state.Document != nil {
 		version = c.state.Document.Version
 	}
-	events := 0
+	events, gap := 0, time.Duration(0)
 	if c.stream != nil {
-		events = c.stream.events
+		events, gap = c.stream.events, c.stream.gap
 	}
 	took := time.Since(c.arrived)
 	c.server.meters.GetOrCreateCounter(`foxtailcroft_requests_total{outcome="` + c.outcome + `"}`).Inc()
@@ -36,6 +36,6 @@
 	}
 	log("request", "Request", c.ask.ID, "Route", route, "Kind", kind, "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
 		"Prompt", c.ask.PromptTokens, "Instance", c.instance, "Sends", c.sends, "Unsent", c.unsent, "Outcome", c.outcome, "Status", c.status,
-		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events,
+		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", gap.Milliseconds(),
 		"Patience", c.ask.Patience.Milliseconds(), "Version", version, "Revision", c.state.Revision)
 }
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -25,6 +25,9 @@
 	// last is the id of the last event passed on, or the one that the caller named.
 	last   string
 	events int
+	// at is when the last event went out, and gap the longest pause so far.
+	at  time.Time
+	gap time.Duration
 }
 
 // relayStream passes events on as they arrive; a broken stream goes on at another instance where that is allowed.
@@ -59,7 +62,12 @@
 	if id != "" {
 		c.stream.last = id
 	}
+	now := time.Now()
+	if c.stream.events > 0 {
+		c.stream.gap = max(c.stream.gap, now.Sub(c.stream.at))
+	}
 	c.stream.events++
+	c.stream.at = now
 	if _, err := c.w.Write(event); err != nil {
 		return err
 	}
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -68,7 +68,7 @@
 const absentFor = 1500 * time.Millisecond
 
 // pick chooses among instances; ok is false if none is left.
-func (t *tracker) pick(list []site.Instance, domain string, r *site.Request) (site.Instance, bool) {
+func (t *tracker) pick(list []site.Instance, domain string, r *site.Request, maxGap time.Duration) (site.Instance, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -81,7 +81,7 @@
 		s := t.of(in.Key)
 		c := choose.Candidate{
 			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
-			Missing: s.missing(r), Failing: s.failed(now), Answers: s.answers,
+			Missing: s.missing(r), PauseTokens: choose.PauseTokens(maxGap), Failing: s.failed(now), Answers: s.answers,
 		}
 		if now.Sub(s.toldAt) < toldFor {
 			c.Told = s.told
