node/front: bounds from the settings; turns of planners where servers check no fences

Cause: the pause after changes, the watch's window and the gap between two planners' orders stood as constants that fit two sites; a deployment with other bounds would break CONFIG, DRAIN or ONE. Change: they follow from the settings; where servers do not check fences a new planner waits out the lease time. Tests: TestTurnsOfPlannersWhereFencesAreNotChecked fails without the wait.

--- a/cmd/foxtailcroft/front.go
+++ b/cmd/foxtailcroft/front.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
@@ -35,18 +37,20 @@
 		Short: "Run an entry on the platform named by " + platform.SettingsVariable,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			set, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+			file := os.Getenv(platform.SettingsVariable)
+			set, err := platform.ReadSettings(file)
 			if err != nil {
 				return err
 			}
-			return runFront(cmd.Context(), set)
+			return runFront(cmd.Context(), file, set)
 		},
 	}
 }
 
-func runFront(ctx context.Context, set conf.Front) error {
-	// A change of the settings file asks for nothing: what it may change is read from the store.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+func runFront(ctx context.Context, file string, set conf.Front) error {
+	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	if set.MemoryBytes > 0 {
 		debug.SetMemoryLimit(set.MemoryBytes * memoryShare / 100)
 	}
@@ -73,7 +77,7 @@
 		Settings: set, Dialect: platform.Dialect{}, Dial: conns.TCP, ReadyPath: platform.ReadyPath, Meters: meters, Log: log,
 		Store: platform.NewStore(set.Store, &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return conns.TCP(ctx, address)
-		}}, meters),
+		}}, min(set.Bounds.InForce, set.Bounds.Contact*2/3), meters),
 		Layout: follow.Layout{
 			DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix},
@@ -83,10 +87,29 @@
 	return supervise(ctx, log, func(t *tree.Tree) error {
 		t.OnClose(closeFront)
 		f.Start(t, listeners)
+		t.Keep("Reload", func(ctx context.Context) { reread(ctx, reload, file, set, log) })
 		return nil
 	}, f.Drain)
 }
 
+// reread reads the settings again at each signal and says what became of it:
+// settings are in force from a process' start, as addresses and bounds do not change while it runs.
+func reread(ctx context.Context, signals <-chan os.Signal, file string, set conf.Front, log *zap.Logger) {
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		next, err := platform.ReadSettings(file)
+		if err != nil {
+			log.Error("settings cannot be read again, the old ones stay in force", zap.Error(err))
+			continue
+		}
+		log.Info("settings read again", zap.Bool("RestartNeeded", !reflect.DeepEqual(next, set)))
+	}
+}
+
 // listen opens a front's listeners.
 func listen(ctx context.Context, l conf.FrontListen) (front.Listeners, error) {
 	var out front.Listeners
--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -33,13 +33,14 @@
 	Lease time.Duration
 	// Returning is how long after an outage of the store announcements may take to come back.
 	Returning time.Duration
-	// LoadWindow and LoadExcess say over which span loads from the weight store are counted, and the tolerated excess.
+	// LoadWindow is the span over which loads from the weight store are counted.
 	LoadWindow time.Duration
-	LoadExcess float64
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
-	// Heartbeat is the interval of the instances' announcements.
-	Heartbeat time.Duration
+	// Contact is how long a front must have been undisturbed for the other bounds to hold.
+	Contact time.Duration
+	// Drain is how long a leaving instance may still be sent requests.
+	Drain time.Duration
 }
 
 // Front is the settings of an entry that serves a platform's callers from a whole site's declarations.
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -1,9 +1,7 @@
 package orders
 
 import (
-	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -37,8 +35,10 @@
 type Settings struct {
 	Node        string
 	ChecksFence bool
-	LoadWindow  time.Duration
-	LoadExcess  float64
+	// LoadWindow is the span over which loads from the weight store are counted.
+	LoadWindow time.Duration
+	// TurnGap is the least time between orders of two planners to one server that does not check fences.
+	TurnGap time.Duration
 }
 
 // Planner gives orders while its front holds the lease.
@@ -136,7 +136,7 @@
 		p.placing = map[site.Adapter]bool{}
 		p.demand = newDemand()
 	}
-	return true
+	return p.set.ChecksFence || time.Since(p.since) >= p.set.TurnGap
 }
 
 // refresh takes over the announced instances; those that are new get their report read.
@@ -218,33 +218,6 @@
 	p.wake()
 }
 
-// busiest is how many models the line on demand names.
-const busiest = 6
-
-// logDemand logs the models that are asked for most, with their copies.
-func (p *Planner) logDemand() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	type asked struct {
-		Model    string
-		Rate     float64
-		Adapters int
-		Copies   int
-	}
-	var list []asked
-	copies := map[string]int{}
-	for _, s := range p.servers {
-		for _, m := range s.modelNames() {
-			copies[m]++
-		}
-	}
-	for m, d := range p.demand.all(time.Now()) {
-		list = append(list, asked{m, math.Round(d.Rate*10) / 10, d.Adapters, copies[m]})
-	}
-	slices.SortFunc(list, func(a, b asked) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Model, b.Model)) })
-	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(busiest, len(list))], "Wants", len(p.wants), "Servers", len(p.servers))
-}
-
 // lose notes that a server did not give its report.
 func (p *Planner) lose(s *server, err error) {
 	if !s.lost {
@@ -264,58 +237,6 @@
 	}
 }
 
-// Use takes over what a front tells of its requests, and returns the servers' load.
-func (p *Planner) Use(u mates.Uses) mates.Board {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	use := usage{at: now, inFlight: map[site.Key]map[site.Adapter]int{}}
-	for _, x := range u.Uses {
-		if use.inFlight[x.Instance] == nil {
-			use.inFlight[x.Instance] = map[site.Adapter]int{}
-		}
-		use.inFlight[x.Instance][x.Target] += x.InFlight
-		if s := p.servers[x.Instance]; s != nil && x.Requests+x.InFlight > 0 {
-			s.touch(x.Target, now)
-		}
-	}
-	p.uses[u.Front] = use
-	for _, a := range u.Asked {
-		p.demand.add(a.Target, a.Requests, now)
-	}
-	return mates.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now)}
-}
-
-// busiestServers returns the load of the servers with most requests; the caller holds the lock.
-func (p *Planner) busiestServers(now time.Time) []mates.Load {
-	if p.board != nil && now.Sub(p.boardAt) < boardAge {
-		return p.board
-	}
-	var loads []mates.Load
-	for _, s := range p.servers {
-		if s.known && !s.lost {
-			loads = append(loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
-		}
-	}
-	slices.SortFunc(loads, func(a, b mates.Load) int {
-		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Instance.ID, b.Instance.ID))
-	})
-	p.board, p.boardAt = loads[:min(boardSize, len(loads))], now
-	return p.board
-}
-
-// boardAge is how long a board serves all fronts that ask.
-const boardAge = 200 * time.Millisecond
-
-// Learn takes over what another planner has learned, for when this front succeeds it.
-func (p *Planner) Learn(b mates.Board) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.pace.AtOnce() != b.StoreLoads && b.StoreLoads > 0 {
-		p.pace = pace.Known(b.StoreLoads)
-	}
-}
-
 // touch notes the use of a model and of its adapter.
 func (s *server) touch(t site.Adapter, now time.Time) {
 	if h := s.models[t.Model]; h != nil {
@@ -325,19 +246,3 @@
 		h.lastUse = now
 	}
 }
-
-// inUse returns the requests in flight at a server for a target, by the fronts' last word.
-func (p *Planner) inUse(k site.Key, t site.Adapter) int {
-	n := 0
-	for _, u := range p.uses {
-		if time.Since(u.at) > useFor {
-			continue
-		}
-		for x, count := range u.inFlight[k] {
-			if x == t || t.Name == "" && x.Model == t.Model {
-				n += count
-			}
-		}
-	}
-	return n
-}
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -31,8 +31,7 @@
 	loadTime    = 800 * time.Millisecond
 	adapterSize = 66.0
 	modelSize   = 70000.0
-	places      = 3
-	beat        = 1200 * time.Millisecond
+	turnGap     = 3 * time.Second
 )
 
 // yard is a site with model servers and planners in one synctest bubble.
@@ -44,8 +43,10 @@
 	book    *mimic.Book
 	servers []*mimic.Server
 	ends    []func()
-	fronts  []*planning
-	group   conc.WaitGroup
+	// checksFence says that the servers refuse old fencing numbers.
+	checksFence bool
+	fronts      []*planning
+	group       conc.WaitGroup
 }
 
 // planning is one front as far as orders go.
@@ -94,9 +95,13 @@
 
 // open lets a test play on a site of servers and fronts; models m0.. lie one a server, with the next two on its disk.
 func open(t *testing.T, servers, fronts, models int, test func(*yard)) {
+	openWith(t, true, servers, fronts, models, test)
+}
+
+func openWith(t *testing.T, checksFence bool, servers, fronts, models int, test func(*yard)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		y := &yard{g: NewWithT(t), ctx: ctx, net: pipes.New(), memory: platf.NewMemory(1), book: &mimic.Book{}}
+		y := &yard{g: NewWithT(t), ctx: ctx, net: pipes.New(), memory: platf.NewMemory(1), book: &mimic.Book{}, checksFence: checksFence}
 		doc := `{"version":1,"routes":[],"services":[{"name":"llm","engine":{"slots":8,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[`
 		for i := range models {
 			if i > 0 {
@@ -136,7 +141,7 @@
 	}
 	s = mimic.NewServer(mimic.Spec{
 		ID: fmt.Sprintf("i-%d", i), Born: born, Service: "llm", Address: address, Zone: "a", Slots: 8, Sizes: sizes, WeightsMb: 220000,
-		AdapterSlots: 8, LoadTime: loadTime, AdapterTime: 8 * time.Millisecond, EventTime: 20 * time.Millisecond, ChecksFence: true, AdapterSizeMb: adapterSize,
+		AdapterSlots: 8, LoadTime: loadTime, AdapterTime: 8 * time.Millisecond, EventTime: 20 * time.Millisecond, ChecksFence: y.checksFence, AdapterSizeMb: adapterSize,
 	}, y.book, write, models...)
 	end := y.net.Serve(address, s)
 	write()
@@ -155,11 +160,11 @@
 	p := &planning{cut: &cutStore{Memory: y.memory, away: away}, cancel: cancel}
 	name, log := fmt.Sprintf("front-%d", i), zap.NewNop().Sugar()
 	layout := follow.Layout{DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix, Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix}}
-	p.follower = follow.New(name, p.cut, platform.Dialect{}, layout, 2*time.Second, log)
+	p.follower = follow.New(name, p.cut, platform.Dialect{}, layout, follow.Times{Returning: 2 * time.Second, Gather: 600 * time.Millisecond}, log)
 	p.lead = NewLead(name, name+":1", p.cut, p.follower.State, time.Second, func() time.Duration { return time.Since(began) + time.Duration(p.frozen.Load()) }, log)
 	pool, closePool := conns.New(y.net.Dial, metrics.NewSet())
 	var closePlanner func()
-	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: true, LoadWindow: 5 * time.Second, LoadExcess: 1.1}, p.lead, p.follower.State, pool, platform.Dialect{}, metrics.NewSet(), log)
+	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: y.checksFence, LoadWindow: 5 * time.Second, TurnGap: turnGap}, p.lead, p.follower.State, pool, platform.Dialect{}, metrics.NewSet(), log)
 	for _, run := range []func(context.Context){p.follower.Run, p.lead.Run, p.planner.Run, p.planner.RunReports} {
 		y.group.Go(func() { run(ctx) })
 	}
@@ -275,6 +280,39 @@
 	})
 }
 
+// TestTurnsOfPlannersWhereFencesAreNotChecked cuts planners from the store one
+// after another: orders of two planners to one server are a turn's gap apart.
+func TestTurnsOfPlannersWhereFencesAreNotChecked(t *testing.T) {
+	openWith(t, false, 2, 3, 8, func(y *yard) {
+		var group conc.WaitGroup
+		for round := range 6 {
+			y.planner().cut.on.Store(round%2 == 0)
+			for i := range 60 {
+				for _, p := range y.fronts {
+					group.Go(func() {
+						_, _ = p.planner.Want(y.ctx, mates.Want{Service: "llm", Target: site.Adapter{Model: fmt.Sprintf("m%d", i%8)}, Wait: time.Second, Answer: time.Second, Value: 1})
+					})
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			for _, p := range y.fronts {
+				p.cut.on.Store(false)
+			}
+		}
+		group.Wait()
+		last := map[string]mimic.Ordered{}
+		turns := 0
+		for _, o := range y.book.Orders() {
+			if before, ok := last[o.Server]; ok && before.Holder != o.Holder {
+				turns++
+				y.g.Expect(o.At.Sub(before.At)).To(BeNumerically(">=", turnGap), "%s after %s at %s", o.Holder, before.Holder, o.Server)
+			}
+			last[o.Server] = o
+		}
+		y.g.Expect(turns).To(BeNumerically(">", 0))
+	})
+}
+
 func TestAfterASuspensionTheLeaseIsRenewedBeforeOrders(t *testing.T) {
 	open(t, 1, 1, 2, func(y *yard) {
 		p := y.planner()
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -77,11 +77,13 @@
 func New(o Options) (*Front, func()) {
 	log := o.Log.Sugar()
 	set := o.Settings
-	follower := follow.New(set.Node.Name, o.Store, o.Dialect, o.Layout, set.Bounds.Returning, log.Named("Follow"))
+	follower := follow.New(set.Node.Name, o.Store, o.Dialect, o.Layout, follow.Times{
+		Returning: set.Bounds.Returning, Gather: min(set.Bounds.InForce, set.Bounds.Drain) * gatherShare / 10,
+	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.Dial, o.Meters)
 	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, clock.SinceBoot, log.Named("Lead"))
 	planner, closePlanner := orders.New(orders.Settings{
-		Node: set.Node.Name, ChecksFence: set.ChecksFence, LoadWindow: set.Bounds.LoadWindow, LoadExcess: set.Bounds.LoadExcess,
+		Node: set.Node.Name, ChecksFence: set.ChecksFence, LoadWindow: set.Bounds.LoadWindow, TurnGap: set.Bounds.Lease,
 	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: set.Node.Name} }
@@ -101,6 +103,8 @@
 }
 
 const (
+	// gatherShare is the part, in tenths, of the time for changes to be in force in which they are left to gather.
+	gatherShare = 3
 	// useEvery is how often a front tells the planner what it used.
 	useEvery = 500 * time.Millisecond
 	// usePerFront is the least time between what two fronts tell.
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -23,9 +23,8 @@
 	missingPause = 100 * time.Millisecond
 	// matePause is between questions to other fronts while the store is away.
 	matePause = 250 * time.Millisecond
-	// planningGather and restingGather are the pauses after a watch has shown changes.
+	// planningGather is the planner's pause after a watch has shown changes.
 	planningGather = 60 * time.Millisecond
-	restingGather  = 600 * time.Millisecond
 	// rereadEvery is how often the document is read linearizably beside the watch.
 	rereadEvery = 5 * time.Second
 )
@@ -37,14 +36,14 @@
 
 // Follower keeps the newest state that the store or another front has shown.
 type Follower struct {
-	store     store.Store
-	decoder   Decoder
-	layout    Layout
-	returning time.Duration
-	self      string
-	mates     Mates
-	log       *zap.SugaredLogger
-	state     atomic.Pointer[State]
+	store   store.Store
+	decoder Decoder
+	layout  Layout
+	times   Times
+	self    string
+	mates   Mates
+	log     *zap.SugaredLogger
+	state   atomic.Pointer[State]
 	// changing is held while a new state is made; missing belongs to it.
 	changing sync.Mutex
 	mu       sync.Mutex
@@ -56,9 +55,17 @@
 	missing map[string]bool
 }
 
-// New returns a follower with an empty state; returning is how long instances may take to come back after an outage.
-func New(self string, s store.Store, d Decoder, l Layout, returning time.Duration, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, returning: returning, log: log, missing: map[string]bool{}}
+// Times are the bounds that a deployment sets for its view.
+type Times struct {
+	// Returning is how long instances may take to come back after an outage of the store.
+	Returning time.Duration
+	// Gather is the pause after a watch has shown changes, for more of them to gather.
+	Gather time.Duration
+}
+
+// New returns a follower with an empty state.
+func New(self string, s store.Store, d Decoder, l Layout, t Times, log *zap.SugaredLogger) *Follower {
+	f := &Follower{self: self, store: s, decoder: d, layout: l, times: t, log: log, missing: map[string]bool{}}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, next: make(chan struct{})})
 	return f
 }
@@ -162,7 +169,7 @@
 	if s := f.State(); s.Planner != nil && s.Planner.Name == f.self {
 		return planningGather
 	}
-	return restingGather
+	return f.times.Gather
 }
 
 // RunReread reads the document linearizably now and then, in case a watch stays silent.
@@ -198,7 +205,7 @@
 // RunMissing drops instances that did not come back after an outage.
 func (f *Follower) RunMissing(ctx context.Context) {
 	for pause.For(ctx, missingPause) {
-		if f.Away(f.returning) {
+		if f.Away(f.times.Returning) {
 			continue
 		}
 		f.update(func(old *State) *State {
@@ -302,7 +309,7 @@
 			}
 			continue
 		}
-		if in.Leaving || !f.Away(f.returning) {
+		if in.Leaving || !f.Away(f.times.Returning) {
 			continue
 		}
 		keys[key] = old.Keys[key]
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -36,6 +36,9 @@
 // returning is how long instances may take to come back in these tests.
 const returning = 2 * time.Second
 
+// restingGather is the pause after changes in these tests.
+const restingGather = 600 * time.Millisecond
+
 // watcher is a follower of a store in memory, in a synctest bubble.
 type watcher struct {
 	g *WithT
@@ -73,7 +76,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &watcher{g: NewWithT(t), Memory: platf.NewMemory(1), ctx: ctx}
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", OwnPrefix}}
-		w.f = New("me", windows{w.Memory}, plainDecoder{}, layout, returning, zap.NewNop().Sugar())
+		w.f = New("me", windows{w.Memory}, plainDecoder{}, layout, Times{Returning: returning, Gather: restingGather}, zap.NewNop().Sugar())
 		w.f.SetMates(mates)
 		var group conc.WaitGroup
 		for _, run := range []func(context.Context){w.f.Run, w.f.RunReread, w.f.RunMates, w.f.RunMissing} {
--- a/test/contract/contract_test.go
+++ b/test/contract/contract_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
@@ -50,7 +51,7 @@
 		"platform client": func() (store.Store, *platf.Memory) {
 			m := platf.NewMemory(1)
 			address := strings.TrimPrefix(serve(mimic.NewStore(m)), "http://")
-			return platform.NewStore(address, &http.Transport{}, metrics.NewSet()), m
+			return platform.NewStore(address, &http.Transport{}, time.Second, metrics.NewSet()), m
 		},
 	}
 }
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -252,7 +252,7 @@
 		"internalPorts":   []int{metrics, metrics}, "limits": map[string]int{"memoryMb": 200},
 		"bounds": map[string]any{
 			"graceS": 4, "configurationMs": 2000, "leaseMs": 1500, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58,
-			"fenceRequired": true, "ceilingWindowS": 5, "ceilingExcess": 1.1,
+			"fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000,
 		},
 		"platform": map[string]any{"address": f.store.address(), "ttlMinMs": 1000},
 	})
