node/front: the whole front in virtual time; the weight store's rate across planners

Tests: ready only with a configuration, changes and leaving servers followed, a stop that cuts nothing and ends within the grace with a silent store, a start without the store from other fronts; loads in any window stay under the store's rate, also where planners follow each other (a new one counts what the one before may have begun).

--- a/cmd/foxtailcroft/front.go
+++ b/cmd/foxtailcroft/front.go
@@ -74,7 +74,7 @@
 		return float64(routine)
 	})
 	f, closeFront := front.New(front.Options{
-		Settings: set, Dialect: platform.Dialect{}, Dial: conns.TCP, ReadyPath: platform.ReadyPath, Meters: meters, Log: log,
+		Settings: set, Dialect: platform.Dialect{}, Dial: conns.TCP, DialPeers: conns.TCP, ReadyPath: platform.ReadyPath, Meters: meters, Log: log,
 		Store: platform.NewStore(set.Store, &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return conns.TCP(ctx, address)
 		}}, min(set.Bounds.InForce, set.Bounds.Contact*2/3), meters),
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -135,6 +135,8 @@
 		p.servers = map[site.Key]*server{}
 		p.placing = map[site.Adapter]bool{}
 		p.demand = newDemand()
+		// The planner before may have begun as many loads as run side by side.
+		p.loads = slices.Repeat([]time.Time{p.since}, p.pace.AtOnce())
 	}
 	return p.set.ChecksFence || time.Since(p.since) >= p.set.TurnGap
 }
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,7 @@
 	"foxtailcroft/internal/front/mates"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/pace"
 	"foxtailcroft/internal/standin/platf"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/mimic"
@@ -313,6 +315,37 @@
 	})
 }
 
+// TestLoadsStayUnderTheStoresRate begins a load whenever one is allowed, with
+// planners that follow each other: no window holds more than the store's rate allows.
+func TestLoadsStayUnderTheStoresRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		engine := &site.Engine{LoadsPerSecond: 2.1}
+		const window = 5 * time.Second
+		p := &Planner{set: Settings{LoadWindow: window}, pace: pace.Known(4), servers: map[site.Key]*server{}}
+		var begun []time.Time
+		for i := range 400 {
+			if i%150 == 149 {
+				p = &Planner{set: p.set, pace: p.pace, servers: map[site.Key]*server{}}
+				p.loads = slices.Repeat([]time.Time{time.Now()}, p.pace.AtOnce())
+			}
+			if p.loadsLeft(engine, time.Now()) > 0 {
+				p.loads = append(p.loads, time.Now())
+				begun = append(begun, time.Now())
+			}
+			in := 0
+			for _, at := range begun {
+				if time.Since(at) <= window {
+					in++
+				}
+			}
+			g.Expect(float64(in)).To(BeNumerically("<=", engine.LoadsPerSecond*window.Seconds()*1.1+3))
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(len(begun)).To(BeNumerically(">", 40))
+	})
+}
+
 func TestAfterASuspensionTheLeaseIsRenewedBeforeOrders(t *testing.T) {
 	open(t, 1, 1, 2, func(y *yard) {
 		p := y.planner()
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -38,11 +38,13 @@
 
 // Options are the parts that differ between deployments.
 type Options struct {
-	Settings  conf.Front
-	Store     Store
-	Dialect   Dialect
-	Layout    follow.Layout
+	Settings conf.Front
+	Store    Store
+	Dialect  Dialect
+	Layout   follow.Layout
+	// Dial opens connections to instances, and DialPeers to other fronts.
 	Dial      conns.Dial
+	DialPeers peer.Dialer
 	ReadyPath string
 	Meters    *metrics.Set
 	Log       *zap.Logger
@@ -87,7 +89,7 @@
 	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: set.Node.Name} }
-	peers, closePeers := peer.NewPool(conns.TCP, mux, hello)
+	peers, closePeers := peer.NewPool(o.DialPeers, mux, hello)
 	m := mates.New(lead.Self, peers, mux, follower, set.Seeds, planner)
 	follower.SetMates(m)
 	f := &Front{
--- /dev/null
+++ b/internal/node/front/front_test.go
@@ -0,0 +1,235 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/tree"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/standin/platf"
+	"foxtailcroft/platform"
+	"foxtailcroft/platform/mimic"
+	"foxtailcroft/test/pipes"
+)
+
+// rig is a front before stand-ins in one synctest bubble.
+type rig struct {
+	g      *WithT
+	ctx    context.Context
+	net    *pipes.Network
+	memory *platf.Memory
+	store  *mimic.Store
+	book   *mimic.Book
+	client *http.Client
+}
+
+const grace = 8 * time.Second
+
+func play(t *testing.T, test func(*rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{g: NewWithT(t), ctx: t.Context(), net: pipes.New(), memory: platf.NewMemory(1), book: &mimic.Book{}}
+		r.store = mimic.NewStore(r.memory)
+		r.net.Serve("store:1", r.store)
+		transport := &http.Transport{DialContext: r.dial}
+		r.client = &http.Client{Transport: transport}
+		defer func() {
+			transport.CloseIdleConnections()
+			r.net.Close()
+			time.Sleep(time.Minute)
+		}()
+		test(r)
+	})
+}
+
+func (r *rig) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return r.net.Dial(ctx, address)
+}
+
+// start starts a front that knows seeds, and returns it with the function that ends it.
+func (r *rig) start(name string, seeds ...string) (*Front, func()) {
+	transport := &http.Transport{DialContext: r.dial}
+	meters := metrics.NewSet()
+	f, closeFront := New(Options{
+		Settings: conf.Front{
+			Node: conf.Node{Name: name, Domain: "a"}, Listen: conf.FrontListen{Peers: name + ":3"}, ChecksFence: true, Seeds: seeds,
+			Retry: conf.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 58},
+			Bounds: conf.Bounds{
+				Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second,
+				Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second,
+			},
+		},
+		Store: platform.NewStore("store:1", transport, 2*time.Second, meters), Dialect: platform.Dialect{},
+		Layout: follow.Layout{
+			DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix,
+			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix},
+		},
+		Dial: r.net.Dial, DialPeers: r.net.Dial, ReadyPath: platform.ReadyPath, Meters: meters, Log: zap.NewNop(),
+	})
+	parts, closeTree := tree.New(r.ctx, zap.NewNop())
+	f.Start(parts, Listeners{Callers: r.net.Listen(name + ":1"), Ready: r.net.Listen(name + ":2"), Peers: r.net.Listen(name + ":3")})
+	return f, func() {
+		closeFront()
+		closeTree()
+		transport.CloseIdleConnections()
+	}
+}
+
+func (r *rig) write(key, value string) {
+	_, err := r.memory.Commit(r.ctx, store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+	r.g.Expect(err).NotTo(HaveOccurred())
+}
+
+// configure writes a document with a streaming route to m and a plain route of a name.
+func (r *rig) configure(version int, route string) {
+	r.write(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"s","host":"h.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":15000,"responseGoalMs":1000,"service":"llm","attempts":1,"gapTargetMs":400},
+{"name":"p","host":"h.example","pathPrefix":"/%s/","kind":"unsafe","timeoutMs":5000,"service":"desk","attempts":1}],
+"services":[{"name":"llm","engine":{"slots":8,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[{"name":"m","weightsMb":70000,"loadS":1}]}},{"name":"desk"}],
+"limits":{"bodyBytes":1000000,"idleTimeoutMs":15000}}`, version, route))
+}
+
+func (r *rig) server(id, service string, models ...string) *mimic.Server {
+	var s *mimic.Server
+	write := func() { r.write(s.Key(), string(s.Announcement())) }
+	s = mimic.NewServer(mimic.Spec{
+		ID: id, Born: 1, Service: service, Address: "10.0.0.1:" + fmt.Sprint(80+len(id)), Zone: "a", Slots: 8, EventTime: 100 * time.Millisecond,
+		Sizes: map[string]float64{"m": 70000}, WeightsMb: 220000, AdapterSlots: 8, ChecksFence: true,
+	}, r.book, write, models...)
+	r.net.Serve("10.0.0.1:"+fmt.Sprint(80+len(id)), s)
+	write()
+	return s
+}
+
+func (r *rig) ready(name string) bool {
+	res, err := r.client.Get("http://" + name + ":2" + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// send sends a request and returns the answer's status and body.
+func (r *rig) send(front, path, id string) (int, string, error) {
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+front+":1"+path, strings.NewReader("x"))
+	r.g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Milliseconds", "14000")
+	if strings.HasPrefix(path, "/stream/") {
+		req.Header.Set("Model", "m")
+		req.Header.Set("Token-Counts", "10,200")
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode, string(data), err
+}
+
+func TestReadyOnlyWithAConfiguration(t *testing.T) {
+	play(t, func(r *rig) {
+		_, end := r.start("front")
+		defer end()
+		time.Sleep(3 * time.Second)
+		r.g.Expect(r.ready("front")).To(BeFalse())
+		r.configure(1, "old")
+		time.Sleep(2 * time.Second)
+		r.g.Expect(r.ready("front")).To(BeTrue())
+	})
+}
+
+func TestChangesAndLeavingServersAreFollowed(t *testing.T) {
+	play(t, func(r *rig) {
+		r.configure(1, "old")
+		first := r.server("i-1", "desk")
+		_, end := r.start("front")
+		defer end()
+		time.Sleep(2 * time.Second)
+		status, body, err := r.send("front", "/old/x", "id-1")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(status).To(Equal(200), body)
+
+		r.configure(2, "new")
+		second := r.server("i-22", "desk")
+		first.Leave()
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			id := fmt.Sprintf("new-%d", i)
+			status, _, err := r.send("front", "/new/x", id)
+			r.g.Expect(err).NotTo(HaveOccurred())
+			r.g.Expect(status).To(Equal(200))
+			r.g.Expect(r.book.Runs(id)[0].Server).To(Equal("i-22"))
+		}
+		r.g.Expect(second).NotTo(BeNil())
+		status, _, err = r.send("front", "/old/x", "id-2")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(status).To(Equal(404))
+	})
+}
+
+// TestStopCutsNothing stops a front while it streams: the stream ends whole,
+// the front is not ready meanwhile, and all of it ends within the grace.
+func TestStopCutsNothing(t *testing.T) {
+	for _, storeSilent := range []bool{false, true} {
+		play(t, func(r *rig) {
+			r.configure(1, "old")
+			r.server("i-1", "llm", "m")
+			f, end := r.start("front")
+			time.Sleep(2 * time.Second)
+			var group conc.WaitGroup
+			group.Go(func() {
+				status, body, err := r.send("front", "/stream/x", "id-1")
+				r.g.Expect(err).NotTo(HaveOccurred())
+				r.g.Expect(status).To(Equal(200))
+				r.g.Expect(strings.Count(body, "\n\n")).To(Equal(40), "the stream of four seconds is whole")
+			})
+			time.Sleep(time.Second)
+			r.store.Silence(storeSilent)
+			began := time.Now()
+			group.Go(func() {
+				time.Sleep(500 * time.Millisecond)
+				r.g.Expect(r.ready("front")).To(BeFalse())
+			})
+			f.Drain(r.ctx)
+			end()
+			r.g.Expect(time.Since(began)).To(BeNumerically("<", grace), "store silent: %t", storeSilent)
+			group.Wait()
+			r.store.Silence(false)
+		})
+	}
+}
+
+func TestFrontThatStartsWithoutTheStoreAsksOthers(t *testing.T) {
+	play(t, func(r *rig) {
+		r.configure(1, "old")
+		r.server("i-1", "desk")
+		_, endFirst := r.start("front-1")
+		defer endFirst()
+		time.Sleep(2 * time.Second)
+		r.store.Reject(http.StatusServiceUnavailable)
+		_, endSecond := r.start("front-2", "front-9:3", "front-1:3")
+		defer endSecond()
+		time.Sleep(2 * time.Second)
+		r.g.Expect(r.ready("front-2")).To(BeTrue())
+		status, _, err := r.send("front-2", "/old/x", "id-1")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(status).To(Equal(200))
+	})
+}
