--- /dev/null
+++ b/internal/back/conns/conns_test.go
@@ -0,0 +1,205 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+)
+
+// script is a server that reads a request and then writes bytes as they are.
+type script struct {
+	group conc.WaitGroup
+	dials int
+	// answers are written, one to each request on a connection; after the last one it is closed.
+	answers []string
+	// refuse fails every dial.
+	refuse bool
+}
+
+func (s *script) dial(context.Context, string) (net.Conn, error) {
+	if s.refuse {
+		return nil, errors.New("connection refused")
+	}
+	s.dials++
+	near, far := net.Pipe()
+	s.group.Go(func() {
+		defer far.Close()
+		buf := make([]byte, 64<<10)
+		for _, a := range s.answers {
+			if _, err := far.Read(buf); err != nil {
+				return
+			}
+			if _, err := io.WriteString(far, a); err != nil {
+				return
+			}
+		}
+	})
+	return near, nil
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, URI: "/p/x?q=1", Host: "h.example", Header: http.Header{"Request-Id": {id}}, Body: []byte("body"),
+		Mine: func(h http.Header) bool { return h.Get("Request-Id") == id }}
+}
+
+func answer(id, more, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + more + "\r\n" + body
+}
+
+func TestAnswers(t *testing.T) {
+	own := answer("a", "Content-Length: 4\r\n", "mine")
+	cases := []struct {
+		name   string
+		answer string
+		body   string
+		// failed says that no answer counts, and cut that its body ends short.
+		failed, cut bool
+		reusable    bool
+	}{
+		{"plain", own, "mine", false, false, true},
+		{"chunked", answer("a", "Transfer-Encoding: chunked\r\n", "4\r\nmine\r\n0\r\n\r\n"), "mine", false, false, true},
+		{"without a length", answer("a", "", "mine"), "mine", false, false, false},
+		{"asked to close", answer("a", "Connection: close\r\nContent-Length: 4\r\n", "mine"), "mine", false, false, false},
+		{"cut short", answer("a", "Content-Length: 9\r\n", "mine"), "mine", false, true, false},
+		{"cut in a chunk", answer("a", "Transfer-Encoding: chunked\r\n", "9\r\nmine"), "mine", false, true, false},
+		{"chunks without an end", answer("a", "Transfer-Encoding: chunked\r\n", "4\r\nmine\r\n"), "mine", false, true, false},
+		{"a late answer to another before it", answer("z", "Content-Length: 5\r\n", "other") + own, "mine", false, false, true},
+		{"only an answer to another", answer("z", "Content-Length: 5\r\n", "other"), "", true, false, false},
+		{"a second answer behind it", own + own, "mine", false, false, false},
+		{"continue first", "HTTP/1.1 100 Continue\r\n\r\n" + own, "mine", false, false, true},
+		{"no answer in the protocol", "\x00\x01garbage\r\n\r\n", "", true, false, false},
+		{"nothing", "", "", true, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &script{answers: []string{c.answer}}
+				p, closePool := New(s.dial, metrics.NewSet())
+				res, err := p.Do(t.Context(), Target{}, request("a"))
+				if c.failed {
+					var f *Failure
+					g.Expect(errors.As(err, &f)).To(BeTrue())
+					g.Expect(f.Sent).To(BeTrue(), "what was written may have run")
+				} else {
+					g.Expect(err).NotTo(HaveOccurred())
+					data, err := io.ReadAll(res.Body)
+					g.Expect(err != nil).To(Equal(c.cut))
+					g.Expect(string(data)).To(Equal(c.body))
+					res.Done(err == nil)
+					g.Expect(len(p.idle[Target{}]) > 0).To(Equal(c.reusable))
+				}
+				closePool()
+				s.group.Wait()
+			})
+		})
+	}
+}
+
+func TestNothingIsSentOnARefusedConnection(t *testing.T) {
+	g := NewWithT(t)
+	p, closePool := New((&script{refuse: true}).dial, metrics.NewSet())
+	defer closePool()
+	_, err := p.Do(t.Context(), Target{}, request("a"))
+	var f *Failure
+	g.Expect(errors.As(err, &f)).To(BeTrue())
+	g.Expect(f.Sent).To(BeFalse())
+}
+
+// TestConnectionsAreReusedWhileTheServerKeepsThem goes by the idle time that the server states.
+func TestConnectionsAreReusedWhileTheServerKeepsThem(t *testing.T) {
+	cases := []struct {
+		name      string
+		keepAlive string
+		wait      time.Duration
+		dials     int
+	}{
+		{"at once", "", 0, 1},
+		{"within the stated time", "Keep-Alive: timeout=10\r\n", 9 * time.Second, 1},
+		{"near its end", "Keep-Alive: timeout=10\r\n", 9700 * time.Millisecond, 2},
+		{"a short one", "Keep-Alive: timeout=0\r\n", 10 * time.Millisecond, 2},
+		{"none stated, for long", "", 3 * time.Second, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				a := answer("a", c.keepAlive+"Content-Length: 4\r\n", "mine")
+				s := &script{answers: []string{a, a}}
+				p, closePool := New(s.dial, metrics.NewSet())
+				for range 2 {
+					res, err := p.Do(t.Context(), Target{}, request("a"))
+					g.Expect(err).NotTo(HaveOccurred())
+					res.Discard()
+					time.Sleep(c.wait)
+				}
+				g.Expect(s.dials).To(Equal(c.dials))
+				closePool()
+				s.group.Wait()
+			})
+		})
+	}
+}
+
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &script{answers: []string{answer("a", "Content-Length: 400\r\n", "mine"), ""}}
+		p, closePool := New(s.dial, metrics.NewSet())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		res, err := p.Do(ctx, Target{}, request("a"))
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(res.Body)
+		g.Expect(err).To(HaveOccurred())
+		res.Done(false)
+		closePool()
+		s.group.Wait()
+	})
+}
+
+func TestRequestsAreWrittenAsTheyAre(t *testing.T) {
+	g := NewWithT(t)
+	text := string(request("a").encode())
+	g.Expect(text).To(HavePrefix("POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n"))
+	g.Expect(text).To(HaveSuffix("\r\n\r\nbody"))
+	get := &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+	g.Expect(string(get.encode())).To(Equal("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+}
+
+// FuzzAnswer lets a server write anything: an answer that counts is always the request's own.
+func FuzzAnswer(f *testing.F) {
+	f.Add(answer("a", "Content-Length: 4\r\n", "mine"))
+	f.Add(answer("z", "Content-Length: 4\r\n", "mine") + answer("a", "", ""))
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c := newConn(&fakeConn{Reader: strings.NewReader(text)})
+		res, err := c.answer(request("a"))
+		if err != nil {
+			return
+		}
+		if res.Header.Get("Request-Id") != "a" || res.StatusCode < 200 {
+			t.Fatalf("answer %v", res)
+		}
+		// Whatever the body is, reading it ends without a panic.
+		_, _ = io.Copy(io.Discard, res.Body)
+	})
+}
+
+// fakeConn reads from memory.
+type fakeConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (f *fakeConn) Read(p []byte) (int, error) { return f.Reader.Read(p) }
