front/orders: a lagging report takes nothing away that was loaded since; front: a stop refuses what waits

Cause: a model's load was announced as complete; a report with the same number of orders, but made before, took it out of the belief again; with the next model in, a third was ordered where two fit. Ruled out: late orders, another planner (one fencing number, no 'deposed'). Change: a report that counts the same orders adds to what is held, and takes away only what was ordered to leave. Cause: a request still waited for a model when the stopped front's time was over, and its connection was closed. Change: nobody waits beyond two seconds before a stopping front's end; it is refused as not run.

--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -51,14 +51,16 @@
 	return &server{inst: in, turn: make(chan struct{}, 1), models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
 }
 
-// take updates the belief by a report unless it is older than the orders that were accepted since.
+// take updates the belief by a report unless it is older than the orders that
+// were accepted since. Reports lag: one that counts the same orders may have been
+// made before what an announcement has shown, so it adds to what is held, and
+// takes away only what was ordered to leave.
 func (s *server) take(r site.Report, now time.Time) bool {
 	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && !s.resync && r.Sequence < s.sequence {
 		return false
 	}
-	s.known, s.sequence, s.busy, s.running, s.doubt, s.resync = true, r.Sequence, r.Busy, r.Running+r.Waiting, false, false
-	s.reported = now
-	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
+	same := s.known && !s.resync && r.Sequence == s.sequence
+	busy := r.Busy && (!same || s.busy)
 	models := map[string]*held{}
 	for _, m := range r.Models {
 		models[m] = keptOr(s.models[m], now)
@@ -67,10 +69,26 @@
 	for _, a := range r.Adapters {
 		adapters[a] = keptOr(s.adapters[a], now)
 	}
+	if same {
+		keepHeld(models, s.models, r.Busy)
+		keepHeld(adapters, s.adapters, r.Busy)
+	}
 	s.models, s.adapters = models, adapters
+	s.known, s.sequence, s.busy, s.doubt, s.resync = true, r.Sequence, busy, false, false
+	s.running, s.reported = r.Running+r.Waiting, now
+	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	return true
 }
 
+// keepHeld adds to what a report lists all that is held, also what leaves while that is under way.
+func keepHeld[K comparable](listed, before map[K]*held, busy bool) {
+	for k, h := range before {
+		if listed[k] == nil && (!h.leaving || busy) {
+			listed[k] = h
+		}
+	}
+}
+
 func keptOr(h *held, now time.Time) *held {
 	if h != nil {
 		return h
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -96,9 +96,9 @@
 
 // waitForModel asks the planner for an instance with the model.
 func (c *call) waitForModel(ctx context.Context) bool {
-	left := time.Until(c.patience()) - serviceTime
+	left := time.Until(c.waitsUntil()) - serviceTime
 	if left <= 0 {
-		c.none("no instance has the model", soonRetry)
+		c.none("no instance has the model in time", soonRetry)
 		return false
 	}
 	asked := time.Now()
@@ -158,6 +158,19 @@
 	return c.end
 }
 
+// waitsUntil returns when the wait for a model ends: with the caller's
+// patience, or while a front that stops still has time to serve.
+func (c *call) waitsUntil() time.Time {
+	until := c.patience()
+	if stop := c.server.stopsAt.Load(); stop != nil && stop.Add(-stopMargin).Before(until) {
+		return stop.Add(-stopMargin)
+	}
+	return until
+}
+
+// stopMargin is kept of a stopping front's time for serving a request that has waited.
+const stopMargin = 2 * time.Second
+
 // value ranks requests that wait for models: the route's rank and the time that is left decide.
 func (c *call) value() float64 {
 	return 1
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +54,8 @@
 	track   *tracker
 	log     *zap.SugaredLogger
 	meters  *metrics.Set
+	// stopsAt is when the process ends; nil while it goes on.
+	stopsAt atomic.Pointer[time.Time]
 	mu      sync.Mutex
 	budgets map[string]retry.Share
 }
@@ -65,6 +68,11 @@
 	}
 }
 
+// StopAt tells the server when the process ends: what would wait beyond that is refused in time.
+func (s *Server) StopAt(t time.Time) {
+	s.stopsAt.Store(&t)
+}
+
 // Uses returns what was used of models since the last call, or all that still counts for a planner that is new.
 func (s *Server) Uses(all bool) mates.Uses {
 	state := s.sites.State()
