--- a/internal/back/conns/conns_test.go
+++ b/internal/back/conns/conns_test.go
@@ -48,8 +48,10 @@
 }
 
 func request(id string) *Request {
-	return &Request{Method: http.MethodPost, URI: "/p/x?q=1", Host: "h.example", Header: http.Header{"Request-Id": {id}}, Body: []byte("body"),
-		Mine: func(h http.Header) bool { return h.Get("Request-Id") == id }}
+	return &Request{
+		Method: http.MethodPost, URI: "/p/x?q=1", Host: "h.example", Header: http.Header{"Request-Id": {id}}, Body: []byte("body"),
+		Mine: func(h http.Header) bool { return h.Get("Request-Id") == id },
+	}
 }
 
 func answer(id, more, body string) string {
