--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -22,7 +22,7 @@
 	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer)}
 }
 
-// quiet reports whether the connection stands and nothing has arrived on it since the last answer.
+// quiet reports whether the connection is open and nothing has arrived on it since the last answer.
 func (c *conn) quiet() bool {
 	if c.in.Buffered() > 0 {
 		return false
--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -25,7 +25,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Mine tells the answer to this request from late answers to others.
+	// Mine reports whether an answer is for this request and not a late one for another.
 	Mine func(http.Header) bool
 	// Fresh demands a new connection.
 	Fresh bool
--- a/internal/base/logs/bounded.go
+++ b/internal/base/logs/bounded.go
@@ -69,7 +69,7 @@
 			}
 		}
 		if ok {
-			// A reader that is gone cannot be told.
+			// There is nowhere left to report a failed write.
 			_, _ = w.Write(line)
 		}
 	}
--- a/internal/core/site/instance.go
+++ b/internal/core/site/instance.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Key tells one incarnation of an instance from all others, also from those that had its id.
+// Key identifies one incarnation of an instance; a restart under the same id has another key.
 type Key struct {
 	ID   string
 	Born int64
@@ -30,7 +30,7 @@
 	Name  string
 }
 
-// Report is what a model server tells of itself on request; it lags by some hundred milliseconds.
+// Report is a model server's state on request; it lags by some hundred milliseconds.
 type Report struct {
 	Born     int64
 	Sequence int64
@@ -45,7 +45,7 @@
 	UsedTokens int
 }
 
-// Order tells a model server to load or unload a model or an adapter.
+// Order asks a model server to load or unload a model or an adapter.
 type Order struct {
 	Unload bool
 	Target Adapter
--- a/internal/core/site/request.go
+++ b/internal/core/site/request.go
@@ -21,7 +21,7 @@
 	LastEvent    string
 }
 
-// Load is the load that an answer tells of its server.
+// Load is the load that a server reports in an answer.
 type Load struct {
 	Running int
 	Waiting int
--- a/internal/front/orders/board.go
+++ b/internal/front/orders/board.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/pace"
 )
 
@@ -38,8 +38,8 @@
 	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(busiest, len(list))], "Wants", len(p.wants), "Servers", len(p.servers))
 }
 
-// Use takes over what a front tells of its requests, and returns the servers' load.
-func (p *Planner) Use(u mates.Uses) mates.Board {
+// Use applies a front's usage report and returns the servers' load.
+func (p *Planner) Use(u peers.Uses) peers.Board {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -57,21 +57,21 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	return mates.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now)}
+	return peers.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now)}
 }
 
 // busiestServers returns the load of the servers with most requests; the caller holds the lock.
-func (p *Planner) busiestServers(now time.Time) []mates.Load {
+func (p *Planner) busiestServers(now time.Time) []peers.Load {
 	if p.board != nil && now.Sub(p.boardAt) < boardAge {
 		return p.board
 	}
-	var loads []mates.Load
+	var loads []peers.Load
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			loads = append(loads, mates.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
+			loads = append(loads, peers.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
 		}
 	}
-	slices.SortFunc(loads, func(a, b mates.Load) int {
+	slices.SortFunc(loads, func(a, b peers.Load) int {
 		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Instance.ID, b.Instance.ID))
 	})
 	p.board, p.boardAt = loads[:min(boardSize, len(loads))], now
@@ -82,7 +82,7 @@
 const boardAge = 200 * time.Millisecond
 
 // Learn takes over what another planner has learned, for when this front succeeds it.
-func (p *Planner) Learn(b mates.Board) {
+func (p *Planner) Learn(b peers.Board) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.pace.AtOnce() != b.StoreLoads && b.StoreLoads > 0 {
@@ -90,7 +90,7 @@
 	}
 }
 
-// inUse returns the requests in flight at a server for a target, by the fronts' last word.
+// inUse returns the requests in flight at a server for a target, by the fronts' last usage reports.
 func (p *Planner) inUse(k site.Key, t site.Adapter) int {
 	n := 0
 	for _, u := range p.uses {
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -20,7 +20,7 @@
 	overdue = 60 * time.Second
 )
 
-// carryOut unloads what makes way and loads the wanted model.
+// carryOut unloads the evicted models and loads the wanted one.
 func (p *Planner) carryOut(ctx context.Context, s *server, a swap.Action) {
 	defer p.release(s)
 	for _, model := range a.Evict {
@@ -130,7 +130,7 @@
 	p.mu.Lock()
 	var unsent *conns.Failure
 	if errors.As(err, &unsent) && !unsent.Sent {
-		p.lose(s, err)
+		p.markLost(s, err)
 	} else {
 		p.settle(s, o, outcome)
 	}
@@ -167,7 +167,7 @@
 		p.log.Warnw("deposed: a server has seen a higher fencing number", "Fence", o.Fence, "Instance", s.inst.ID)
 	case site.Unknown:
 		// Accepted or not, or accepted later: a report will tell, and the number of orders keeps a late one out.
-		s.doubt = true
+		s.uncertain = true
 	}
 	p.wake()
 }
--- a/internal/front/orders/lead.go
+++ b/internal/front/orders/lead.go
@@ -21,7 +21,7 @@
 	leaseTime = 2 * time.Second
 	// renewals is how often a lease is renewed within its time.
 	renewals = 4
-	// maxSuspension is how long the machine may have stood still since a renewal.
+	// maxSuspension is how long the machine may have been suspended since a renewal.
 	maxSuspension = 300 * time.Millisecond
 	// claimSpread spreads the claims of fronts that see the planner's key vanish together.
 	claimSpread = 150 * time.Millisecond
@@ -147,7 +147,7 @@
 	l.lease, l.renewed, l.renewedBoot = lease, began, boot
 }
 
-// suspended reports whether the machine stood still since the lease was renewed; the caller holds the lock.
+// suspended reports whether the machine was suspended since the lease was renewed; the caller holds the lock.
 func (l *Lead) suspended() bool {
 	return l.boot()-l.renewedBoot-time.Since(l.renewed) > maxSuspension
 }
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -13,7 +13,7 @@
 	"foxtailcroft/internal/base/crew"
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/pace"
 )
@@ -27,7 +27,7 @@
 	boardSize = 64
 	// stepEvery bounds the time between two looks at what is wanted.
 	stepEvery = 100 * time.Millisecond
-	// useFor is how long a front's word on requests in flight holds.
+	// useFor is how long a usage report is valid.
 	useFor = 3 * time.Second
 )
 
@@ -62,7 +62,7 @@
 	demand  demand
 	loads   []time.Time
 	pace    pace.Loads
-	board   []mates.Load
+	board   []peers.Load
 	boardAt time.Time
 	changed chan struct{}
 	kick    chan struct{}
@@ -70,7 +70,7 @@
 	cold    *metrics.Counter
 }
 
-// usage is what a front last told of its requests in flight.
+// usage is a front's last report of its requests in flight.
 type usage struct {
 	at       time.Time
 	inFlight map[site.Key]map[site.Adapter]int
@@ -209,7 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.lose(s, err)
+		p.markLost(s, err)
 		return
 	}
 	s.lost = false
@@ -220,8 +220,8 @@
 	p.wake()
 }
 
-// lose notes that a server did not give its report.
-func (p *Planner) lose(s *server, err error) {
+// markLost notes that a server did not give its report.
+func (p *Planner) markLost(s *server, err error) {
 	if !s.lost {
 		p.log.Warnw("server lost", "Instance", s.inst.ID, "Born", s.inst.Born, "Error", err.Error())
 		s.lost = true
@@ -229,7 +229,7 @@
 	}
 }
 
-// wake tells waiters that beliefs changed; the caller holds the lock.
+// wake notifies waiters of a changed belief; the caller holds the lock.
 func (p *Planner) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -18,7 +18,7 @@
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/policy/pace"
@@ -192,8 +192,8 @@
 	return nil
 }
 
-func (y *yard) want(model, adapter string, wait time.Duration) (mates.Found, error) {
-	return y.planner().planner.Want(y.ctx, mates.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: wait, Answer: wait, Value: 1})
+func (y *yard) want(model, adapter string, wait time.Duration) (peers.Found, error) {
+	return y.planner().planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: wait, Answer: wait, Value: 1})
 }
 
 func TestMissingModelIsLoadedWhileRequestsWait(t *testing.T) {
@@ -249,7 +249,7 @@
 	open(t, 3, 1, 3, func(y *yard) {
 		time.Sleep(5 * time.Second)
 		y.ends[0]()
-		found, err := y.planner().planner.Want(y.ctx, mates.Want{
+		found, err := y.planner().planner.Want(y.ctx, peers.Want{
 			Service: "llm", Target: site.Adapter{Model: "m0"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Value: 1, Avoid: []site.Key{{ID: "i-0", Born: 1}},
 		})
 		y.g.Expect(err).NotTo(HaveOccurred())
@@ -271,7 +271,7 @@
 			}
 		}
 		y.g.Expect(next).NotTo(BeNil())
-		found, err := next.planner.Want(y.ctx, mates.Want{Service: "llm", Target: site.Adapter{Model: "m5"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Value: 1})
+		found, err := next.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m5"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Value: 1})
 		y.g.Expect(err).NotTo(HaveOccurred())
 		y.g.Expect(found.Instances).NotTo(BeEmpty())
 		fences := map[string]int64{}
@@ -292,7 +292,7 @@
 			for i := range 60 {
 				for _, p := range y.fronts {
 					group.Go(func() {
-						_, _ = p.planner.Want(y.ctx, mates.Want{Service: "llm", Target: site.Adapter{Model: fmt.Sprintf("m%d", i%8)}, Wait: time.Second, Answer: time.Second, Value: 1})
+						_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: fmt.Sprintf("m%d", i%8)}, Wait: time.Second, Answer: time.Second, Value: 1})
 					})
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -393,7 +393,7 @@
 			}
 			for _, p := range y.fronts {
 				group.Go(func() {
-					_, _ = p.planner.Want(y.ctx, mates.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: 3 * time.Second, Answer: time.Second, Value: 1})
+					_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: 3 * time.Second, Answer: time.Second, Value: 1})
 				})
 			}
 		}
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -35,8 +35,8 @@
 	// resync is set when the server refused an order for its number: the next
 	// report is believed even if it counts fewer orders.
 	resync bool
-	// doubt is set when an order's answer was lost: nothing is ordered until a report has been read.
-	doubt bool
+	// uncertain is set when an order's answer was lost: nothing is ordered until a report has been read.
+	uncertain bool
 }
 
 // held is a model or adapter in a server's memory.
@@ -74,7 +74,7 @@
 		keepHeld(adapters, s.adapters, r.Busy)
 	}
 	s.models, s.adapters = models, adapters
-	s.known, s.sequence, s.busy, s.doubt, s.resync = true, r.Sequence, busy, false, false
+	s.known, s.sequence, s.busy, s.uncertain, s.resync = true, r.Sequence, busy, false, false
 	s.running, s.reported = r.Running+r.Waiting, now
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	return true
@@ -113,7 +113,7 @@
 // number of accepted orders: one at a time, and never more than fits. A server
 // whose number differs refuses the order, so what was checked here is what it holds.
 func (s *server) admits(o site.Order, e *site.Engine) bool {
-	if !s.known || s.lost || s.busy || s.doubt || s.inst.Leaving || e == nil {
+	if !s.known || s.lost || s.busy || s.uncertain || s.inst.Leaving || e == nil {
 		return false
 	}
 	m := e.Model(o.Target.Model)
@@ -132,7 +132,7 @@
 
 // free reports whether an order may be given now.
 func (s *server) free() bool {
-	return s.known && !s.lost && !s.busy && !s.engaged && !s.doubt && !s.inst.Leaving
+	return s.known && !s.lost && !s.busy && !s.engaged && !s.uncertain && !s.inst.Leaving
 }
 
 // oldest returns the adapter that was unused for longest, and since when; those in use are passed over.
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -10,7 +10,7 @@
 	"foxtailcroft/internal/policy/swap"
 )
 
-// settling is how long a new planner evicts nothing, until the fronts have told it what is asked for.
+// settling is how long a new planner evicts nothing, until the fronts have reported their demand.
 const settling = 1200 * time.Millisecond
 
 // step starts what the wants need.
@@ -121,10 +121,10 @@
 	return max(0, min(inWindow, p.pace.AtOnce()-p.loading()))
 }
 
-// adapterTime is how long an adapter's load is given before its first request goes out.
+// adapterTime is how long an adapter load is expected to take before requests are sent.
 const adapterTime = 12 * time.Millisecond
 
-// place is where an adapter may be loaded, and what makes way for it.
+// place is a server for an adapter, and the adapter evicted for it.
 type place struct {
 	server *server
 	// victim is empty if there is a free place.
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 )
 
 // wanted is a target that requests wait for, or asked for lately.
@@ -25,9 +25,9 @@
 const lingering = 3 * time.Second
 
 // Want waits until an instance can serve the target, or says when one will.
-func (p *Planner) Want(ctx context.Context, w mates.Want) (mates.Found, error) {
+func (p *Planner) Want(ctx context.Context, w peers.Want) (peers.Found, error) {
 	if !p.leads() {
-		return mates.Found{}, &mates.NoPlanner{}
+		return peers.Found{}, &peers.NoPlanner{}
 	}
 	deadline := time.NewTimer(min(w.Wait, w.Answer))
 	defer deadline.Stop()
@@ -35,7 +35,7 @@
 	defer done()
 	for {
 		if !p.leads() {
-			return mates.Found{}, &mates.NoPlanner{}
+			return peers.Found{}, &peers.NoPlanner{}
 		}
 		found, wait := p.find(w)
 		if !wait {
@@ -48,7 +48,7 @@
 			found.Reason = "not ready in time"
 			return found, nil
 		case <-ctx.Done():
-			return mates.Found{}, ctx.Err()
+			return peers.Found{}, ctx.Err()
 		}
 	}
 }
@@ -75,7 +75,7 @@
 }
 
 // register counts a waiting request and returns the function that takes it off.
-func (p *Planner) register(w mates.Want) func() {
+func (p *Planner) register(w peers.Want) func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x := p.wants[w.Target]
@@ -97,7 +97,7 @@
 }
 
 // find returns who serves the target; wait is true if the request can wait for one.
-func (p *Planner) find(w mates.Want) (found mates.Found, wait bool) {
+func (p *Planner) find(w peers.Want) (found peers.Found, wait bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
--- a/internal/front/mates/mates.go
+++ b/internal/front/peers/peers.go
@@ -1,4 +1,4 @@
-package mates
+package peers
 
 import (
 	"context"
@@ -47,7 +47,7 @@
 	Reason  string
 }
 
-// Use tells the planner how much a model or adapter at an instance was used since the last message.
+// Use is how much a model or adapter at an instance was used since the last message.
 type Use struct {
 	Instance site.Key
 	Target   site.Adapter
@@ -55,7 +55,7 @@
 	InFlight int
 }
 
-// Uses is what one front tells of all its requests.
+// Uses is one front's usage report.
 type Uses struct {
 	Front string
 	Uses  []Use
@@ -78,8 +78,8 @@
 	Age time.Duration
 }
 
-// Board is what the planner tells fronts: the servers' load, and what it has
-// learned that a successor would have to learn anew.
+// Board is the planner's reply to a usage report: the servers' load, and what a
+// successor would otherwise have to learn again.
 type Board struct {
 	Loads []Load
 	// StoreLoads is how many loads from the weight store run at full speed side by side.
@@ -92,8 +92,8 @@
 	Use(u Uses) Board
 }
 
-// Mates speaks to the other fronts.
-type Mates struct {
+// Peers speaks to the other fronts.
+type Peers struct {
 	self  follow.Front
 	pool  *peer.Pool
 	state func() *follow.State
@@ -102,8 +102,8 @@
 }
 
 // New returns the front's side towards others and registers its handlers.
-func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner) *Mates {
-	m := &Mates{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
+func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner) *Peers {
+	m := &Peers{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
 		list, _ := f.Snapshot(after)
 		return list, nil
@@ -118,7 +118,7 @@
 }
 
 // Newer asks other fronts, in random order, for a view newer than a revision; two are asked at the most.
-func (m *Mates) Newer(ctx context.Context, revision int64) (store.List, bool) {
+func (m *Peers) Newer(ctx context.Context, revision int64) (store.List, bool) {
 	addresses := slices.Clone(m.seeds)
 	for _, f := range m.state().Fronts {
 		addresses = append(addresses, f.Address)
@@ -135,8 +135,8 @@
 	return store.List{}, false
 }
 
-// Want asks whoever gives orders now.
-func (m *Mates) Want(ctx context.Context, w Want) (Found, error) {
+// Want asks the current planner.
+func (m *Peers) Want(ctx context.Context, w Want) (Found, error) {
 	planner := m.state().Planner
 	if planner == nil {
 		return Found{}, &NoPlanner{}
@@ -149,8 +149,8 @@
 	return found, err
 }
 
-// Use tells the planner about the use of models.
-func (m *Mates) Use(ctx context.Context, u Uses) (Board, error) {
+// Use reports usage to the current planner.
+func (m *Peers) Use(ctx context.Context, u Uses) (Board, error) {
 	planner := m.state().Planner
 	if planner == nil {
 		return Board{}, &NoPlanner{}
@@ -163,7 +163,7 @@
 	return board, err
 }
 
-func (m *Mates) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
+func (m *Peers) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := m.pool.Get(ctx, address)
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -126,7 +126,7 @@
 	}
 	answered()
 	if load, ok := c.server.dialect.Load(res.Header); ok {
-		t.told(in.Key, load.Running+load.Waiting, time.Now())
+		t.reported(in.Key, load.Running+load.Waiting, time.Now())
 	}
 	if c.server.dialect.NotRun(res.Status, res.Header) {
 		return c.notRun(in, res)
@@ -153,7 +153,7 @@
 	}
 	c.server.track.outcome(in.Key, true)
 	if !sent {
-		c.server.track.shun(in.Key, shunDown)
+		c.server.track.exclude(in.Key, excludedRefused)
 	}
 	c.note("no answer", in, err.Error())
 	return c.afterFailure(sent)
@@ -182,7 +182,7 @@
 // leastLeft is the time below which a second send is in vain.
 const leastLeft = 30 * time.Millisecond
 
-// notRun decides what follows an instance's word that it did not run the request.
+// notRun decides what follows when an instance reports that it did not run the request.
 func (c *call) notRun(in site.Instance, res *conns.Response) step {
 	res.Discard()
 	c.unsent++
@@ -190,10 +190,10 @@
 	load, told := c.server.dialect.Load(res.Header)
 	switch {
 	case res.Status == http.StatusMisdirectedRequest, c.managed() && told && load.Running < load.Slots:
-		// The model is not there, or makes way at the moment.
+		// The model is absent or being unloaded.
 		c.server.track.absent(in.Key, c.ask.Target)
 	default:
-		c.server.track.shun(in.Key, shunFull)
+		c.server.track.exclude(in.Key, excludedFull)
 	}
 	c.note("not run", in, c.reason)
 	if c.unsent >= maxUnsent || !c.server.spend(c.service) {
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -9,7 +9,7 @@
 
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 )
 
 const (
@@ -102,11 +102,11 @@
 		return false
 	}
 	asked := time.Now()
-	found, err := c.server.finder.Want(ctx, mates.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value(), Avoid: c.avoid()})
+	found, err := c.server.finder.Want(ctx, peers.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value(), Avoid: c.avoid()})
 	if c.expired(ctx) {
 		return false
 	}
-	var none *mates.NoPlanner
+	var none *peers.NoPlanner
 	if err != nil {
 		c.planless += time.Since(asked)
 		if c.planless > plannerWait {
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -17,7 +17,7 @@
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/logs"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/mimic"
@@ -40,9 +40,9 @@
 
 func (r *rig) State() *follow.State { return r.state }
 
-func (r *rig) Want(context.Context, mates.Want) (mates.Found, error) {
+func (r *rig) Want(context.Context, peers.Want) (peers.Found, error) {
 	r.asked++
-	return mates.Found{Reason: "nowhere", ReadyIn: 2 * time.Second}, nil
+	return peers.Found{Reason: "nowhere", ReadyIn: 2 * time.Second}, nil
 }
 
 // play runs a test against n servers that hold model m; routes are below /safe/, /unsafe/, /resume/ and /stream/.
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -18,7 +18,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/retry"
 )
@@ -36,7 +36,7 @@
 
 // Finder asks the planner for instances that can serve a model.
 type Finder interface {
-	Want(ctx context.Context, w mates.Want) (mates.Found, error)
+	Want(ctx context.Context, w peers.Want) (peers.Found, error)
 }
 
 // Sites shows the newest state.
@@ -68,13 +68,13 @@
 	}
 }
 
-// StopAt tells the server when the process ends: what would wait beyond that is refused in time.
+// StopAt sets when the process ends; requests that would wait longer are refused before.
 func (s *Server) StopAt(t time.Time) {
 	s.stopsAt.Store(&t)
 }
 
 // Uses returns what was used of models since the last call, or all that still counts for a planner that is new.
-func (s *Server) Uses(all bool) mates.Uses {
+func (s *Server) Uses(all bool) peers.Uses {
 	state := s.sites.State()
 	return s.track.uses(s.set.Node.Name, all, func(k site.Key) bool {
 		in, ok := state.Instances[k.ID]
@@ -83,9 +83,9 @@
 }
 
 // SetLoads takes over the load of instances as the planner knows it.
-func (s *Server) SetLoads(loads []mates.Load) {
+func (s *Server) SetLoads(loads []peers.Load) {
 	for _, l := range loads {
-		s.track.told(l.Instance, l.Requests, time.Now().Add(-l.Age))
+		s.track.reported(l.Instance, l.Requests, time.Now().Add(-l.Age))
 	}
 }
 
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/choose"
 	"foxtailcroft/internal/policy/fade"
 )
 
 const (
-	// toldFor is how long the load that an answer told holds.
-	toldFor = 2 * time.Second
+	// reportedFor is how long a reported load is valid.
+	reportedFor = 2 * time.Second
 	// failureWeight is the weight of the newest outcome in the share of failures.
 	failureWeight = 0.25
 	// failureMemory is the time in which a share of failures falls to a half while nothing is sent.
@@ -35,18 +35,18 @@
 
 // seen is what the own requests have shown of one instance.
 type seen struct {
-	inFlight  map[site.Adapter]int
-	total     int
-	requests  map[site.Adapter]int
-	reading   int
-	told      int
-	toldAt    time.Time
-	failing   float64
-	failingAt time.Time
-	answers   time.Duration
-	parts     map[string]time.Time
-	// shunned is until when nothing is sent, after a refused connection or request.
-	shunned time.Time
+	inFlight   map[site.Adapter]int
+	total      int
+	requests   map[site.Adapter]int
+	reading    int
+	reported   int
+	reportedAt time.Time
+	failing    float64
+	failingAt  time.Time
+	answers    time.Duration
+	parts      map[string]time.Time
+	// excludedUntil is until when nothing is sent, after a refused connection or request.
+	excludedUntil time.Time
 	// absent are models that the instance said it does not have, with the time of that.
 	absent map[site.Adapter]time.Time
 }
@@ -64,7 +64,7 @@
 	return s
 }
 
-// absentFor is how long an instance's word that it lacks a model outweighs its announcement, which lags by one heartbeat.
+// absentFor is how long a rejection for a missing model overrides the announcement, which lags by one heartbeat.
 const absentFor = 1500 * time.Millisecond
 
 // pick chooses among instances; ok is false if none is left.
@@ -74,7 +74,7 @@
 	now := time.Now()
 	list = slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool {
 		s := t.of(in.Key)
-		return now.Sub(s.absent[r.Target]) < absentFor || now.Before(s.shunned)
+		return now.Sub(s.absent[r.Target]) < absentFor || now.Before(s.excludedUntil)
 	})
 	var candidates []choose.Candidate
 	for _, in := range list {
@@ -83,8 +83,8 @@
 			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
 			Missing: s.missing(r), PauseTokens: choose.PauseTokens(maxGap), Failing: s.failed(now), Answers: s.answers,
 		}
-		if now.Sub(s.toldAt) < toldFor {
-			c.Told = s.told
+		if now.Sub(s.reportedAt) < reportedFor {
+			c.Reported = s.reported
 		}
 		candidates = append(candidates, c)
 	}
@@ -171,29 +171,29 @@
 	}
 }
 
-// told notes the requests that an instance had at a time, unless something newer is known.
-func (t *tracker) told(k site.Key, requests int, at time.Time) {
+// reported notes the requests that an instance had at a time, unless something newer is known.
+func (t *tracker) reported(k site.Key, requests int, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(k)
-	if at.After(s.toldAt) {
-		s.told, s.toldAt = requests, at
+	if at.After(s.reportedAt) {
+		s.reported, s.reportedAt = requests, at
 	}
 }
 
 const (
-	// shunDown is how long an instance gets nothing after it refused a connection.
-	shunDown = 700 * time.Millisecond
-	// shunFull is the same after it rejected a request as full.
-	shunFull = 60 * time.Millisecond
+	// excludedRefused is how long an instance gets nothing after it refused a connection.
+	excludedRefused = 700 * time.Millisecond
+	// excludedFull is the same after it rejected a request as full.
+	excludedFull = 60 * time.Millisecond
 )
 
-// shun keeps requests from an instance for a while.
-func (t *tracker) shun(k site.Key, d time.Duration) {
+// exclude keeps requests from an instance for a while.
+func (t *tracker) exclude(k site.Key, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(k)
-	s.shunned = time.Now().Add(d)
+	s.excludedUntil = time.Now().Add(d)
 }
 
 // unusable returns those of the announced holders that cannot be used at the moment.
@@ -203,7 +203,7 @@
 	now := time.Now()
 	var out []site.Key
 	for _, in := range list {
-		if s := t.of(in.Key); now.Before(s.shunned) || now.Sub(s.absent[target]) < absentFor {
+		if s := t.of(in.Key); now.Before(s.excludedUntil) || now.Sub(s.absent[target]) < absentFor {
 			out = append(out, in.Key)
 		}
 	}
@@ -255,8 +255,8 @@
 const leastCount = 0.2
 
 // requests returns the requests since the last call or, if all is set, those that still count.
-func (t *tracker) requests(all bool) []mates.Ask {
-	var out []mates.Ask
+func (t *tracker) requests(all bool) []peers.Ask {
+	var out []peers.Ask
 	now := time.Now()
 	for target, c := range t.recent {
 		n := t.asked[target]
@@ -264,7 +264,7 @@
 			n = c.Weight(now)
 		}
 		if n > 0 {
-			out = append(out, mates.Ask{Target: target, Requests: n})
+			out = append(out, peers.Ask{Target: target, Requests: n})
 		}
 		if c.Weight(now) < leastCount {
 			delete(t.recent, target)
@@ -276,14 +276,14 @@
 
 // uses returns what was used since the last call, with all requests that still
 // count if all is set, and forgets instances that are gone.
-func (t *tracker) uses(front string, all bool, live func(site.Key) bool) mates.Uses {
+func (t *tracker) uses(front string, all bool, live func(site.Key) bool) peers.Uses {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := mates.Uses{Front: front, Asked: t.requests(all)}
+	u := peers.Uses{Front: front, Asked: t.requests(all)}
 	for k, s := range t.seen {
 		for target, n := range s.inFlight {
 			if n > 0 || s.requests[target] > 0 {
-				u.Uses = append(u.Uses, mates.Use{Instance: k, Target: target, Requests: s.requests[target], InFlight: n})
+				u.Uses = append(u.Uses, peers.Use{Instance: k, Target: target, Requests: s.requests[target], InFlight: n})
 			}
 			if n == 0 {
 				delete(s.inFlight, target)
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -15,8 +15,8 @@
 	"foxtailcroft/internal/base/pause"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
-	"foxtailcroft/internal/front/mates"
 	"foxtailcroft/internal/front/orders"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/relay"
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
@@ -64,7 +64,7 @@
 	follower *follow.Follower
 	lead     *orders.Lead
 	planner  *orders.Planner
-	mates    *mates.Mates
+	peers    *peers.Peers
 	relay    *relay.Server
 	pool     *conns.Pool
 	mux      *peer.Mux
@@ -89,16 +89,16 @@
 	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: set.Node.Name} }
-	peers, closePeers := peer.NewPool(o.DialPeers, mux, hello)
-	m := mates.New(lead.Self, peers, mux, follower, set.Seeds, planner)
-	follower.SetMates(m)
+	links, closeLinks := peer.NewPool(o.DialPeers, mux, hello)
+	m := peers.New(lead.Self, links, mux, follower, set.Seeds, planner)
+	follower.SetPeers(m)
 	f := &Front{
-		set: set, follower: follower, lead: lead, planner: planner, mates: m, pool: pool, mux: mux, hello: hello, opts: o, log: log,
+		set: set, follower: follower, lead: lead, planner: planner, peers: m, pool: pool, mux: mux, hello: hello, opts: o, log: log,
 		relay: relay.New(set, follower, pool, o.Dialect, m, o.Meters, log.Named("Relay")),
 	}
 	f.callers = newCallers(f.relay, follower)
 	return f, func() {
-		closePeers()
+		closeLinks()
 		closePlanner()
 		closePool()
 	}
@@ -107,9 +107,9 @@
 const (
 	// gatherShare is the part, in tenths, of the time for changes to be in force in which they are left to gather.
 	gatherShare = 3
-	// useEvery is how often a front tells the planner what it used.
+	// useEvery is how often a front reports usage to the planner.
 	useEvery = 500 * time.Millisecond
-	// usePerFront is the least time between what two fronts tell.
+	// usePerFront is the least time between the reports of two fronts.
 	usePerFront = 30 * time.Millisecond
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = 500 * time.Millisecond
@@ -128,12 +128,12 @@
 	t.Critical("Callers", func(context.Context) error { return f.callers.serve(l.Callers) })
 	t.Keep("Follow", f.follower.Run)
 	t.Keep("Reread", f.follower.RunReread)
-	t.Keep("Mates", f.follower.RunMates)
+	t.Keep("Peers", f.follower.RunPeers)
 	t.Keep("Missing", f.follower.RunMissing)
 	t.Keep("Lead", f.lead.Run)
 	t.Keep("Planner", f.planner.Run)
 	t.Keep("Reports", f.planner.RunReports)
-	t.Keep("Uses", f.tellUses)
+	t.Keep("Uses", f.reportUsage)
 	t.Keep("Sweep", f.sweep)
 }
 
@@ -147,22 +147,22 @@
 	return func(context.Context) error { return closedIsFine(server.Serve(l)) }
 }
 
-// tellUses tells the planner what this front used, if it used anything.
-func (f *Front) tellUses(ctx context.Context) {
-	var told int64
+// reportUsage reports this front's usage to the planner, if there is any.
+func (f *Front) reportUsage(ctx context.Context) {
+	var fence int64
 	for pause.For(ctx, f.useInterval()) {
 		planner := f.follower.State().Planner
 		if planner == nil {
 			continue
 		}
-		u := f.relay.Uses(planner.Fence != told)
-		told = planner.Fence
+		u := f.relay.Uses(planner.Fence != fence)
+		fence = planner.Fence
 		if len(u.Uses) == 0 && len(u.Asked) == 0 {
 			continue
 		}
-		board, err := f.mates.Use(ctx, u)
+		board, err := f.peers.Use(ctx, u)
 		if err != nil {
-			f.log.Debugw("use not told", "Error", err.Error())
+			f.log.Debugw("usage not reported", "Error", err.Error())
 			continue
 		}
 		f.relay.SetLoads(board.Loads)
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -21,16 +21,16 @@
 	firstRetryPause = 100 * time.Millisecond
 	// missingPause is between looks at the instances that may come back after an outage.
 	missingPause = 100 * time.Millisecond
-	// matePause is between questions to other fronts while the store is away.
-	matePause = 250 * time.Millisecond
+	// peerPause is between questions to other fronts while the store is away.
+	peerPause = 250 * time.Millisecond
 	// planningGather is the planner's pause after a watch has shown changes.
 	planningGather = 60 * time.Millisecond
 	// rereadEvery is how often the document is read linearizably beside the watch.
 	rereadEvery = 5 * time.Second
 )
 
-// Mates asks other fronts for a view newer than a revision.
-type Mates interface {
+// Peers asks other fronts for a view newer than a revision.
+type Peers interface {
 	Newer(ctx context.Context, revision int64) (store.List, bool)
 }
 
@@ -41,7 +41,7 @@
 	layout  Layout
 	times   Times
 	self    string
-	mates   Mates
+	peers   Peers
 	log     *zap.SugaredLogger
 	state   atomic.Pointer[State]
 	// changing is held while a new state is made; missing belongs to it.
@@ -70,9 +70,9 @@
 	return f
 }
 
-// SetMates sets whom to ask while the store is away; call it before Run.
-func (f *Follower) SetMates(m Mates) {
-	f.mates = m
+// SetPeers sets whom to ask while the store is away; call it before Run.
+func (f *Follower) SetPeers(m Peers) {
+	f.peers = m
 }
 
 // State returns the newest state.
@@ -189,13 +189,13 @@
 	}
 }
 
-// RunMates asks other fronts for newer views while the store is away.
-func (f *Follower) RunMates(ctx context.Context) {
-	for pause.For(ctx, matePause) {
-		if f.mates == nil || !f.Away(0) && f.State().Document != nil {
+// RunPeers asks other fronts for newer views while the store is away.
+func (f *Follower) RunPeers(ctx context.Context) {
+	for pause.For(ctx, peerPause) {
+		if f.peers == nil || !f.Away(0) && f.State().Document != nil {
 			continue
 		}
-		if list, ok := f.mates.Newer(ctx, f.State().Revision); ok {
+		if list, ok := f.peers.Newer(ctx, f.State().Revision); ok {
 			f.log.Infow("newer view from another front", "Revision", list.Revision)
 			f.replace(list)
 		}
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -71,15 +71,15 @@
 	return ctx.Err()
 }
 
-func watching(t *testing.T, mates Mates, test func(*watcher)) {
+func watching(t *testing.T, peers Peers, test func(*watcher)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &watcher{g: NewWithT(t), Memory: platf.NewMemory(1), ctx: ctx}
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", OwnPrefix}}
 		w.f = New("me", windows{w.Memory}, plainDecoder{}, layout, Times{Returning: returning, Gather: restingGather}, zap.NewNop().Sugar())
-		w.f.SetMates(mates)
+		w.f.SetPeers(peers)
 		var group conc.WaitGroup
-		for _, run := range []func(context.Context){w.f.Run, w.f.RunReread, w.f.RunMates, w.f.RunMissing} {
+		for _, run := range []func(context.Context){w.f.Run, w.f.RunReread, w.f.RunPeers, w.f.RunMissing} {
 			group.Go(func() { run(ctx) })
 		}
 		defer func() {
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -24,7 +24,7 @@
 type Front struct {
 	Name    string
 	Address string
-	// Run tells the process from others of the same name.
+	// Run distinguishes restarts under the same name.
 	Run string
 }
 
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -8,9 +8,9 @@
 	// Near instances are in the entry's own failure domain.
 	Near  bool
 	Slots int
-	// InFlight are the entry's own requests there, and Told what the instance last told of all requests.
+	// InFlight are the entry's own requests there, and Reported all requests that the instance last reported.
 	InFlight int
-	Told     int
+	Reported int
 	// Reading are the prompt tokens of the entry's requests there that have not answered yet.
 	Reading int
 	// Missing are the tokens of this request's prompt that the instance has yet to read.
@@ -41,7 +41,7 @@
 
 // Cost returns the expected milliseconds until the request is served there, with penalties.
 func (c Candidate) Cost() float64 {
-	running := max(c.InFlight, c.Told)
+	running := max(c.InFlight, c.Reported)
 	cost := float64(c.Missing+c.Reading)/readTokens + sharing*float64(running) + failing*c.Failing
 	if c.Slots > 0 && running >= c.Slots {
 		cost += queueing * float64(running-c.Slots+1)
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// drainTime is the forecast for each request that still runs on a model that makes way.
+	// drainTime is the forecast for each request that still runs on an evicted model.
 	drainTime = 1500 * time.Millisecond
 	// unloadTime is the forecast for an unload that nothing holds up.
 	unloadTime = 50 * time.Millisecond
@@ -67,7 +67,7 @@
 	return FromStore, time.Duration(float64(model.FromStore) * slow)
 }
 
-// room chooses what makes way, least harm first, until the model fits.
+// room chooses the models to evict, least harm first, until the new one fits.
 func (in *Input) room(s *Server, model *site.Model) (evict []string, harm float64, wait time.Duration, ok bool) {
 	free := in.Engine.WeightsMB - in.reserve(s, model)
 	for _, c := range s.Copies {
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -83,7 +83,7 @@
 )
 
 // Decide returns at most one action for each server and each model: wanted
-// models and copies of busy ones where weights are at hand, then loads from the
+// models and copies of busy ones from servers' own memory or disk, then loads from the
 // weight store in the order of what they gain, then models that no server has.
 func Decide(in Input) []Action {
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
