front: settings and wants without fields that decide nothing

A want is weighed by the requests that wait for it, as it was with a value of one each; the budget's window needs no setting, as a share holds over any window. A wake between a look and the wait for the next one is no longer missed.

--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -17,8 +17,6 @@
 type RetryBudget struct {
 	// Ratio is the share of a service's requests that may be sent again.
 	Ratio float64
-	// Window is the span over which sends are counted.
-	Window time.Duration
 	// Slack is the number of second sends allowed beyond the ratio.
 	Slack float64
 }
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -193,7 +193,7 @@
 }
 
 func (y *yard) want(model, adapter string, wait time.Duration) (peers.Found, error) {
-	return y.planner().planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: wait, Answer: wait, Value: 1})
+	return y.planner().planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: wait, Answer: wait})
 }
 
 func TestMissingModelIsLoadedWhileRequestsWait(t *testing.T) {
@@ -250,7 +250,7 @@
 		time.Sleep(5 * time.Second)
 		y.ends[0]()
 		found, err := y.planner().planner.Want(y.ctx, peers.Want{
-			Service: "llm", Target: site.Adapter{Model: "m0"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Value: 1, Avoid: []site.Key{{ID: "i-0", Born: 1}},
+			Service: "llm", Target: site.Adapter{Model: "m0"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Avoid: []site.Key{{ID: "i-0", Born: 1}},
 		})
 		y.g.Expect(err).NotTo(HaveOccurred())
 		y.g.Expect(found.Instances).NotTo(ContainElement(site.Key{ID: "i-0", Born: 1}))
@@ -271,7 +271,7 @@
 			}
 		}
 		y.g.Expect(next).NotTo(BeNil())
-		found, err := next.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m5"}, Wait: 5 * time.Second, Answer: 5 * time.Second, Value: 1})
+		found, err := next.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m5"}, Wait: 5 * time.Second, Answer: 5 * time.Second})
 		y.g.Expect(err).NotTo(HaveOccurred())
 		y.g.Expect(found.Instances).NotTo(BeEmpty())
 		fences := map[string]int64{}
@@ -292,7 +292,7 @@
 			for i := range 60 {
 				for _, p := range y.fronts {
 					group.Go(func() {
-						_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: fmt.Sprintf("m%d", i%8)}, Wait: time.Second, Answer: time.Second, Value: 1})
+						_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: fmt.Sprintf("m%d", i%8)}, Wait: time.Second, Answer: time.Second})
 					})
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -393,7 +393,7 @@
 			}
 			for _, p := range y.fronts {
 				group.Go(func() {
-					_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: 3 * time.Second, Answer: time.Second, Value: 1})
+					_, _ = p.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: model, Name: adapter}, Wait: 3 * time.Second, Answer: time.Second})
 				})
 			}
 		}
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -10,6 +10,9 @@
 	"foxtailcroft/internal/policy/swap"
 )
 
+// lingeringWeight ranks a model that was asked for and refused, against the number of requests that wait for others.
+const lingeringWeight = 0.5
+
 // settling is how long a new planner evicts nothing, until the fronts have reported their demand.
 const settling = 1200 * time.Millisecond
 
@@ -28,7 +31,7 @@
 			continue
 		}
 		if len(p.holders(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(0.5, w.value)})
+			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(w.waiting))})
 			continue
 		}
 		if target.Name != "" {
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -12,9 +12,8 @@
 // wanted is a target that requests wait for, or asked for lately.
 type wanted struct {
 	service string
-	// waiting is the number of requests that wait, and value the sum of their worth.
+	// waiting is the number of requests that wait.
 	waiting int
-	value   float64
 	// since is when the first of them asked.
 	since time.Time
 	// until keeps a want alive after a refusal, so that the load is done when the caller returns.
@@ -37,12 +36,13 @@
 		if !p.leads() {
 			return peers.Found{}, &peers.NoPlanner{}
 		}
+		next := p.next()
 		found, wait := p.find(w)
 		if !wait {
 			return found, nil
 		}
 		select {
-		case <-p.next():
+		case <-next:
 		case <-deadline.C:
 			found.Waiting = w.Answer < w.Wait
 			found.Reason = "not ready in time"
@@ -84,7 +84,6 @@
 		p.wants[w.Target] = x
 	}
 	x.waiting++
-	x.value += w.Value
 	x.until = time.Now().Add(w.Wait + lingering)
 	p.verify(w.Avoid)
 	p.kickNow()
@@ -92,7 +91,6 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		x.waiting--
-		x.value -= w.Value
 	}
 }
 
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -33,8 +33,6 @@
 	Answer time.Duration
 	// Avoid are instances that the asker could not use a moment ago.
 	Avoid []site.Key
-	// Value ranks wants that compete.
-	Value float64
 }
 
 // Found answers a Want: instances that can serve now, or when to come back.
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	asked := time.Now()
-	found, err := c.server.finder.Want(ctx, peers.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Value: c.value(), Avoid: c.avoid()})
+	found, err := c.server.finder.Want(ctx, peers.Want{Service: c.service, Target: c.ask.Target, Wait: left, Answer: askAgain, Avoid: c.avoid()})
 	if c.expired(ctx) {
 		return false
 	}
@@ -170,8 +170,3 @@
 
 // stopMargin is kept of a stopping front's time for serving a request that has waited.
 const stopMargin = 2 * time.Second
-
-// value ranks requests that wait for models: the route's rank and the time that is left decide.
-func (c *call) value() float64 {
-	return 1
-}
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -74,7 +74,7 @@
 		pool, closePool := conns.New(r.net.Dial, metrics.NewSet())
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
-		set := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
+		set := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
 		r.relay = New(set, r, pool, platform.Dialect{}, r, metrics.NewSet(), log.Sugar())
 		defer r.net.Close()
 		defer closePool()
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -66,7 +66,7 @@
 	f, closeFront := New(Options{
 		Settings: conf.Front{
 			Node: conf.Node{Name: name, Domain: "a"}, Listen: conf.FrontListen{Peers: name + ":3"}, ChecksFence: true, Seeds: seeds,
-			Retry: conf.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 58},
+			Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58},
 			Bounds: conf.Bounds{
 				Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second,
 				Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second,
