oper/cause: foxtailcroft causes tells from logs why requests were late or failed

Change: the closing line of a request names the route's goal and longest pause and the inputs of the last choice; 'foxtailcroft causes' counts routes by cause, with times and an example.

--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -47,6 +47,6 @@
 		SilenceErrors: true,
 	}
 	cmd.AddCommand(entryCommand(), frontCommand(), agentCommand(), standinCommand(), devCommand(),
-		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand())
+		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand(), causesCommand())
 	return cmd
 }
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -45,7 +45,9 @@
 	reason   string
 	status   int
 	instance string
-	held     time.Duration
+	// chosen is the last choice of an instance.
+	chosen choice
+	held   time.Duration
 	// planless is the time in which no planner answered.
 	planless time.Duration
 	first    time.Duration
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -40,8 +40,9 @@
 	for {
 		c.state = c.server.sites.State()
 		list := c.untried(c.candidates())
-		if in, ok := c.server.track.pick(list, c.server.set.Node.Domain, &c.ask, c.route.MaxGap); ok {
-			return in, true
+		if chosen, ok := c.server.track.pick(list, c.server.set.Node.Domain, &c.ask, c.route.MaxGap); ok {
+			c.chosen = chosen
+			return chosen.Instance, true
 		}
 		if !c.wait(ctx) {
 			return site.Instance{}, false
--- a/internal/front/relay/record.go
+++ b/internal/front/relay/record.go
@@ -15,9 +15,9 @@
 
 // logEnd logs how a request ended, with what decided it.
 func (c *call) logEnd() {
-	route, kind := "", ""
+	var route site.Route
 	if c.route != nil {
-		route, kind = c.route.Name, string(c.route.Kind)
+		route = *c.route
 	}
 	version := int64(0)
 	if c.state.Document != nil {
@@ -34,8 +34,10 @@
 	if c.outcome != outcomeAnswered && c.status != http.StatusNotFound {
 		log = c.server.log.Warnw
 	}
-	log("request", "Request", c.ask.ID, "Route", route, "Kind", kind, "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
+	log("request", "Request", c.ask.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
 		"Prompt", c.ask.PromptTokens, "Instance", c.instance, "Sends", c.sends, "Unsent", c.unsent, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", gap.Milliseconds(),
+		"Missing", c.chosen.Missing, "Reading", c.chosen.Reading, "InFlight", c.chosen.InFlight, "Reported", c.chosen.Reported, "Of", c.chosen.of,
+		"GoalMs", route.Goal.Milliseconds(), "MaxGapMs", route.MaxGap.Milliseconds(),
 		"Patience", c.ask.Patience.Milliseconds(), "Version", version, "Revision", c.state.Revision)
 }
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -67,8 +67,18 @@
 // absentFor is how long a rejection for a missing model overrides the announcement, which lags by one heartbeat.
 const absentFor = 1500 * time.Millisecond
 
+// choice is an instance with what decided for it.
+type choice struct {
+	site.Instance
+	choose.Candidate
+	// of is the number of instances that could have been chosen.
+	of int
+	// reportAge is how old the reported load is.
+	reportAge time.Duration
+}
+
 // pick chooses among instances; ok is false if none is left.
-func (t *tracker) pick(list []site.Instance, domain string, r *site.Request, maxGap time.Duration) (site.Instance, bool) {
+func (t *tracker) pick(list []site.Instance, domain string, r *site.Request, maxGap time.Duration) (c choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -90,9 +100,9 @@
 	}
 	i := choose.Best(candidates, rand.Float64)
 	if i < 0 {
-		return site.Instance{}, false
+		return choice{}, false
 	}
-	return list[i], true
+	return choice{list[i], candidates[i], len(list), now.Sub(t.of(list[i].Key).reportedAt)}, true
 }
 
 // missing returns the tokens of a prompt that the instance has not read for the same model and adapter.
