front/orders: adapters stay until the requests that asked for them arrive

A server whose address another instance had taken got an order every 4 ms. Change: an adapter stays 0.7 s after it was loaded or given to a request; wants are met in the order of their age; an adapter that requests still use keeps its place until a report shows it gone; a server at whose address another instance answers counts as lost.

--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -159,12 +159,16 @@
 		if outcome == site.Accepted || o.Unload {
 			s.sequence = o.Sequence + 1
 		}
-		s.adopt(o, now)
+		s.adopt(o, outcome == site.Holds, now)
 	case site.Conflict:
 		s.resync = true
 	case site.Fenced:
 		p.deposed = o.Fence
 		p.log.Warnw("deposed: a server has seen a higher fencing number", "Fence", o.Fence, "Instance", s.inst.ID)
+	case site.Moved:
+		p.markLost(s, errMoved)
+	case site.Invalid:
+		s.restsUntil = now.Add(refusedRest)
 	case site.Unknown:
 		// Accepted or not, or accepted later: a report will tell, and the number of orders keeps a late one out.
 		s.uncertain = true
@@ -172,11 +176,22 @@
 	p.wake()
 }
 
-// adopt notes what an accepted order changes at once.
-func (s *server) adopt(o site.Order, now time.Time) {
+// errMoved is why a server counts as lost when another answers at its address.
+var errMoved = errors.New("another instance answers at its address")
+
+// refusedRest is the pause before the next order to a server that called one invalid.
+const refusedRest = time.Second
+
+// adopt notes what an accepted order changes at once; held is true if the order was complete with its answer.
+func (s *server) adopt(o site.Order, held bool, now time.Time) {
 	switch {
-	case o.Unload && o.Target.Name != "":
+	case o.Unload && o.Target.Name != "" && held:
 		delete(s.adapters, o.Target)
+	case o.Unload && o.Target.Name != "":
+		// Requests still use it, and it keeps its place until they end.
+		if h := s.adapters[o.Target]; h != nil {
+			h.leaving = true
+		}
 	case o.Unload:
 		if h := s.models[o.Target.Model]; h != nil {
 			h.leaving = true
@@ -196,15 +211,29 @@
 
 // loadAdapter makes room if there is a victim, and loads an adapter.
 func (p *Planner) loadAdapter(ctx context.Context, s *server, t, victim site.Adapter) {
-	ok := victim.Name == "" || p.give(ctx, s, site.Order{Unload: true, Target: victim})
-	if ok && p.give(ctx, s, site.Order{Target: t}) {
+	if p.makeRoom(ctx, s, victim) && p.give(ctx, s, site.Order{Target: t}) {
 		pause.For(ctx, adapterTime)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h := s.adapters[victim]; h != nil {
-		h.leaving = false
-	}
 	delete(p.placing, t)
 	p.wake()
 }
+
+// makeRoom unloads a victim, if there is one, and waits until its place is free.
+func (p *Planner) makeRoom(ctx context.Context, s *server, victim site.Adapter) bool {
+	if victim.Name == "" {
+		return true
+	}
+	ordered := p.give(ctx, s, site.Order{Unload: true, Target: victim})
+	p.mu.Lock()
+	h := s.adapters[victim]
+	if h != nil && !ordered {
+		h.leaving = false
+	}
+	p.mu.Unlock()
+	return ordered && (h == nil || p.until(ctx, s, vacating, func() bool { return s.adapters[victim] == nil }))
+}
+
+// vacating bounds the wait for an adapter that requests still use.
+const vacating = 5 * time.Second
--- /dev/null
+++ b/internal/front/orders/churn_test.go
@@ -0,0 +1,127 @@
+package orders
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/core/site"
+)
+
+// way is the time from the planner's word to the arrival of the request at the server.
+const way = 5 * time.Millisecond
+
+// TestAskedAdaptersStayUntilTheirRequestsArrive lets requests for more adapters
+// than there are places wait at the same time, as on a day on which demand has
+// just moved to a model with one copy: none is pushed out again before the
+// request that waited for it has arrived, and orders do not exceed what that takes.
+func TestAskedAdaptersStayUntilTheirRequestsArrive(t *testing.T) {
+	const adapters, rounds = 14, 6
+	open(t, 1, 1, 1, func(y *yard) {
+		pool, closePool := conns.New(y.net.Dial, metrics.NewSet())
+		defer closePool()
+		y.group.Go(func() {
+			<-y.ctx.Done()
+			closePool()
+		})
+		time.Sleep(5 * time.Second)
+		before := len(y.book.Orders())
+		var missed atomic.Int64
+		var group conc.WaitGroup
+		for i := range adapters {
+			group.Go(func() {
+				for range rounds {
+					name := fmt.Sprintf("a%d", i+1)
+					found, err := y.want("m0", name, 4*time.Second)
+					y.g.Expect(err).NotTo(HaveOccurred())
+					y.g.Expect(found.Instances).To(HaveLen(1), found.Reason)
+					time.Sleep(way)
+					if y.sendTo(pool, "m0/"+name, "10,5") == http.StatusMisdirectedRequest {
+						missed.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		orders := len(y.book.Orders()) - before
+		t.Logf("%d orders, %d requests that came too late", orders, missed.Load())
+		y.g.Expect(missed.Load()).To(BeZero())
+		y.g.Expect(orders).To(BeNumerically("<=", 2*adapters*rounds))
+		y.g.Expect(y.book.Broken()).To(BeEmpty())
+	})
+}
+
+// sendTo sends a request for a model or adapter to the first server and returns the answer's status.
+func (y *yard) sendTo(pool *conns.Pool, target, tokens string) int {
+	header := http.Header{"Request-Id": {"r"}, "Model": {target}, "Token-Counts": {tokens}}
+	res, err := pool.Do(y.ctx, conns.Target{Key: site.Key{ID: "i-0", Born: 1}, Address: "10.0.0.1:80"}, &conns.Request{
+		Method: http.MethodPost, URI: "/x", Host: "h", Header: header, Body: []byte("x"),
+	})
+	y.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, res.Body)
+	res.Done(err == nil)
+	return res.Status
+}
+
+// TestServerReplacedAtItsAddressGetsNoOrders gives an address to another server
+// while the store still lists the one before: the planner notices at the first
+// refusal, or at the report, and does not repeat its orders.
+func TestServerReplacedAtItsAddressGetsNoOrders(t *testing.T) {
+	open(t, 2, 1, 4, func(y *yard) {
+		time.Sleep(5 * time.Second)
+		p := y.planner().planner
+		y.ends[0]()
+		var asked atomic.Int64
+		end := y.net.Serve("10.0.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/order") {
+				asked.Add(1)
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			_, _ = io.WriteString(w, `{"stage":"both","models":[],"busy":false,"sequence":0,"born":2}`)
+		}))
+		defer end()
+		found, err := y.want("m2", "", 6*time.Second)
+		y.g.Expect(err).NotTo(HaveOccurred())
+		y.g.Expect(found.Instances).To(HaveLen(1))
+		time.Sleep(2 * time.Second)
+		y.g.Expect(asked.Load()).To(BeNumerically("<=", 1))
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		y.g.Expect(p.servers[site.Key{ID: "i-0", Born: 1}].lost).To(BeTrue())
+	})
+}
+
+// TestAdapterInUseKeepsItsPlaceUntilItsRequestsEnd fills all places with
+// adapters that requests run on, and wants one more while no front has told of the use.
+func TestAdapterInUseKeepsItsPlaceUntilItsRequestsEnd(t *testing.T) {
+	open(t, 1, 1, 1, func(y *yard) {
+		pool, closePool := conns.New(y.net.Dial, metrics.NewSet())
+		y.group.Go(func() {
+			<-y.ctx.Done()
+			closePool()
+		})
+		time.Sleep(5 * time.Second)
+		var group conc.WaitGroup
+		for i := range 8 {
+			name := fmt.Sprintf("a%d", i+1)
+			_, err := y.want("m0", name, 4*time.Second)
+			y.g.Expect(err).NotTo(HaveOccurred())
+			group.Go(func() { y.g.Expect(y.sendTo(pool, "m0/"+name, "10,500")).To(Equal(http.StatusOK)) })
+		}
+		found, err := y.want("m0", "a9", 6*time.Second)
+		y.g.Expect(err).NotTo(HaveOccurred())
+		y.g.Expect(found.Instances).To(HaveLen(1), found.Reason)
+		group.Wait()
+		y.g.Expect(y.book.Broken()).To(BeEmpty())
+	})
+}
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -208,6 +208,9 @@
 	r, err := p.wire.report(ctx, in)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err == nil && s.replaced(r) {
+		err = errMoved
+	}
 	if err != nil {
 		p.markLost(s, err)
 		return
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -35,6 +35,8 @@
 	// resync is set when the server refused an order for its number: the next
 	// report is believed even if it counts fewer orders.
 	resync bool
+	// restsUntil is until when no order is given, after one that was refused.
+	restsUntil time.Time
 	// uncertain is set when an order's answer was lost: nothing is ordered until a report has been read.
 	uncertain bool
 }
@@ -56,7 +58,7 @@
 // made before what an announcement has shown, so it adds to what is held, and
 // takes away only what was ordered to leave.
 func (s *server) take(r site.Report, now time.Time) bool {
-	if r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born || s.known && !s.resync && r.Sequence < s.sequence {
+	if s.replaced(r) || s.known && !s.resync && r.Sequence < s.sequence {
 		return false
 	}
 	same := s.known && !s.resync && r.Sequence == s.sequence
@@ -80,6 +82,11 @@
 	return true
 }
 
+// replaced reports whether a report comes from another start than the one that is meant.
+func (s *server) replaced(r site.Report) bool {
+	return r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born
+}
+
 // keepHeld adds to what a report lists all that is held, also what leaves while that is under way.
 func keepHeld[K comparable](listed, before map[K]*held, busy bool) {
 	for k, h := range before {
@@ -132,15 +139,19 @@
 
 // free reports whether an order may be given now.
 func (s *server) free() bool {
-	return s.known && !s.lost && !s.busy && !s.engaged && !s.uncertain && !s.inst.Leaving
+	return s.known && !s.lost && !s.busy && !s.engaged && !s.uncertain && !s.inst.Leaving && !time.Now().Before(s.restsUntil)
 }
 
-// oldest returns the adapter that was unused for longest, and since when; those in use are passed over.
-func (s *server) oldest(inUse func(site.Key, site.Adapter) int) (site.Adapter, time.Time, bool) {
+// adapterStays is how long an adapter stays after it was loaded or given to a
+// request, so that the request arrives and its front has reported the use.
+const adapterStays = 700 * time.Millisecond
+
+// oldest returns the adapter that was unused for longest, and since when; those in use or about to be are passed over.
+func (s *server) oldest(now time.Time, inUse func(site.Key, site.Adapter) int) (site.Adapter, time.Time, bool) {
 	var best site.Adapter
 	var at time.Time
 	for a, h := range s.adapters {
-		if h.leaving || inUse(s.inst.Key, a) > 0 {
+		if h.leaving || now.Sub(h.lastUse) < adapterStays || inUse(s.inst.Key, a) > 0 {
 			continue
 		}
 		if at.IsZero() || h.lastUse.Before(at) {
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -1,7 +1,9 @@
 package orders
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -25,11 +27,8 @@
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
 	}
-	for target, w := range p.wants {
-		if w.waiting == 0 && now.After(w.until) {
-			delete(p.wants, target)
-			continue
-		}
+	for _, target := range p.eldest(now) {
+		w := p.wants[target]
 		if len(p.holders(w.service, target.Model)) == 0 {
 			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(w.waiting))})
 			continue
@@ -43,6 +42,14 @@
 	}
 }
 
+// eldest returns what is wanted, what waits longest first, without wants that have ended.
+func (p *Planner) eldest(now time.Time) []site.Adapter {
+	maps.DeleteFunc(p.wants, func(_ site.Adapter, w *wanted) bool { return w.waiting == 0 && now.After(w.until) })
+	return slices.SortedFunc(maps.Keys(p.wants), func(a, b site.Adapter) int {
+		return cmp.Or(p.wants[a].since.Compare(p.wants[b].since), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
+	})
+}
+
 // swap carries out what the policy decides for a service.
 func (p *Planner) swap(ctx context.Context, service string, wants []swap.Want) {
 	engine := engineOf(p.state(), service)
@@ -182,6 +189,6 @@
 	if len(s.adapters) < e.AdapterPlaces && s.usedMB(e)+m.AdapterMB <= e.WeightsMB {
 		return place{server: s}, true
 	}
-	victim, at, ok := s.oldest(p.inUse)
+	victim, at, ok := s.oldest(time.Now(), p.inUse)
 	return place{s, victim, at}, ok
 }
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -101,6 +101,7 @@
 	for _, s := range p.servers {
 		if s.inst.Service == w.Service && s.serves(w.Target) && !slices.Contains(w.Avoid, s.inst.Key) {
 			found.Instances = append(found.Instances, s.inst.Key)
+			s.touch(w.Target, time.Now())
 		}
 	}
 	if len(found.Instances) > 0 {
