policy/swap, choose: streams are kept from servers on which long prompts make them pause

Ruled out: the prompts' length alone (the same prompts at other servers: 320 to 360 ms), queueing. Change: fronts note the longest pauses of streams at each server and tell the planner, whose board tells all fronts; the choice weighs streams that a prompt would make pause (known risk, before: the same for all servers); the planner counts a copy on such a server as half and places busy models elsewhere. Tests: choices and decisions in tables (failing before), fade.TestPeak.

--- a/internal/front/orders/board.go
+++ b/internal/front/orders/board.go
@@ -54,6 +54,11 @@
 		}
 	}
 	p.uses[u.Front] = use
+	for _, x := range u.Pauses {
+		if s := p.servers[x.Instance]; s != nil {
+			s.pauses = s.pauses.With(x.Longest, now)
+		}
+	}
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
@@ -68,7 +73,7 @@
 	var loads []peers.Load
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			loads = append(loads, peers.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported)})
+			loads = append(loads, peers.Load{Instance: s.inst.Key, Requests: s.running, Age: now.Sub(s.reported), Pause: s.pauses.Value(now)})
 		}
 	}
 	slices.SortFunc(loads, func(a, b peers.Load) int {
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/policy/fade"
 )
 
 // server is what the planner believes of one incarnation of a model server.
@@ -24,6 +25,8 @@
 	// running counts the requests that run or wait, by the report that came in at reported.
 	running  int
 	reported time.Time
+	// pauses is the longest pause of streams there.
+	pauses fade.Peak
 	// awaited is the model that the running job will load, and readyAt the forecast for it.
 	awaited string
 	readyAt time.Time
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/policy/choose"
 	"foxtailcroft/internal/policy/swap"
 )
 
@@ -92,7 +93,8 @@
 
 // viewed returns a server as the policy sees it.
 func (p *Planner) viewed(s *server, now time.Time) swap.Server {
-	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory}
+	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory,
+		Slow: choose.Risk(s.pauses.Value(now), p.longestPause(s.inst.Service))}
 	for _, name := range s.modelNames() {
 		h := s.models[name]
 		v.Copies = append(v.Copies, swap.Copy{
@@ -102,6 +104,22 @@
 	return v
 }
 
+// longestPause returns the shortest of the longest pauses that the routes to a service allow, 0 if none does.
+func (p *Planner) longestPause(service string) time.Duration {
+	doc := p.state().Document
+	if doc == nil {
+		return 0
+	}
+	var least time.Duration
+	for i := range doc.Routes {
+		r := &doc.Routes[i]
+		if r.MaxGap > 0 && (least == 0 || r.MaxGap < least) && slices.ContainsFunc(r.Shares, func(x site.Share) bool { return x.Service == service }) {
+			least = r.MaxGap
+		}
+	}
+	return least
+}
+
 func (p *Planner) byID(id string) *server {
 	for _, s := range p.servers {
 		if s.inst.ID == id {
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -60,6 +60,14 @@
 	// Asked counts the requests by target, served or not: those since the last
 	// message or, for a planner that is new, those that still count.
 	Asked []Ask
+	// Pauses are the longest pauses of streams since the last message.
+	Pauses []Pause
+}
+
+// Pause is the longest time between two events of a stream at an instance.
+type Pause struct {
+	Instance site.Key
+	Longest  time.Duration
 }
 
 // Ask is how often a model or adapter was asked for.
@@ -74,6 +82,8 @@
 	Requests int
 	// Age is how old the report is.
 	Age time.Duration
+	// Pause is the longest pause of a stream there, faded.
+	Pause time.Duration
 }
 
 // Board is the planner's reply to a usage report: the servers' load, and what a
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -86,6 +86,9 @@
 func (s *Server) SetLoads(loads []peers.Load) {
 	for _, l := range loads {
 		s.track.reported(l.Instance, l.Requests, time.Now().Add(-l.Age))
+		if l.Pause > 0 {
+			s.track.pausedElsewhere(l.Instance, l.Pause)
+		}
 	}
 }
 
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -17,6 +17,12 @@
 // maxEvent bounds one event of a stream.
 const maxEvent = 1 << 20
 
+// notedGap is the part of a route's longest pause, as a divisor, from which a pause is noted.
+const notedGap = 2
+
+// mostGap bounds a noted pause, in percent of the route's longest, so that a short disturbance is forgotten soon.
+const mostGap = 125
+
 // errEventCut reports a stream that ended inside an event.
 var errEventCut = errors.New("stream ended inside an event")
 
@@ -49,7 +55,7 @@
 			res.Done(false)
 			return c.streamBroke(ctx, in, err)
 		}
-		if err := c.pass(res, event, id); err != nil {
+		if err := c.pass(in.Key, res, event, id); err != nil {
 			res.Done(false)
 			c.left()
 		}
@@ -57,14 +63,18 @@
 }
 
 // pass writes one event to the caller, after the head if it is the first.
-func (c *call) pass(res *conns.Response, event []byte, id string) error {
+func (c *call) pass(from site.Key, res *conns.Response, event []byte, id string) error {
 	c.head(res)
 	if id != "" {
 		c.stream.last = id
 	}
 	now := time.Now()
 	if c.stream.events > 0 {
-		c.stream.gap = max(c.stream.gap, now.Sub(c.stream.at))
+		gap := now.Sub(c.stream.at)
+		c.stream.gap = max(c.stream.gap, gap)
+		if c.route.MaxGap > 0 && gap > c.route.MaxGap/notedGap {
+			c.server.track.paused(from, min(gap, c.route.MaxGap*mostGap/100))
+		}
 	}
 	c.stream.events++
 	c.stream.at = now
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -44,7 +44,10 @@
 	failing    float64
 	failingAt  time.Time
 	answers    time.Duration
-	parts      map[string]time.Time
+	// pauses is the longest pause of streams as far as known, and newPause that of own streams since the last report.
+	pauses   fade.Peak
+	newPause time.Duration
+	parts    map[string]time.Time
 	// excludedUntil is until when nothing is sent, after a refused connection or request.
 	excludedUntil time.Time
 	// absent are models that the instance said it does not have, with the time of that.
@@ -92,6 +95,7 @@
 		c := choose.Candidate{
 			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
 			Missing: s.missing(r), PauseTokens: choose.PauseTokens(maxGap), Failing: s.failed(now), Answers: s.answers,
+			PauseRisk: choose.Risk(s.pauses.Value(now), maxGap),
 		}
 		if now.Sub(s.reportedAt) < reportedFor {
 			c.Reported = s.reported
@@ -191,6 +195,23 @@
 	}
 }
 
+// paused notes a pause in a stream of an instance.
+func (t *tracker) paused(k site.Key, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	s.pauses = s.pauses.With(gap, time.Now())
+	s.newPause = max(s.newPause, gap)
+}
+
+// pausedElsewhere notes the longest pause that other fronts have seen.
+func (t *tracker) pausedElsewhere(k site.Key, longest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(k)
+	s.pauses = s.pauses.With(longest, time.Now())
+}
+
 const (
 	// excludedRefused is how long an instance gets nothing after it refused a connection.
 	excludedRefused = 700 * time.Millisecond
@@ -300,6 +321,10 @@
 			}
 		}
 		clear(s.requests)
+		if s.newPause > 0 {
+			u.Pauses = append(u.Pauses, peers.Pause{Instance: k, Longest: s.newPause})
+			s.newPause = 0
+		}
 		if s.total == 0 && !live(k) {
 			delete(t.seen, k)
 		}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -157,7 +157,7 @@
 		}
 		u := f.relay.Uses(planner.Fence != fence)
 		fence = planner.Fence
-		if len(u.Uses) == 0 && len(u.Asked) == 0 {
+		if len(u.Uses) == 0 && len(u.Asked) == 0 && len(u.Pauses) == 0 {
 			continue
 		}
 		board, err := f.peers.Use(ctx, u)
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -18,6 +18,8 @@
 	// PauseTokens are the prompt tokens that a server reads without a break
 	// before a stream that runs beside pauses for too long; 0 if streams may pause.
 	PauseTokens int
+	// PauseRisk is the chance that a prompt of that length makes a stream there pause for too long, 0 if not known.
+	PauseRisk float64
 	// Failing is the recent share of failed requests, 0 to 1.
 	Failing float64
 	// Answers is the usual time until an answer begins, 0 if not known.
@@ -33,8 +35,12 @@
 	crossing = 4.0
 	// queueing is the cost in milliseconds of each request beyond the slots.
 	queueing = 40.0
-	// pausing is the cost in milliseconds of each stream that pauses for too long.
-	pausing = 10.0
+	// late is the cost in milliseconds of a request that is not served in time.
+	late = 1000.0
+	// usualRisk is the chance of a pause at a server of which none is known.
+	usualRisk = 0.01
+	// exposure is the chance that a long prompt is read beside a stream while it runs.
+	exposure = 0.25
 	// failing is the cost in milliseconds of an instance that fails all requests.
 	failing = 4000.0
 )
@@ -46,8 +52,8 @@
 	if c.Slots > 0 && running >= c.Slots {
 		cost += queueing * float64(running-c.Slots+1)
 	}
-	if c.PauseTokens > 0 && c.Missing+c.Reading > c.PauseTokens {
-		cost += pausing * float64(1+running)
+	if c.PauseTokens > 0 {
+		cost += late * c.pauses(running)
 	}
 	if !c.Near {
 		cost += crossing
@@ -55,6 +61,25 @@
 	return cost + float64(c.Answers.Milliseconds())/2
 }
 
+// pauses forecasts how many streams pause for too long if the request goes there: itself and those that run.
+func (c Candidate) pauses(running int) float64 {
+	if c.Missing+c.Reading > c.PauseTokens {
+		return max(usualRisk, c.PauseRisk) * float64(1+running)
+	}
+	return exposure * c.PauseRisk
+}
+
+// Risk returns the chance of a pause beyond what is allowed at a server with a known longest pause.
+func Risk(longest, allowed time.Duration) float64 {
+	if allowed <= 0 {
+		return 0
+	}
+	return min(1, max(0, (float64(longest)/float64(allowed)-riskFrom)/(1-riskFrom)))
+}
+
+// riskFrom is the share of the allowed pause from which a known pause counts as a risk; it is certain at the whole.
+const riskFrom = 0.9
+
 // PauseTokens returns how many prompt tokens a server may read without a break
 // while streams may pause for a time: an event waits for several steps, each of
 // which reads a piece of the prompt.
--- a/internal/policy/choose/choose_test.go
+++ b/internal/policy/choose/choose_test.go
@@ -20,6 +20,8 @@
 		{"another if that one has much to read first", []Candidate{{ID: "read", Slots: 64, Missing: 2800, Reading: 30000}, {ID: "new", Slots: 64, Missing: 9000}}, "new"},
 		{"a long prompt not beside streams that it would hold up", []Candidate{{ID: "streams", Near: true, Slots: 64, Reported: 12, Missing: 9000, PauseTokens: 8000}, {ID: "calm", Slots: 64, Reported: 1, Missing: 9000, PauseTokens: 8000}}, "calm"},
 		{"a stream not beside a long prompt", []Candidate{{ID: "reads", Near: true, Slots: 64, Reported: 3, Missing: 300, Reading: 9000, PauseTokens: 8000}, {ID: "calm", Slots: 64, Reported: 12, Missing: 300, PauseTokens: 8000}}, "calm"},
+		{"a stream not where streams pause", []Candidate{{ID: "pauses", Near: true, Slots: 64, Missing: 300, PauseTokens: 8000, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 6, Missing: 300, PauseTokens: 8000}}, "calm"},
+		{"a long prompt not beside streams where they are known to pause, also if it must be read anew", []Candidate{{ID: "pauses", Near: true, Slots: 64, Reported: 2, Missing: 2800, Reading: 6000, PauseTokens: 8000, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 4, Missing: 9000, PauseTokens: 8000}}, "calm"},
 		{"not the one that fails", []Candidate{{ID: "grey", Near: true, Slots: 8, Failing: 0.5}, {ID: "sound", Slots: 8, InFlight: 3}}, "sound"},
 		{"not the slow one", []Candidate{{ID: "slow", Near: true, Slots: 8, Answers: 200 * time.Millisecond}, {ID: "quick", Slots: 8, Answers: 20 * time.Millisecond}}, "quick"},
 	}
@@ -34,3 +36,24 @@
 		})
 	}
 }
+
+func TestRisk(t *testing.T) {
+	const allowed = 400 * time.Millisecond
+	cases := []struct {
+		name    string
+		longest time.Duration
+		allowed time.Duration
+		want    float64
+	}{
+		{"nothing known", 0, allowed, 0},
+		{"well below", 350 * time.Millisecond, allowed, 0},
+		{"half-way", 380 * time.Millisecond, allowed, 0.5},
+		{"over", 450 * time.Millisecond, allowed, 1},
+		{"streams may pause", time.Second, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(Risk(c.longest, c.allowed)).To(BeNumerically("~", c.want, 0.001))
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/fade/peak_test.go
@@ -0,0 +1,19 @@
+package fade
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestPeak(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := Peak{}.With(400*time.Millisecond, now)
+	g.Expect(p.With(300*time.Millisecond, now).Value(now)).To(Equal(400*time.Millisecond), "a smaller one changes nothing")
+	later := now.Add(peakHalf)
+	g.Expect(p.Value(later)).To(BeNumerically("~", 200*time.Millisecond, time.Millisecond))
+	g.Expect(p.With(300*time.Millisecond, later).Value(later)).To(Equal(300 * time.Millisecond))
+	g.Expect(Peak{}.Value(now)).To(BeZero())
+}
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -25,6 +25,9 @@
 // perCopy is the rate of requests that one copy of a model bears before answers slow down noticeably.
 const perCopy = 3.0
 
+// pauses is the waiting in seconds that counts for each request at a server where streams pause for too long.
+const pauses = 0.3
+
 // need returns how many copies a model's demand asks for.
 func (in *Input) need(model string) int {
 	d := in.Demand[model]
@@ -52,6 +55,7 @@
 		return Action{}, 0, false
 	}
 	takes += wait
+	harm += pauses * s.Slow * in.Demand[model.Name].Rate * horizon.Seconds()
 	return Action{Server: s.ID, Evict: evict, Load: model.Name, Source: source, Takes: takes}, max(1, w.Weight)*takes.Seconds() + harm, true
 }
 
@@ -113,13 +117,13 @@
 func (in *Input) harm(s *Server, c Copy) float64 {
 	rate := in.Demand[c.Model].Rate
 	running := float64(c.InFlight) * drainTime.Seconds()
-	others := in.copies(c.Model) - 1
-	need := in.need(c.Model)
+	others := in.copies(c.Model) - s.worth()
+	need := float64(in.need(c.Model))
 	if others >= need {
 		return running
 	}
 	if others > 0 {
-		return running + shareLost*rate*horizon.Seconds()*float64(need-others)/float64(others)
+		return running + shareLost*rate*horizon.Seconds()*(need-others)/others
 	}
 	model := in.Engine.Model(c.Model)
 	if model == nil {
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -28,6 +28,8 @@
 	Awaited  string
 	OnDisk   []string
 	InMemory []string
+	// Slow is the chance, 0 to 1, that a long prompt makes the streams there pause for too long.
+	Slow float64
 }
 
 // Want is a model that requests wait for.
@@ -161,8 +163,8 @@
 	var list []goal
 	for model, asked := range d.Demand {
 		have := d.copies(model)
-		if need := d.need(model); have > 0 && have < need && d.Engine.Model(model) != nil {
-			gain := growth * asked.Rate * horizon.Seconds() * float64(need-have) / float64(have)
+		if need := float64(d.need(model)); have > 0 && have < need && d.Engine.Model(model) != nil {
+			gain := growth * asked.Rate * horizon.Seconds() * (need - have) / have
 			list = append(list, goal{want: Want{Model: model}, limit: gain, saves: gain, more: true})
 		}
 	}
@@ -208,18 +210,26 @@
 // growth is the waiting in seconds that a missing copy costs each request.
 const growth = 0.3
 
-// copies counts the servers that have a model or are about to.
-func (in *Input) copies(model string) int {
-	n := 0
+// copies counts the servers that have a model or are about to; slow ones count in part.
+func (in *Input) copies(model string) float64 {
+	n := 0.0
 	for i := range in.Servers {
 		s := &in.Servers[i]
 		if s.Awaited == model || slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model }) {
-			n++
+			n += s.worth()
 		}
 	}
 	return n
 }
 
+// worth is what a copy there counts for.
+func (s *Server) worth() float64 {
+	return 1 - slowLoss*s.Slow
+}
+
+// slowLoss is the part of a copy's use that is lost at a server where streams pause for too long.
+const slowLoss = 0.5
+
 // best returns the cheapest way to a model and its cost; ok is false if nothing fits.
 func (d *decision) best(w Want, slowest Source) (best Action, least float64, ok bool) {
 	model := d.Engine.Model(w.Model)
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -76,6 +76,25 @@
 			Wants: []Want{{Model: "m4", Weight: 1}}, StoreLoads: 1, AtOnce: 1, Demand: map[string]Demand{"m0": {Rate: 16}, "m4": {Rate: 0.1}},
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 9)}}, {ID: "b", Copies: []Copy{held("m1", 0)}}},
 		}, []Action{{Server: "b", Load: "m0", Source: FromStore, Takes: 6 * time.Second}}},
+		{"a busy model whose one copy is where streams pause gets another", Input{
+			Demand: map[string]Demand{"m0": {Rate: 3}},
+			Servers: []Server{
+				{ID: "a", Slow: 1, Copies: []Copy{held("m0", 4)}, OnDisk: []string{"m0"}},
+				{ID: "b", Copies: []Copy{held("m1", 0), held("m2", 0), held("m3", 0)}, OnDisk: []string{"m0"}},
+			},
+		}, []Action{{Server: "b", Evict: []string{"m1"}, Load: "m0", Source: FromDisk, Takes: 890 * time.Millisecond}}},
+		{"a busy model goes where streams do not pause, also if that takes longer", Input{
+			Wants: []Want{{Model: "m0", Weight: 2}}, Demand: map[string]Demand{"m0": {Rate: 3}},
+			Servers: []Server{
+				{ID: "a", Slow: 1, InMemory: []string{"m0"}}, {ID: "b", OnDisk: []string{"m0"}},
+			},
+		}, []Action{{Server: "b", Load: "m0", Source: FromDisk, Takes: 840 * time.Millisecond}}},
+		{"a rare one does not mind", Input{
+			Wants: []Want{{Model: "m0", Weight: 1}}, Demand: map[string]Demand{"m0": {Rate: 0.1}},
+			Servers: []Server{
+				{ID: "a", Slow: 1, InMemory: []string{"m0"}}, {ID: "b", OnDisk: []string{"m0"}},
+			},
+		}, []Action{{Server: "a", Load: "m0", Source: FromMemory, Takes: 400 * time.Millisecond}}},
 		{"a planner that knows no demand yet evicts nothing", Input{
 			Keep: true, Wants: []Want{{Model: "m5", Weight: 1}},
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0), held("m1", 0), held("m2", 0)}, OnDisk: []string{"m5"}}},
