policy/swap: copies by the servers' work, loads from the store only where nothing sooner is in sight

Changes: fronts learn how fast prompts of a model are read (policy/speed) and report the work for each request; the waiting that copies share is that of a queue with that work; a model whose copies are all where streams pause gets another; no load from the store if an engaged server will have the model sooner; copies that are still being loaded do not count as serving; what an engaged server cannot load meanwhile is weighed. Tests: tables in swap_test (each failing before), speed_test.

--- a/internal/front/orders/board.go
+++ b/internal/front/orders/board.go
@@ -21,6 +21,7 @@
 	type asked struct {
 		Model    string
 		Rate     float64
+		EachMs   int64
 		Adapters int
 		Copies   int
 	}
@@ -32,7 +33,7 @@
 		}
 	}
 	for m, d := range p.demand.all(time.Now()) {
-		list = append(list, asked{m, math.Round(d.Rate*10) / 10, d.Adapters, copies[m]})
+		list = append(list, asked{m, math.Round(d.Rate*10) / 10, d.Each.Milliseconds(), d.Adapters, copies[m]})
 	}
 	slices.SortFunc(list, func(a, b asked) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Model, b.Model)) })
 	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(busiest, len(list))], "Wants", len(p.wants), "Servers", len(p.servers))
@@ -49,6 +50,7 @@
 			use.inFlight[x.Instance] = map[site.Adapter]int{}
 		}
 		use.inFlight[x.Instance][x.Target] += x.InFlight
+		p.demand.worked(x.Target, x.Requests, x.Work, now)
 		if s := p.servers[x.Instance]; s != nil && x.Requests+x.InFlight > 0 {
 			s.touch(x.Target, now)
 		}
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -58,16 +58,18 @@
 	servers map[site.Key]*server
 	wants   map[site.Adapter]*wanted
 	placing map[site.Adapter]bool
-	uses    map[string]usage
-	demand  demand
-	loads   []time.Time
-	pace    pace.Loads
-	board   []peers.Load
-	boardAt time.Time
-	changed chan struct{}
-	kick    chan struct{}
-	orders  *metrics.Counter
-	cold    *metrics.Counter
+	// expected is when models will be served that a server loads once it is free.
+	expected map[string]time.Time
+	uses     map[string]usage
+	demand   demand
+	loads    []time.Time
+	pace     pace.Loads
+	board    []peers.Load
+	boardAt  time.Time
+	changed  chan struct{}
+	kick     chan struct{}
+	orders   *metrics.Counter
+	cold     *metrics.Counter
 }
 
 // usage is a front's last report of its requests in flight.
@@ -81,7 +83,7 @@
 	group := &crew.Group{}
 	p := &Planner{
 		set: set, lead: lead, state: state, wire: &wire{pool: pool, dialect: d}, log: log, group: group,
-		servers: map[site.Key]*server{}, wants: map[site.Adapter]*wanted{}, placing: map[site.Adapter]bool{},
+		servers: map[site.Key]*server{}, wants: map[site.Adapter]*wanted{}, placing: map[site.Adapter]bool{}, expected: map[string]time.Time{},
 		uses: map[string]usage{}, demand: newDemand(), changed: make(chan struct{}), kick: make(chan struct{}, 1),
 		orders: meters.GetOrCreateCounter("foxtailcroft_orders_total"), cold: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"),
 	}
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -149,6 +149,17 @@
 // request, so that the request arrives and its front has reported the use.
 const adapterStays = 700 * time.Millisecond
 
+// freeIn forecasts when an engaged server takes orders again; negative if its state is not known.
+func (s *server) freeIn(now time.Time) time.Duration {
+	if !s.known || s.lost || s.uncertain || s.inst.Leaving || !s.engaged {
+		return -1
+	}
+	return max(s.readyAt.Sub(now), overrun)
+}
+
+// overrun is the forecast for what should have ended already.
+const overrun = 200 * time.Millisecond
+
 // oldest returns the adapter that was unused for longest, and since when; those in use or about to be are passed over.
 func (s *server) oldest(now time.Time, inUse func(site.Key, site.Adapter) int) (site.Adapter, time.Time, bool) {
 	var best site.Adapter
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -28,6 +28,7 @@
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
 	}
+	clear(p.expected)
 	for _, target := range p.eldest(now) {
 		w := p.wants[target]
 		if len(p.holders(w.service, target.Model)) == 0 {
@@ -66,6 +67,10 @@
 	}
 	slices.SortFunc(in.Servers, func(a, b swap.Server) int { return strings.Compare(a.ID, b.ID) })
 	for _, a := range swap.Decide(in) {
+		if a.Later {
+			p.expected[a.Load] = now.Add(a.Takes)
+			continue
+		}
 		s := p.byID(a.Server)
 		s.engaged, s.awaited, s.readyAt = true, a.Load, now.Add(a.Takes)
 		if a.Source == swap.FromStore {
@@ -93,7 +98,7 @@
 
 // viewed returns a server as the policy sees it.
 func (p *Planner) viewed(s *server, now time.Time) swap.Server {
-	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory,
+	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), FreeIn: s.freeIn(now), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory,
 		Slow: choose.Risk(s.pauses.Value(now), p.longestPause(s.inst.Service))}
 	for _, name := range s.modelNames() {
 		h := s.models[name]
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -138,14 +138,15 @@
 	return x != nil && time.Since(x.since) > planTime && len(p.holders(x.service, t.Model)) == 0
 }
 
-// forecast returns when a server that is being prepared for the model will be ready.
+// forecast returns when a server that is being prepared for the model, or will be, is ready.
 func (p *Planner) forecast(model string) (time.Time, bool) {
 	for _, s := range p.servers {
 		if s.awaited == model {
 			return s.readyAt, true
 		}
 	}
-	return time.Time{}, false
+	at, ok := p.expected[model]
+	return at, ok
 }
 
 func (p *Planner) kickNow() {
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -51,6 +51,8 @@
 	Target   site.Adapter
 	Requests int
 	InFlight int
+	// Work is the time that the server takes to read the prompts of these requests.
+	Work time.Duration
 }
 
 // Uses is one front's usage report.
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -10,6 +10,7 @@
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/choose"
 	"foxtailcroft/internal/policy/fade"
+	"foxtailcroft/internal/policy/speed"
 )
 
 const (
@@ -31,14 +32,18 @@
 	asked  map[site.Adapter]float64
 	// recent are the requests that still count, for a planner that is new.
 	recent map[site.Adapter]fade.Count
+	// speeds are learned by model.
+	speeds map[string]speed.Reading
 }
 
 // seen is what the own requests have shown of one instance.
 type seen struct {
-	inFlight   map[site.Adapter]int
-	total      int
-	requests   map[site.Adapter]int
-	reading    int
+	inFlight map[site.Adapter]int
+	total    int
+	requests map[site.Adapter]int
+	reading  time.Duration
+	// worked is the reading time of the prompts sent since the last report, by target.
+	worked     map[site.Adapter]time.Duration
 	reported   int
 	reportedAt time.Time
 	failing    float64
@@ -55,13 +60,13 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[site.Adapter]float64{}, recent: map[site.Adapter]fade.Count{}}
+	return &tracker{seen: map[site.Key]*seen{}, placed: map[site.Adapter]map[site.Key]bool{}, asked: map[site.Adapter]float64{}, recent: map[site.Adapter]fade.Count{}, speeds: map[string]speed.Reading{}}
 }
 
 func (t *tracker) of(k site.Key) *seen {
 	s := t.seen[k]
 	if s == nil {
-		s = &seen{inFlight: map[site.Adapter]int{}, requests: map[site.Adapter]int{}, parts: map[string]time.Time{}, absent: map[site.Adapter]time.Time{}}
+		s = &seen{inFlight: map[site.Adapter]int{}, requests: map[site.Adapter]int{}, worked: map[site.Adapter]time.Duration{}, parts: map[string]time.Time{}, absent: map[site.Adapter]time.Time{}}
 		t.seen[k] = s
 	}
 	return s
@@ -94,7 +99,7 @@
 		s := t.of(in.Key)
 		c := choose.Candidate{
 			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
-			Missing: s.missing(r), PauseTokens: choose.PauseTokens(maxGap), Failing: s.failed(now), Answers: s.answers,
+			Missing: t.speeds[r.Target.Model].Time(s.missing(r)), LongRead: choose.LongRead(maxGap), Failing: s.failed(now), Answers: s.answers,
 			PauseRisk: choose.Risk(s.pauses.Value(now), maxGap),
 		}
 		if now.Sub(s.reportedAt) < reportedFor {
@@ -135,16 +140,21 @@
 	defer t.mu.Unlock()
 	s := t.of(k)
 	began := time.Now()
-	reading := s.missing(r)
+	tokens := s.missing(r)
+	reading, alone := t.speeds[r.Target.Model].Time(tokens), s.reading == 0
 	s.inFlight[r.Target]++
 	s.requests[r.Target]++
 	s.total++
 	s.reading += reading
+	s.worked[r.Target] += reading
 	s.remember(r, began)
 	answered = sync.OnceFunc(func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		s.reading -= reading
+		if alone && r.Target.Model != "" {
+			t.speeds[r.Target.Model] = t.speeds[r.Target.Model].With(tokens, time.Since(began))
+		}
 		if plain {
 			s.answers += (time.Since(began) - s.answers) / 4
 		}
@@ -314,13 +324,14 @@
 	for k, s := range t.seen {
 		for target, n := range s.inFlight {
 			if n > 0 || s.requests[target] > 0 {
-				u.Uses = append(u.Uses, peers.Use{Instance: k, Target: target, Requests: s.requests[target], InFlight: n})
+				u.Uses = append(u.Uses, peers.Use{Instance: k, Target: target, Requests: s.requests[target], InFlight: n, Work: s.worked[target]})
 			}
 			if n == 0 {
 				delete(s.inFlight, target)
 			}
 		}
 		clear(s.requests)
+		clear(s.worked)
 		if s.newPause > 0 {
 			u.Pauses = append(u.Pauses, peers.Pause{Instance: k, Longest: s.newPause})
 			s.newPause = 0
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -11,14 +11,14 @@
 	// InFlight are the entry's own requests there, and Reported all requests that the instance last reported.
 	InFlight int
 	Reported int
-	// Reading are the prompt tokens of the entry's requests there that have not answered yet.
-	Reading int
-	// Missing are the tokens of this request's prompt that the instance has yet to read.
-	Missing int
-	// PauseTokens are the prompt tokens that a server reads without a break
-	// before a stream that runs beside pauses for too long; 0 if streams may pause.
-	PauseTokens int
-	// PauseRisk is the chance that a prompt of that length makes a stream there pause for too long, 0 if not known.
+	// Reading is the time to read the prompts of the entry's requests there that have not answered yet.
+	Reading time.Duration
+	// Missing is the time to read what the instance has not read of this request's prompt.
+	Missing time.Duration
+	// LongRead is the reading time without a break from which streams that run
+	// beside may pause for too long; 0 if streams may pause.
+	LongRead time.Duration
+	// PauseRisk is the chance that a long read makes a stream there pause for too long, 0 if not known.
 	PauseRisk float64
 	// Failing is the recent share of failed requests, 0 to 1.
 	Failing float64
@@ -27,8 +27,6 @@
 }
 
 const (
-	// readTokens is how many prompt tokens a model server reads in a millisecond.
-	readTokens = 38.0
 	// sharing is the cost in milliseconds of one more request that runs beside this one.
 	sharing = 1.0
 	// crossing is the cost in milliseconds of leaving the failure domain.
@@ -48,11 +46,11 @@
 // Cost returns the expected milliseconds until the request is served there, with penalties.
 func (c Candidate) Cost() float64 {
 	running := max(c.InFlight, c.Reported)
-	cost := float64(c.Missing+c.Reading)/readTokens + sharing*float64(running) + failing*c.Failing
+	cost := float64((c.Missing + c.Reading).Milliseconds()) + sharing*float64(running) + failing*c.Failing
 	if c.Slots > 0 && running >= c.Slots {
 		cost += queueing * float64(running-c.Slots+1)
 	}
-	if c.PauseTokens > 0 {
+	if c.LongRead > 0 {
 		cost += late * c.pauses(running)
 	}
 	if !c.Near {
@@ -63,7 +61,7 @@
 
 // pauses forecasts how many streams pause for too long if the request goes there: itself and those that run.
 func (c Candidate) pauses(running int) float64 {
-	if c.Missing+c.Reading > c.PauseTokens {
+	if c.Missing+c.Reading > c.LongRead {
 		return max(usualRisk, c.PauseRisk) * float64(1+running)
 	}
 	return exposure * c.PauseRisk
@@ -80,11 +78,11 @@
 // riskFrom is the share of the allowed pause from which a known pause counts as a risk; it is certain at the whole.
 const riskFrom = 0.9
 
-// PauseTokens returns how many prompt tokens a server may read without a break
+// LongRead returns the reading time without a break that a server may take
 // while streams may pause for a time: an event waits for several steps, each of
 // which reads a piece of the prompt.
-func PauseTokens(pause time.Duration) int {
-	return int(float64(pause.Milliseconds()) * readTokens * pauseShare)
+func LongRead(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * pauseShare)
 }
 
 // pauseShare is the part of a pause that is left for reading prompts beside the steps themselves.
--- a/internal/policy/choose/choose_test.go
+++ b/internal/policy/choose/choose_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/gomega"
 )
 
+const ms = time.Millisecond
+
 func TestBest(t *testing.T) {
 	cases := []struct {
 		name string
@@ -16,12 +18,12 @@
 		{"nobody", nil, ""},
 		{"own failure domain at equal load", []Candidate{{ID: "far", Slots: 8}, {ID: "near", Near: true, Slots: 8}}, "near"},
 		{"an idle one far away before a full one nearby", []Candidate{{ID: "near", Near: true, Slots: 8, Reported: 9}, {ID: "far", Slots: 8}}, "far"},
-		{"the one that has read the prompt's parts", []Candidate{{ID: "new", Near: true, Slots: 64, Missing: 9000}, {ID: "read", Slots: 64, Missing: 2800}}, "read"},
-		{"another if that one has much to read first", []Candidate{{ID: "read", Slots: 64, Missing: 2800, Reading: 30000}, {ID: "new", Slots: 64, Missing: 9000}}, "new"},
-		{"a long prompt not beside streams that it would hold up", []Candidate{{ID: "streams", Near: true, Slots: 64, Reported: 12, Missing: 9000, PauseTokens: 8000}, {ID: "calm", Slots: 64, Reported: 1, Missing: 9000, PauseTokens: 8000}}, "calm"},
-		{"a stream not beside a long prompt", []Candidate{{ID: "reads", Near: true, Slots: 64, Reported: 3, Missing: 300, Reading: 9000, PauseTokens: 8000}, {ID: "calm", Slots: 64, Reported: 12, Missing: 300, PauseTokens: 8000}}, "calm"},
-		{"a stream not where streams pause", []Candidate{{ID: "pauses", Near: true, Slots: 64, Missing: 300, PauseTokens: 8000, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 6, Missing: 300, PauseTokens: 8000}}, "calm"},
-		{"a long prompt not beside streams where they are known to pause, also if it must be read anew", []Candidate{{ID: "pauses", Near: true, Slots: 64, Reported: 2, Missing: 2800, Reading: 6000, PauseTokens: 8000, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 4, Missing: 9000, PauseTokens: 8000}}, "calm"},
+		{"the one that has read the prompt's parts", []Candidate{{ID: "new", Near: true, Slots: 64, Missing: 237 * ms}, {ID: "read", Slots: 64, Missing: 74 * ms}}, "read"},
+		{"another if that one has much to read first", []Candidate{{ID: "read", Slots: 64, Missing: 74 * ms, Reading: 789 * ms}, {ID: "new", Slots: 64, Missing: 237 * ms}}, "new"},
+		{"a long prompt not beside streams that it would hold up", []Candidate{{ID: "streams", Near: true, Slots: 64, Reported: 12, Missing: 237 * ms, LongRead: 220 * ms}, {ID: "calm", Slots: 64, Reported: 1, Missing: 237 * ms, LongRead: 220 * ms}}, "calm"},
+		{"a stream not beside a long prompt", []Candidate{{ID: "reads", Near: true, Slots: 64, Reported: 3, Missing: 8 * ms, Reading: 237 * ms, LongRead: 220 * ms}, {ID: "calm", Slots: 64, Reported: 12, Missing: 8 * ms, LongRead: 220 * ms}}, "calm"},
+		{"a stream not where streams pause", []Candidate{{ID: "pauses", Near: true, Slots: 64, Missing: 8 * ms, LongRead: 220 * ms, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 6, Missing: 8 * ms, LongRead: 220 * ms}}, "calm"},
+		{"a long prompt not beside streams where they are known to pause, also if it must be read anew", []Candidate{{ID: "pauses", Near: true, Slots: 64, Reported: 2, Missing: 74 * ms, Reading: 158 * ms, LongRead: 220 * ms, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 4, Missing: 237 * ms, LongRead: 220 * ms}}, "calm"},
 		{"not the one that fails", []Candidate{{ID: "grey", Near: true, Slots: 8, Failing: 0.5}, {ID: "sound", Slots: 8, InFlight: 3}}, "sound"},
 		{"not the slow one", []Candidate{{ID: "slow", Near: true, Slots: 8, Answers: 200 * time.Millisecond}, {ID: "quick", Slots: 8, Answers: 20 * time.Millisecond}}, "quick"},
 	}
--- /dev/null
+++ b/internal/policy/speed/doc.go
@@ -0,0 +1,3 @@
+// Package speed learns how fast servers read prompts of a model from the times
+// until answers begin.
+package speed
--- /dev/null
+++ b/internal/policy/speed/speed_test.go
@@ -0,0 +1,46 @@
+package speed
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestReadingFindsTheMedian plays models of three speeds; a fifth of the times
+// is shorter, as parts of the prompt were read before, and a quarter longer, as others were read at the same time.
+func TestReadingFindsTheMedian(t *testing.T) {
+	cases := []struct {
+		name  string
+		perMs float64
+	}{
+		{"large", 23}, {"usual", 30}, {"small", 85},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			rnd := rand.New(rand.NewPCG(5, 5))
+			var r Reading
+			for range 60 {
+				tokens := 2000 + rnd.IntN(12000)
+				took := float64(tokens) / c.perMs * (0.95 + 0.1*rnd.Float64())
+				switch x := rnd.Float64(); {
+				case x < 0.2:
+					took *= 0.4
+				case x < 0.45:
+					took *= 1 + rnd.Float64()
+				}
+				r = r.With(tokens, time.Duration(took*float64(time.Millisecond)))
+			}
+			got := 10000 / float64(r.Time(10000).Milliseconds())
+			g.Expect(got).To(BeNumerically("~", c.perMs, 0.15*c.perMs))
+		})
+	}
+}
+
+func TestShortPromptsTellNothing(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Reading{}.With(100, time.Second)).To(Equal(Reading{}))
+	g.Expect(Reading{}.With(5000, 0)).To(Equal(Reading{}))
+}
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -22,24 +21,34 @@
 	maxInFlight = 2
 )
 
-// perCopy is the rate of requests that one copy of a model bears before answers slow down noticeably.
-const perCopy = 3.0
-
-// pauses is the waiting in seconds that counts for each request at a server where streams pause for too long.
-const pauses = 0.3
+const (
+	// usualWork is the time for reading a prompt before it is known.
+	usualWork = 200 * time.Millisecond
+	// fullUse bounds the share of a server's time in use that its queue is computed for.
+	fullUse = 0.9
+	// adapterMiss is the waiting in seconds for an adapter that was pushed out.
+	adapterMiss = 0.05
+)
 
-// need returns how many copies a model's demand asks for.
-func (in *Input) need(model string) int {
-	d := in.Demand[model]
-	need := int(math.Ceil(d.Rate/perCopy - rounding))
-	if in.Engine.AdapterPlaces > 0 {
-		need = max(need, (d.Adapters+in.Engine.AdapterPlaces-1)/in.Engine.AdapterPlaces)
+// shared returns the seconds that the requests of a model wait over the horizon if a number of copies share them.
+func (in *Input) shared(d Demand, copies float64) float64 {
+	each := d.Each.Seconds()
+	if each == 0 {
+		each = usualWork.Seconds()
+	}
+	// The wait of a queue with random arrivals; what is beyond the copies' capacity is not served.
+	used := d.Rate * each / copies
+	queued := min(used, fullUse)
+	lost := max(0, 1-1/max(used, 1))
+	wait := (1-lost)*min(absent, each*queued/(1-queued)) + lost*absent
+	if d.Adapters > 0 {
+		wait += adapterMiss * max(0, 1-copies*float64(in.Engine.AdapterPlaces)/float64(d.Adapters))
 	}
-	return min(max(need, 1), len(in.Servers))
+	return d.Rate * horizon.Seconds() * wait
 }
 
-// rounding is the part of a copy's rate that is not worth a copy of its own.
-const rounding = 0.3
+// pauses is the waiting in seconds that counts for each request at a server where streams pause for too long.
+const pauses = 0.3
 
 // at weighs a load at one server: the wait of the wanted model against what the evicted ones lose.
 func (in *Input) at(s *Server, model *site.Model, w Want) (Action, float64, bool) {
@@ -55,10 +64,56 @@
 		return Action{}, 0, false
 	}
 	takes += wait
+	if source == FromStore {
+		harm += in.blocked(s, takes)
+	}
 	harm += pauses * s.Slow * in.Demand[model.Name].Rate * horizon.Seconds()
 	return Action{Server: s.ID, Evict: evict, Load: model.Name, Source: source, Takes: takes}, max(1, w.Weight)*takes.Seconds() + harm, true
 }
 
+// serving counts the servers that have a model, slow ones in part, and tells
+// when the first that is about to have it will; 0 if none is.
+func (in *Input) serving(model string) (copies float64, coming time.Duration) {
+	for i := range in.Servers {
+		s := &in.Servers[i]
+		switch {
+		case s.Awaited == model && (coming == 0 || s.FreeIn < coming):
+			coming = max(s.FreeIn, time.Millisecond)
+		case slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model }):
+			copies += s.worth()
+		}
+	}
+	return copies, coming
+}
+
+// blocked is the waiting for what a server cannot load while it is engaged for a
+// time: models that it alone has at hand, and adapters of models that it holds.
+func (in *Input) blocked(s *Server, d time.Duration) float64 {
+	sum := 0.0
+	for _, c := range s.Copies {
+		if asked := in.Demand[c.Model]; asked.Adapters > 0 {
+			sum += absent * adapterAsks * asked.Rate * d.Seconds() / max(1, in.copies(c.Model))
+		}
+	}
+	for i := range in.Engine.Models {
+		m := &in.Engine.Models[i]
+		if in.atHand(s, m.Name) && in.copies(m.Name) == 0 && !slices.ContainsFunc(in.Servers, func(o Server) bool {
+			return o.ID != s.ID && !o.Engaged && in.atHand(&o, m.Name)
+		}) {
+			sum += absent * in.Demand[m.Name].Rate * d.Seconds()
+		}
+	}
+	return sum
+}
+
+// adapterAsks is the share of requests for a model with adapters in use that ask for one that is not loaded.
+const adapterAsks = 0.1
+
+// atHand reports whether a server has a model's weights in memory or on disk.
+func (in *Input) atHand(s *Server, model string) bool {
+	return slices.Contains(s.InMemory, model) || slices.Contains(s.OnDisk, model)
+}
+
 // load returns where a server finds a model's weights, and the time that takes.
 func (in *Input) load(s *Server, model *site.Model) (Source, time.Duration) {
 	switch {
@@ -117,13 +172,12 @@
 func (in *Input) harm(s *Server, c Copy) float64 {
 	rate := in.Demand[c.Model].Rate
 	running := float64(c.InFlight) * drainTime.Seconds()
-	others := in.copies(c.Model) - s.worth()
-	need := float64(in.need(c.Model))
-	if others >= need {
-		return running
+	others, coming := in.serving(c.Model)
+	if others -= s.worth(); others > 0 {
+		return running + in.shared(in.Demand[c.Model], others) - in.shared(in.Demand[c.Model], others+s.worth())
 	}
-	if others > 0 {
-		return running + shareLost*rate*horizon.Seconds()*(need-others)/others
+	if coming > 0 {
+		return running + lastCopy + absent*rate*coming.Seconds()
 	}
 	model := in.Engine.Model(c.Model)
 	if model == nil {
@@ -138,8 +192,6 @@
 }
 
 const (
-	// shareLost is the waiting in seconds that a request of a model costs when one of two copies goes.
-	shareLost = 0.3
 	// lastCopy is the least harm of evicting a model's last copy, in seconds of waiting.
 	lastCopy = 0.3
 	// recency is the harm of evicting a last copy that was used this moment; it fades with its idle time.
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -24,6 +24,8 @@
 	Copies []Copy
 	// Engaged servers carry out an order, or their state is not known; they get none.
 	Engaged bool
+	// FreeIn is the forecast for when an engaged server can take an action, negative if not known.
+	FreeIn time.Duration
 	// Awaited is the model that an engaged server is about to have.
 	Awaited  string
 	OnDisk   []string
@@ -59,6 +61,8 @@
 type Demand struct {
 	// Rate is requests a second.
 	Rate float64
+	// Each is the time that a server takes to read the prompt of one of them, 0 if not known.
+	Each time.Duration
 	// Adapters is the number of its adapters in use.
 	Adapters int
 }
@@ -72,6 +76,8 @@
 	Source Source
 	// Takes is the forecast until the model serves.
 	Takes time.Duration
+	// Later marks a forecast: the server is engaged, and is to be decided on again once it is free.
+	Later bool
 }
 
 // Source is where a server finds weights.
@@ -86,7 +92,8 @@
 
 // Decide returns at most one action for each server and each model: wanted
 // models and copies of busy ones from servers' own memory or disk, then loads from the
-// weight store in the order of what they gain, then models that no server has.
+// weight store in the order of what they gain, then models that no server has. A model is
+// not loaded from the store if an engaged server that has its weights will have it sooner.
 func Decide(in Input) []Action {
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
@@ -142,29 +149,58 @@
 	if d.chosen[g.want.Model] || !g.more && d.awaited(g.want.Model) {
 		return
 	}
-	if best, cost, ok := d.best(g.want, slowest); ok && cost < g.limit {
+	best, cost, ok := d.best(g.want, slowest)
+	if slowest == FromStore && !g.more {
+		if later, sooner := d.later(g.want.Model); sooner && (!ok || later.Takes < best.Takes) {
+			d.chosen[later.Load] = true
+			d.actions = append(d.actions, later)
+			return
+		}
+	}
+	if ok && cost < g.limit {
 		d.take(best)
 	}
 }
 
+// later returns what an engaged server with a model's weights at hand can do once it is free.
+func (d *decision) later(name string) (best Action, ok bool) {
+	model := d.Engine.Model(name)
+	if model == nil {
+		return Action{}, false
+	}
+	for i := range d.Servers {
+		s := &d.Servers[i]
+		if !s.Engaged || s.FreeIn < 0 {
+			continue
+		}
+		if source, takes := d.load(s, model); source > FromStore && (!ok || s.FreeIn+takes < best.Takes) {
+			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: s.FreeIn + takes, Later: true}, true
+		}
+	}
+	return best, ok
+}
+
 // fetches orders what is worth a load from the weight store by the requests that
 // it saves: all of a wanted model that nobody has, and those that copies of busy ones spare waiting.
 func (d *decision) fetches(shorts []goal) []goal {
 	out := slices.Clone(shorts)
 	for _, w := range d.Wants {
-		out = append(out, goal{want: w, limit: math.Inf(1), saves: max(w.Weight, d.Demand[w.Model].Rate*horizon.Seconds())})
+		out = append(out, goal{want: w, limit: math.Inf(1), saves: absent * max(w.Weight, d.Demand[w.Model].Rate*horizon.Seconds())})
 	}
 	slices.SortStableFunc(out, func(a, b goal) int { return cmp.Compare(b.saves, a.saves) })
 	return out
 }
 
-// shorts are the models whose demand is more than their copies bear, the most urgent first.
+// shorts are the models that one more copy spares waiting, the most urgent first.
 func (d *decision) shorts() []goal {
 	var list []goal
 	for model, asked := range d.Demand {
 		have := d.copies(model)
-		if need := float64(d.need(model)); have > 0 && have < need && d.Engine.Model(model) != nil {
-			gain := growth * asked.Rate * horizon.Seconds() * (need - have) / have
+		if have <= 0 || have >= float64(len(d.Servers)) || d.Engine.Model(model) == nil {
+			continue
+		}
+		gain := d.shared(asked, have) - d.shared(asked, have+1) + pauses*d.slowest(model)*asked.Rate*horizon.Seconds()
+		if gain > leastGain {
 			list = append(list, goal{want: Want{Model: model}, limit: gain, saves: gain, more: true})
 		}
 	}
@@ -174,6 +210,9 @@
 	return list
 }
 
+// absent is the waiting in seconds that counts for a request that is not served: longer waits are given up.
+const absent = 3.0
+
 // awaited reports whether a server is about to have a model.
 func (d *decision) awaited(model string) bool {
 	return slices.ContainsFunc(d.Servers, func(s Server) bool { return s.Awaited == model })
@@ -207,21 +246,38 @@
 	}
 }
 
-// growth is the waiting in seconds that a missing copy costs each request.
-const growth = 0.3
+// leastGain is the waiting in seconds from which one more copy of a model is looked for.
+const leastGain = 1.0
 
 // copies counts the servers that have a model or are about to; slow ones count in part.
 func (in *Input) copies(model string) float64 {
 	n := 0.0
 	for i := range in.Servers {
 		s := &in.Servers[i]
-		if s.Awaited == model || slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model }) {
+		if s.has(model) {
 			n += s.worth()
 		}
 	}
 	return n
 }
 
+// slowest returns how slow the best of a model's copies is.
+func (in *Input) slowest(model string) float64 {
+	least := 1.0
+	for i := range in.Servers {
+		s := &in.Servers[i]
+		if s.has(model) {
+			least = min(least, s.Slow)
+		}
+	}
+	return least
+}
+
+// has reports whether a server has a model or is about to.
+func (s *Server) has(model string) bool {
+	return s.Awaited == model || slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model })
+}
+
 // worth is what a copy there counts for.
 func (s *Server) worth() float64 {
 	return 1 - slowLoss*s.Slow
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -54,6 +54,29 @@
 			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4,
 			Servers: []Server{{ID: "a", Engaged: true, Awaited: "m5"}, {ID: "b", OnDisk: []string{"m5"}}},
 		}, nil},
+		{"a copy that serves does not make way for one that is still being loaded", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, Demand: map[string]Demand{"m0": {Rate: 3}, "m1": {Rate: 0.5}},
+			Servers: []Server{
+				{ID: "a", Copies: []Copy{held("m0", 0), held("m1", 0), held("m2", 0)}, OnDisk: []string{"m5", "m2"}},
+				{ID: "b", Engaged: true, Awaited: "m0", FreeIn: 4 * time.Second},
+			},
+		}, []Action{{Server: "a", Evict: []string{"m2"}, Load: "m5", Source: FromDisk, Takes: 890 * time.Millisecond}}},
+		{"a long load not where adapters are asked for", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 1, Demand: map[string]Demand{"m0": {Rate: 1, Adapters: 6}, "m1": {Rate: 1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}}, {ID: "b", Copies: []Copy{held("m1", 0)}}},
+		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}}},
+		{"no load from the store if a server with the weights is free sooner", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4,
+			Servers: []Server{{ID: "a", Engaged: true, Awaited: "m1", FreeIn: 600 * time.Millisecond, OnDisk: []string{"m5"}}, {ID: "b"}},
+		}, []Action{{Server: "a", Load: "m5", Source: FromDisk, Takes: 1440 * time.Millisecond, Later: true}}},
+		{"but if nobody knows when it will be free", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4,
+			Servers: []Server{{ID: "a", Engaged: true, FreeIn: -1, OnDisk: []string{"m5"}}, {ID: "b"}},
+		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}}},
+		{"a load from the store not at the server that alone has another wanted model", Input{
+			Wants: []Want{{Model: "m5", Weight: 2}}, StoreLoads: 1, Demand: map[string]Demand{"m4": {Rate: 0.5}},
+			Servers: []Server{{ID: "a", OnDisk: []string{"m4"}}, {ID: "b", Copies: []Copy{held("m1", 0)}, OnDisk: []string{"m1"}}},
+		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}, {Server: "a", Load: "m4", Source: FromDisk, Takes: 840 * time.Millisecond}}},
 		{"no load from the store beyond its rate", Input{
 			Wants: []Want{{Model: "m5", Weight: 1}}, Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}}},
 		}, nil},
@@ -117,7 +140,7 @@
 		g := NewWithT(rt)
 		in := Input{Engine: engine, Demand: map[string]Demand{}, StoreLoads: rapid.IntRange(0, 4).Draw(rt, "loads")}
 		for i := range rapid.IntRange(1, 6).Draw(rt, "servers") {
-			s := Server{ID: fmt.Sprintf("s%d", i), Engaged: rapid.Bool().Draw(rt, "engaged")}
+			s := Server{ID: fmt.Sprintf("s%d", i), Engaged: rapid.Bool().Draw(rt, "engaged"), FreeIn: time.Duration(rapid.IntRange(-1, 5).Draw(rt, "free")) * time.Second}
 			for _, m := range rapid.SliceOfNDistinct(rapid.IntRange(0, 11), 0, 3, rapid.ID[int]).Draw(rt, "held") {
 				s.Copies = append(s.Copies, Copy{Model: name(m), InFlight: rapid.IntRange(0, 5).Draw(rt, "flight"), Age: time.Minute})
 			}
@@ -135,6 +158,9 @@
 		seen := map[string]bool{}
 		store := 0
 		for _, a := range Decide(in) {
+			if a.Later {
+				continue
+			}
 			g.Expect(seen[a.Server]).To(BeFalse(), "one action a server")
 			seen[a.Server] = true
 			i := slices.IndexFunc(in.Servers, func(s Server) bool { return s.ID == a.Server })
@@ -228,6 +254,9 @@
 
 func (f *fleet) carryOut(list []Action, now time.Duration) {
 	for _, a := range list {
+		if a.Later {
+			continue
+		}
 		i := slices.IndexFunc(f.servers, func(s Server) bool { return s.ID == a.Server })
 		s := &f.servers[i]
 		s.Copies = slices.DeleteFunc(s.Copies, func(c Copy) bool { return slices.Contains(a.Evict, c.Model) })
