--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -61,18 +61,23 @@
 
 // start starts a front that knows seeds, and returns it with the function that ends it.
 func (r *rig) start(name string, seeds ...string) (*Front, func()) {
+	return r.startWith(conf.Front{
+		Node: conf.Node{Name: name, Domain: "a"}, Listen: conf.FrontListen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3"},
+		ChecksFence: true, Seeds: seeds, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58},
+		Bounds: conf.Bounds{
+			Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second,
+			Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second,
+		},
+	})
+}
+
+// startWith starts a front by its settings.
+func (r *rig) startWith(set conf.Front) (*Front, func()) {
 	transport := &http.Transport{DialContext: r.dial}
 	meters := metrics.NewSet()
 	f, closeFront := New(Options{
-		Settings: conf.Front{
-			Node: conf.Node{Name: name, Domain: "a"}, Listen: conf.FrontListen{Peers: name + ":3"}, ChecksFence: true, Seeds: seeds,
-			Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58},
-			Bounds: conf.Bounds{
-				Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second,
-				Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second,
-			},
-		},
-		Store: platform.NewStore("store:1", transport, 2*time.Second, meters), Dialect: platform.Dialect{},
+		Settings: set,
+		Store:    platform.NewStore("store:1", transport, 2*time.Second, meters), Dialect: platform.Dialect{},
 		Layout: follow.Layout{
 			DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix},
@@ -80,7 +85,7 @@
 		Dial: r.net.Dial, DialPeers: r.net.Dial, ReadyPath: platform.ReadyPath, Meters: meters, Log: zap.NewNop(),
 	})
 	parts, closeTree := tree.New(r.ctx, zap.NewNop())
-	f.Start(parts, Listeners{Callers: r.net.Listen(name + ":1"), Ready: r.net.Listen(name + ":2"), Peers: r.net.Listen(name + ":3")})
+	f.Start(parts, Listeners{Callers: r.net.Listen(set.Listen.Callers), Ready: r.net.Listen(set.Listen.Ready), Peers: r.net.Listen(set.Listen.Peers)})
 	return f, func() {
 		closeFront()
 		closeTree()
--- a/internal/node/front/ready.go
+++ b/internal/node/front/ready.go
@@ -53,7 +53,7 @@
 	f.lead.Leave(ctx)
 	f.callers.closeAfterAnswers()
 	pause.For(ctx, min(noticeTime, time.Until(end)/2))
-	if err := f.callers.shutdown(ctx); err != nil {
+	if err := f.callers.finish(ctx); err != nil {
 		f.log.Warnw("requests were cut off", "Error", err.Error())
 	}
 }
