front/orders: planning costs one look for all waiters; loads of the planner before are taken over

Deciding looked through all servers for each model at each server. A new planner, before it may evict, loaded from the weight store (13 s) what a server had on its disk. It did not know of loads under way and ordered them again. Models that one server alone had on disk were cut off by a long load there. Changes: waiters are answered by the planner's look, at most every 5 ms and for a quarter of its time; decisions use an index gathered once; weak machines leave the planner's key to others for up to 0.8 s; a new planner loads from the store only what nobody has at hand; boards name loads under way; long loads go where no model is cut off; models that are being evicted do not count as copies.

--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -54,4 +54,6 @@
 	Retry       RetryBudget
 	Bounds      Bounds
 	MemoryBytes int64
+	// Processor is the part of a core that the machine has, 0 if not known.
+	Processor float64
 }
--- a/internal/front/orders/board.go
+++ b/internal/front/orders/board.go
@@ -64,7 +64,7 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	return peers.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now)}
+	return peers.Board{StoreLoads: p.pace.AtOnce(), Loads: p.busiestServers(now), Pending: p.pending(now)}
 }
 
 // busiestServers returns the load of the servers with most requests; the caller holds the lock.
@@ -85,6 +85,17 @@
 	return p.board
 }
 
+// pending returns the loads under way; the caller holds the lock.
+func (p *Planner) pending(now time.Time) []peers.Pending {
+	var out []peers.Pending
+	for k, s := range p.servers {
+		if s.awaited != "" {
+			out = append(out, peers.Pending{Instance: k, Model: s.awaited, In: s.readyAt.Sub(now)})
+		}
+	}
+	return out
+}
+
 // boardAge is how long a board serves all fronts that ask.
 const boardAge = 200 * time.Millisecond
 
@@ -95,6 +106,27 @@
 	if p.pace.AtOnce() != b.StoreLoads && b.StoreLoads > 0 {
 		p.pace = pace.Known(b.StoreLoads)
 	}
+	now := time.Now()
+	p.inherited = map[site.Key]inherited{}
+	for _, x := range b.Pending {
+		p.inherited[x.Instance] = inherited{model: x.Model, readyAt: now.Add(x.In)}
+	}
+}
+
+// inherited is a load that another planner has ordered.
+type inherited struct {
+	model   string
+	readyAt time.Time
+}
+
+// inherit takes over the load that a busy server is known to carry out for the planner before; the caller holds the lock.
+func (p *Planner) inherit(s *server) {
+	x, ok := p.inherited[s.inst.Key]
+	if !ok || !s.busy || s.awaited != "" || s.models[x.model] != nil {
+		return
+	}
+	s.awaited, s.readyAt = x.model, x.readyAt
+	p.log.Infow("load taken over", "Instance", s.inst.ID, "Model", x.model, "Fence", p.fence)
 }
 
 // inUse returns the requests in flight at a server for a target, by the fronts' last usage reports.
--- a/internal/front/orders/carry.go
+++ b/internal/front/orders/carry.go
@@ -64,8 +64,8 @@
 	ctx, cancel := context.WithTimeout(ctx, takes+reportLag)
 	defer cancel()
 	for {
-		next := p.next()
 		p.mu.Lock()
+		next := s.changed
 		ok, gone := s.models[model] != nil, p.servers[s.inst.Key] != s
 		p.mu.Unlock()
 		if ok || gone {
@@ -83,7 +83,7 @@
 func (p *Planner) release(s *server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s.engaged, s.awaited = false, ""
+	s.engaged, s.awaited, s.evicting = false, "", nil
 	p.wake()
 }
 
--- a/internal/front/orders/churn_test.go
+++ b/internal/front/orders/churn_test.go
@@ -15,6 +15,7 @@
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/peers"
 )
 
 // way is the time from the planner's word to the arrival of the request at the server.
@@ -125,3 +126,56 @@
 		y.g.Expect(y.book.Broken()).To(BeEmpty())
 	})
 }
+
+// TestSuccessorTakesOverLoadsUnderWay ends the planner while a model is being
+// loaded: the next one waits for that load instead of ordering another.
+func TestSuccessorTakesOverLoadsUnderWay(t *testing.T) {
+	open(t, 2, 2, 8, func(y *yard) {
+		time.Sleep(5 * time.Second)
+		first := y.planner()
+		for _, s := range y.servers {
+			s.SetLoadTime(12 * time.Second)
+		}
+		var group conc.WaitGroup
+		group.Go(func() {
+			_, err := first.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m7"}, Wait: time.Second, Answer: time.Second})
+			y.g.Expect(err).NotTo(HaveOccurred())
+		})
+		group.Wait()
+		var next *planning
+		for _, p := range y.fronts {
+			if p != first {
+				next = p
+			}
+		}
+		board := first.planner.Use(peers.Uses{Front: "front-next"})
+		y.g.Expect(board.Pending).To(HaveLen(1))
+		next.planner.Learn(board)
+		first.cancel()
+		before := len(y.book.Orders())
+		time.Sleep(4 * time.Second)
+		y.g.Expect(next.planner.leads()).To(BeTrue())
+		found, err := next.planner.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m7"}, Wait: 12 * time.Second, Answer: 12 * time.Second})
+		y.g.Expect(err).NotTo(HaveOccurred())
+		y.g.Expect(found.Instances).To(HaveLen(1), found.Reason)
+		y.g.Expect(y.book.Orders()[before:]).To(BeEmpty())
+	})
+}
+
+func TestDeference(t *testing.T) {
+	cases := []struct {
+		name      string
+		processor float64
+		want      time.Duration
+	}{
+		{"not known", 0, 0},
+		{"strong", 0.8, 0},
+		{"as strong as it takes", 0.3, 0},
+		{"half of that", 0.15, 400 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(deference(c.processor)).To(BeNumerically("~", c.want, time.Millisecond))
+		})
+	}
+}
--- a/internal/front/orders/lead.go
+++ b/internal/front/orders/lead.go
@@ -37,11 +37,13 @@
 
 // Lead registers a front in the store and claims the planner's key when nobody holds it.
 type Lead struct {
-	Self    follow.Front
-	store   Leases
-	state   func() *follow.State
-	ttl     time.Duration
-	boot    func() time.Duration
+	Self  follow.Front
+	store Leases
+	state func() *follow.State
+	ttl   time.Duration
+	boot  func() time.Duration
+	// defers is how long this front leaves the planner's key to stronger machines.
+	defers  time.Duration
 	log     *zap.SugaredLogger
 	mu      sync.Mutex
 	lease   int64
@@ -53,13 +55,40 @@
 	failing bool
 }
 
-// NewLead returns the lead of a front; shortest is the shortest lease that the
-// store grants, and boot a clock that counts the time in which the machine was suspended.
-func NewLead(name, address string, s Leases, state func() *follow.State, shortest time.Duration, boot func() time.Duration, log *zap.SugaredLogger) *Lead {
+// Place is what a lead needs to know of its front's machine and store.
+type Place struct {
+	Name    string
+	Address string
+	// MinLease is the shortest lease that the store grants.
+	MinLease time.Duration
+	// Processor is the part of a core that the machine has, 0 if not known.
+	Processor float64
+	// Boot is a clock that counts the time in which the machine was suspended.
+	Boot func() time.Duration
+}
+
+// NewLead returns the lead of a front.
+func NewLead(p Place, s Leases, state func() *follow.State, log *zap.SugaredLogger) *Lead {
 	return &Lead{
-		Self: follow.Front{Name: name, Address: address, Run: uuid.NewString()}, store: s, state: state,
-		ttl: max(leaseTime, shortest), boot: boot, log: log,
+		Self: follow.Front{Name: p.Name, Address: p.Address, Run: uuid.NewString()}, store: s, state: state,
+		ttl: max(leaseTime, p.MinLease), boot: p.Boot, defers: deference(p.Processor), log: log,
+	}
+}
+
+const (
+	// strong is the part of a core on which a planner of some dozen fronts and
+	// servers is not short of time (docs/CAPACITY.md).
+	strong = 0.3
+	// mostDeference is what a machine without any processor time would wait before it claims.
+	mostDeference = 800 * time.Millisecond
+)
+
+// deference returns how long a front with a part of a core leaves the planner's key to stronger ones.
+func deference(processor float64) time.Duration {
+	if processor <= 0 || processor >= strong {
+		return 0
 	}
+	return time.Duration((1 - processor/strong) * float64(mostDeference))
 }
 
 // Run keeps the registration and the claim until the context ends.
@@ -79,7 +108,7 @@
 	due := time.Now().Add(l.ttl / renewals)
 	for ctx.Err() == nil && time.Now().Before(due) {
 		s := l.state()
-		if s.Planner == nil && l.registered() && pause.For(ctx, rand.N(claimSpread)) {
+		if s.Planner == nil && l.registered() && pause.For(ctx, l.defers+rand.N(claimSpread)) {
 			l.claim(ctx)
 		}
 		timer := time.NewTimer(time.Until(due))
--- /dev/null
+++ b/internal/front/orders/main_test.go
@@ -0,0 +1,9 @@
+package orders
+
+import (
+	"testing"
+
+	"foxtailcroft/test/draws"
+)
+
+func TestMain(m *testing.M) { draws.Main(m, 100) }
--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -25,6 +25,11 @@
 	reportGap = 5 * time.Millisecond
 	// boardSize bounds the servers on a board: the busiest ones, which others are to avoid.
 	boardSize = 64
+	// stepGap is the least time between two looks, in which changes gather.
+	stepGap = 5 * time.Millisecond
+	// restShare is how many times as long as a look takes the planner rests
+	// after it, so that planning leaves the processor to requests.
+	restShare = 3
 	// stepEvery bounds the time between two looks at what is wanted.
 	stepEvery = 100 * time.Millisecond
 	// useFor is how long a usage report is valid.
@@ -58,6 +63,8 @@
 	servers map[site.Key]*server
 	wants   map[site.Adapter]*wanted
 	placing map[site.Adapter]bool
+	// inherited are the loads that were under way when another planner was last heard of.
+	inherited map[site.Key]inherited
 	// expected is when models will be served that a server loads once it is free.
 	expected map[string]time.Time
 	uses     map[string]usage
@@ -66,7 +73,6 @@
 	pace     pace.Loads
 	board    []peers.Load
 	boardAt  time.Time
-	changed  chan struct{}
 	kick     chan struct{}
 	orders   *metrics.Counter
 	cold     *metrics.Counter
@@ -84,7 +90,7 @@
 	p := &Planner{
 		set: set, lead: lead, state: state, wire: &wire{pool: pool, dialect: d}, log: log, group: group,
 		servers: map[site.Key]*server{}, wants: map[site.Adapter]*wanted{}, placing: map[site.Adapter]bool{}, expected: map[string]time.Time{},
-		uses: map[string]usage{}, demand: newDemand(), changed: make(chan struct{}), kick: make(chan struct{}, 1),
+		uses: map[string]usage{}, demand: newDemand(), kick: make(chan struct{}, 1),
 		orders: meters.GetOrCreateCounter("foxtailcroft_orders_total"), cold: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"),
 	}
 	return p, group.Close
@@ -102,10 +108,15 @@
 		case <-p.state().Next():
 		case <-timer.C:
 		}
-		if p.leads() {
-			p.refresh(ctx)
-			p.step(ctx)
+		if !p.leads() {
+			p.dismiss()
+			continue
 		}
+		began := time.Now()
+		p.refresh(ctx)
+		p.step(ctx)
+		p.answer()
+		pause.For(ctx, max(stepGap, time.Since(began)*restShare))
 	}
 }
 
@@ -166,9 +177,10 @@
 		}
 		s.inst = in
 	}
-	for key := range p.servers {
+	for key, s := range p.servers {
 		if !seen[key] {
 			delete(p.servers, key)
+			s.renew()
 		}
 	}
 }
@@ -180,6 +192,8 @@
 	}
 	s.models[s.awaited] = keptOr(nil, time.Now())
 	s.busy = false
+	s.settled()
+	s.renew()
 	p.wake()
 }
 
@@ -220,6 +234,7 @@
 	s.lost = false
 	first := !s.known
 	if s.take(r, time.Now()) && first {
+		p.inherit(s)
 		p.log.Infow("server known", "Instance", s.inst.ID, "Born", s.inst.Born, "Sequence", r.Sequence, "Models", r.Models, "Adapters", len(r.Adapters), "OnDisk", r.OnDisk, "InMemory", r.InMemory)
 	}
 	p.wake()
@@ -234,14 +249,9 @@
 	}
 }
 
-// wake notifies waiters of a changed belief; the caller holds the lock.
+// wake makes the planner look again after a change of belief.
 func (p *Planner) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-	select {
-	case p.kick <- struct{}{}:
-	default:
-	}
+	p.kickNow()
 }
 
 // touch notes the use of a model and of its adapter.
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -163,7 +163,10 @@
 	name, log := fmt.Sprintf("front-%d", i), zap.NewNop().Sugar()
 	layout := follow.Layout{DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix, Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix}}
 	p.follower = follow.New(name, p.cut, platform.Dialect{}, layout, follow.Times{Returning: 2 * time.Second, Gather: 600 * time.Millisecond}, log)
-	p.lead = NewLead(name, name+":1", p.cut, p.follower.State, time.Second, func() time.Duration { return time.Since(began) + time.Duration(p.frozen.Load()) }, log)
+	p.lead = NewLead(Place{
+		Name: name, Address: name + ":1", MinLease: time.Second,
+		Boot: func() time.Duration { return time.Since(began) + time.Duration(p.frozen.Load()) },
+	}, p.cut, p.follower.State, log)
 	pool, closePool := conns.New(y.net.Dial, metrics.NewSet())
 	var closePlanner func()
 	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: y.checksFence, LoadWindow: 5 * time.Second, TurnGap: turnGap}, p.lead, p.follower.State, pool, platform.Dialect{}, metrics.NewSet(), log)
--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -14,6 +14,8 @@
 	inst site.Instance
 	// turn holds a token while an order is given, so that orders go out one at a time.
 	turn chan struct{}
+	// changed is closed when what it holds may have changed.
+	changed chan struct{}
 	// known is false until a report was read.
 	known    bool
 	sequence int64
@@ -31,6 +33,8 @@
 	awaited string
 	readyAt time.Time
 	engaged bool
+	// evicting are the models that the running job unloads.
+	evicting []string
 	// lost is set while the server does not take connections.
 	lost bool
 	// asked is when its report was last asked for.
@@ -53,7 +57,7 @@
 }
 
 func newServer(in site.Instance) *server {
-	return &server{inst: in, turn: make(chan struct{}, 1), models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
+	return &server{inst: in, turn: make(chan struct{}, 1), changed: make(chan struct{}), models: map[string]*held{}, adapters: map[site.Adapter]*held{}}
 }
 
 // take updates the belief by a report unless it is older than the orders that
@@ -82,9 +86,24 @@
 	s.known, s.sequence, s.busy, s.uncertain, s.resync = true, r.Sequence, busy, false, false
 	s.running, s.reported = r.Running+r.Waiting, now
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
+	s.settled()
+	s.renew()
 	return true
 }
 
+// renew notifies those who wait for a change.
+func (s *server) renew() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// settled forgets a load of another planner that has ended; own loads end with their engagement.
+func (s *server) settled() {
+	if !s.busy && !s.engaged {
+		s.awaited = ""
+	}
+}
+
 // replaced reports whether a report comes from another start than the one that is meant.
 func (s *server) replaced(r site.Report) bool {
 	return r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born
@@ -151,7 +170,7 @@
 
 // freeIn forecasts when an engaged server takes orders again; negative if its state is not known.
 func (s *server) freeIn(now time.Time) time.Duration {
-	if !s.known || s.lost || s.uncertain || s.inst.Leaving || !s.engaged {
+	if !s.known || s.lost || s.uncertain || s.inst.Leaving || !s.engaged && s.awaited == "" {
 		return -1
 	}
 	return max(s.readyAt.Sub(now), overrun)
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -16,7 +16,8 @@
 // lingeringWeight ranks a model that was asked for and refused, against the number of requests that wait for others.
 const lingeringWeight = 0.5
 
-// settling is how long a new planner evicts nothing, until the fronts have reported their demand.
+// settling is how long a new planner evicts nothing and loads nothing from the
+// weight store, until it knows the servers and the fronts have reported their demand.
 const settling = 1200 * time.Millisecond
 
 // step starts what the wants need.
@@ -32,7 +33,7 @@
 	for _, target := range p.eldest(now) {
 		w := p.wants[target]
 		if len(p.holders(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(w.waiting))})
+			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(len(w.waiters)))})
 			continue
 		}
 		if target.Name != "" {
@@ -46,7 +47,7 @@
 
 // eldest returns what is wanted, what waits longest first, without wants that have ended.
 func (p *Planner) eldest(now time.Time) []site.Adapter {
-	maps.DeleteFunc(p.wants, func(_ site.Adapter, w *wanted) bool { return w.waiting == 0 && now.After(w.until) })
+	maps.DeleteFunc(p.wants, func(_ site.Adapter, w *wanted) bool { return len(w.waiters) == 0 && now.After(w.until) })
 	return slices.SortedFunc(maps.Keys(p.wants), func(a, b site.Adapter) int {
 		return cmp.Or(p.wants[a].since.Compare(p.wants[b].since), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
 	})
@@ -72,7 +73,7 @@
 			continue
 		}
 		s := p.byID(a.Server)
-		s.engaged, s.awaited, s.readyAt = true, a.Load, now.Add(a.Takes)
+		s.engaged, s.awaited, s.evicting, s.readyAt = true, a.Load, a.Evict, now.Add(a.Takes)
 		if a.Source == swap.FromStore {
 			p.loads = append(p.loads, now)
 			p.cold.Inc()
@@ -98,9 +99,14 @@
 
 // viewed returns a server as the policy sees it.
 func (p *Planner) viewed(s *server, now time.Time) swap.Server {
-	v := swap.Server{ID: s.inst.ID, Engaged: !s.free(), FreeIn: s.freeIn(now), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory,
-		Slow: choose.Risk(s.pauses.Value(now), p.longestPause(s.inst.Service))}
+	v := swap.Server{
+		ID: s.inst.ID, Engaged: !s.free(), FreeIn: s.freeIn(now), Awaited: s.awaited, OnDisk: s.onDisk, InMemory: s.inMemory,
+		Slow: choose.Risk(s.pauses.Value(now), p.longestPause(s.inst.Service)),
+	}
 	for _, name := range s.modelNames() {
+		if slices.Contains(s.evicting, name) {
+			continue
+		}
 		h := s.models[name]
 		v.Copies = append(v.Copies, swap.Copy{
 			Model: name, InFlight: p.inUse(s.inst.Key, site.Adapter{Model: name}), Age: now.Sub(h.since), Idle: now.Sub(h.lastUse),
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -94,6 +94,15 @@
 	Loads []Load
 	// StoreLoads is how many loads from the weight store run at full speed side by side.
 	StoreLoads int
+	// Pending are the loads of models under way.
+	Pending []Pending
+}
+
+// Pending is a model that an instance is loading, and the forecast for its end.
+type Pending struct {
+	Instance site.Key
+	Model    string
+	In       time.Duration
 }
 
 // Planner gives orders to instances; every front has one, which acts only while it holds the lease.
--- /dev/null
+++ b/internal/policy/swap/bench_test.go
@@ -0,0 +1,48 @@
+package swap
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+)
+
+// BenchmarkDecide takes one decision in a fleet where a third of the demand is
+// short of copies and a tenth of the models is waited for.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ servers, models int }{{12, 39}, {43, 133}, {1000, 1300}} {
+		b.Run(fmt.Sprintf("servers=%d", size.servers), func(b *testing.B) {
+			in := drawn(size.servers, size.models)
+			for b.Loop() {
+				Decide(in)
+			}
+		})
+	}
+}
+
+func drawn(servers, models int) Input {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	e := &site.Engine{Slots: 64, WeightsMB: 220000, AdapterPlaces: 8, LoadsPerSecond: 9}
+	for i := range models {
+		e.Models = append(e.Models, site.Model{Name: fmt.Sprintf("m%d", i), SizeMB: 72700, Adapters: 20, AdapterMB: 66, FromStore: 13 * time.Second, FromDisk: 840 * time.Millisecond, FromMemory: 400 * time.Millisecond})
+	}
+	in := Input{Engine: e, StoreLoads: 1, AtOnce: 1, Demand: map[string]Demand{}}
+	name := func() string { return e.Models[rnd.IntN(models)].Name }
+	for i := range servers {
+		s := Server{ID: fmt.Sprintf("s%d", i), Engaged: rnd.IntN(5) == 0}
+		for range 3 {
+			s.Copies = append(s.Copies, Copy{Model: name(), Age: time.Minute, InFlight: rnd.IntN(4)})
+		}
+		for range 8 {
+			s.OnDisk = append(s.OnDisk, name())
+		}
+		in.Servers = append(in.Servers, s)
+	}
+	for range models / 10 {
+		in.Wants = append(in.Wants, Want{Model: name(), Weight: 1})
+		in.Demand[name()] = Demand{Rate: 20 * rnd.Float64(), Each: 150 * time.Millisecond, Adapters: rnd.IntN(10)}
+	}
+	return in
+}
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -48,7 +48,8 @@
 	Wants   []Want
 	// Demand is what is asked of each model.
 	Demand map[string]Demand
-	// Keep forbids evictions.
+	// Keep forbids evictions, and loads from the weight store of what a server
+	// has at hand or may have, while too little is known.
 	Keep bool
 	// StoreLoads is the number of loads from the weight store that may begin now, and Loading those that run.
 	StoreLoads int
@@ -98,7 +99,7 @@
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
 	})
-	d := &decision{Input: in, used: map[string]bool{}, chosen: map[string]bool{}}
+	d := newDecision(in)
 	for _, w := range d.Wants {
 		d.try(goal{want: w, limit: math.Inf(1)}, FromDisk)
 	}
@@ -113,109 +114,90 @@
 	return d.actions
 }
 
-// goal is a copy that is to be had.
-type goal struct {
-	want Want
-	// limit is the waiting in seconds that the copy may cost others.
-	limit float64
-	// saves ranks goals that compete for the weight store.
-	saves float64
-	// more is set if the model has copies already.
-	more bool
-}
-
 // decision is a decision in the making.
 type decision struct {
 	Input
+	index
 	// used are the servers that have an action, and chosen the models.
 	used    map[string]bool
 	chosen  map[string]bool
 	actions []Action
 }
 
+func newDecision(in Input) *decision {
+	return &decision{Input: in, index: newIndex(&in), used: map[string]bool{}, chosen: map[string]bool{}}
+}
+
 // take adds an action.
-func (d *decision) take(a Action) {
+func (d *decision) take(s *Server, a Action) {
 	d.used[a.Server], d.chosen[a.Load] = true, true
 	if a.Source == FromStore {
 		d.StoreLoads--
 		d.Loading++
 	}
+	for _, m := range a.Evict {
+		d.of(m).serving -= s.worth()
+	}
 	d.actions = append(d.actions, a)
 }
 
 // try takes the cheapest way to a goal if it costs less than its limit; the
 // weights come from a source at least as fast as the slowest one allowed.
 func (d *decision) try(g goal, slowest Source) {
-	if d.chosen[g.want.Model] || !g.more && d.awaited(g.want.Model) {
+	if d.chosen[g.want.Model] || !g.more && d.of(g.want.Model).coming > 0 {
+		return
+	}
+	if d.Keep && slowest == FromStore && (d.unknown > 0 || d.of(g.want.Model).anywhere) {
 		return
 	}
-	best, cost, ok := d.best(g.want, slowest)
+	best, s, cost := d.best(g.want, slowest)
 	if slowest == FromStore && !g.more {
-		if later, sooner := d.later(g.want.Model); sooner && (!ok || later.Takes < best.Takes) {
+		if later, sooner := d.later(g.want.Model); sooner && (s == nil || later.Takes < best.Takes) {
 			d.chosen[later.Load] = true
 			d.actions = append(d.actions, later)
 			return
 		}
 	}
-	if ok && cost < g.limit {
-		d.take(best)
+	if s != nil && cost < g.limit {
+		d.take(s, best)
 	}
 }
 
-// later returns what an engaged server with a model's weights at hand can do once it is free.
-func (d *decision) later(name string) (best Action, ok bool) {
-	model := d.Engine.Model(name)
+// best returns the cheapest way to a model, its server and its cost; the server is nil if nothing fits.
+func (d *decision) best(w Want, slowest Source) (best Action, at *Server, least float64) {
+	model := d.catalogue[w.Model]
 	if model == nil {
-		return Action{}, false
+		return Action{}, nil, 0
 	}
 	for i := range d.Servers {
 		s := &d.Servers[i]
-		if !s.Engaged || s.FreeIn < 0 {
+		if s.Engaged || d.used[s.ID] {
 			continue
 		}
-		if source, takes := d.load(s, model); source > FromStore && (!ok || s.FreeIn+takes < best.Takes) {
-			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: s.FreeIn + takes, Later: true}, true
+		a, cost, fits := d.at(s, model, w, slowest)
+		if fits && (at == nil || cost < least) {
+			best, at, least = a, s, cost
 		}
 	}
-	return best, ok
+	return best, at, least
 }
 
-// fetches orders what is worth a load from the weight store by the requests that
-// it saves: all of a wanted model that nobody has, and those that copies of busy ones spare waiting.
-func (d *decision) fetches(shorts []goal) []goal {
-	out := slices.Clone(shorts)
-	for _, w := range d.Wants {
-		out = append(out, goal{want: w, limit: math.Inf(1), saves: absent * max(w.Weight, d.Demand[w.Model].Rate*horizon.Seconds())})
+// later returns what an engaged server with a model's weights at hand can do once it is free.
+func (d *decision) later(name string) (best Action, ok bool) {
+	model := d.catalogue[name]
+	if model == nil {
+		return Action{}, false
 	}
-	slices.SortStableFunc(out, func(a, b goal) int { return cmp.Compare(b.saves, a.saves) })
-	return out
-}
-
-// shorts are the models that one more copy spares waiting, the most urgent first.
-func (d *decision) shorts() []goal {
-	var list []goal
-	for model, asked := range d.Demand {
-		have := d.copies(model)
-		if have <= 0 || have >= float64(len(d.Servers)) || d.Engine.Model(model) == nil {
+	for i := range d.Servers {
+		s := &d.Servers[i]
+		if !s.Engaged || s.FreeIn < 0 {
 			continue
 		}
-		gain := d.shared(asked, have) - d.shared(asked, have+1) + pauses*d.slowest(model)*asked.Rate*horizon.Seconds()
-		if gain > leastGain {
-			list = append(list, goal{want: Want{Model: model}, limit: gain, saves: gain, more: true})
+		if source, takes := d.load(s, model); source > FromStore && (!ok || s.FreeIn+takes < best.Takes) {
+			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: s.FreeIn + takes, Later: true}, true
 		}
 	}
-	slices.SortFunc(list, func(a, b goal) int {
-		return cmp.Or(cmp.Compare(b.saves, a.saves), cmp.Compare(a.want.Model, b.want.Model))
-	})
-	return list
-}
-
-// absent is the waiting in seconds that counts for a request that is not served: longer waits are given up.
-const absent = 3.0
-
-// awaited reports whether a server is about to have a model.
-func (d *decision) awaited(model string) bool {
-	return slices.ContainsFunc(d.Servers, func(s Server) bool { return s.Awaited == model })
+	return best, ok
 }
 
 // cover loads models that no server has where there is room for them, so that
@@ -224,87 +206,31 @@
 func (d *decision) cover() {
 	for i := range d.Engine.Models {
 		model := &d.Engine.Models[i]
-		if d.copies(model.Name) > 0 || d.wanted(model.Name) {
+		if m := d.of(model.Name); m.serving > 0 || m.coming > 0 || m.wanted || d.chosen[model.Name] {
 			continue
 		}
 		// A place at the weight store is kept for what may be wanted next.
-		fromStore := d.Loading == 0 && len(d.Wants) == 0 && !d.Keep && (d.AtOnce > 1 || len(d.Demand) == 0)
-		var best Action
-		for j := range d.Servers {
-			s := &d.Servers[j]
-			if s.Engaged || d.used[s.ID] {
-				continue
-			}
-			a, _, ok := d.at(s, model, Want{Model: model.Name})
-			if ok && len(a.Evict) == 0 && (a.Source != FromStore || fromStore) && (best.Server == "" || a.Takes < best.Takes) {
-				best = a
-			}
+		slowest := FromDisk
+		if d.Loading == 0 && len(d.Wants) == 0 && !d.Keep && (d.AtOnce > 1 || len(d.Demand) == 0) {
+			slowest = FromStore
 		}
-		if best.Server != "" {
-			d.take(best)
+		if a, s := d.spare(model, slowest); s != nil {
+			d.take(s, a)
 		}
 	}
 }
 
-// leastGain is the waiting in seconds from which one more copy of a model is looked for.
-const leastGain = 1.0
-
-// copies counts the servers that have a model or are about to; slow ones count in part.
-func (in *Input) copies(model string) float64 {
-	n := 0.0
-	for i := range in.Servers {
-		s := &in.Servers[i]
-		if s.has(model) {
-			n += s.worth()
-		}
-	}
-	return n
-}
-
-// slowest returns how slow the best of a model's copies is.
-func (in *Input) slowest(model string) float64 {
-	least := 1.0
-	for i := range in.Servers {
-		s := &in.Servers[i]
-		if s.has(model) {
-			least = min(least, s.Slow)
-		}
-	}
-	return least
-}
-
-// has reports whether a server has a model or is about to.
-func (s *Server) has(model string) bool {
-	return s.Awaited == model || slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model })
-}
-
-// worth is what a copy there counts for.
-func (s *Server) worth() float64 {
-	return 1 - slowLoss*s.Slow
-}
-
-// slowLoss is the part of a copy's use that is lost at a server where streams pause for too long.
-const slowLoss = 0.5
-
-// best returns the cheapest way to a model and its cost; ok is false if nothing fits.
-func (d *decision) best(w Want, slowest Source) (best Action, least float64, ok bool) {
-	model := d.Engine.Model(w.Model)
-	if model == nil {
-		return Action{}, 0, false
-	}
+// spare returns the quickest way to a model at a server that has room for it; the server is nil if none has.
+func (d *decision) spare(model *site.Model, slowest Source) (best Action, at *Server) {
 	for i := range d.Servers {
 		s := &d.Servers[i]
-		if s.Engaged || d.used[s.ID] {
+		if s.Engaged || d.used[s.ID] || d.free(s) < model.SizeMB+d.reserve(s, model) {
 			continue
 		}
-		a, cost, fits := d.at(s, model, w)
-		if fits && a.Source >= slowest && (!ok || cost < least) {
-			best, least, ok = a, cost, true
+		a, _, ok := d.at(s, model, Want{Model: model.Name}, slowest)
+		if ok && (at == nil || a.Takes < best.Takes) {
+			best, at = a, s
 		}
 	}
-	return best, least, ok
-}
-
-func (in *Input) wanted(model string) bool {
-	return slices.ContainsFunc(in.Wants, func(w Want) bool { return w.Model == model })
+	return best, at
 }
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -77,6 +77,22 @@
 			Wants: []Want{{Model: "m5", Weight: 2}}, StoreLoads: 1, Demand: map[string]Demand{"m4": {Rate: 0.5}},
 			Servers: []Server{{ID: "a", OnDisk: []string{"m4"}}, {ID: "b", Copies: []Copy{held("m1", 0)}, OnDisk: []string{"m1"}}},
 		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}, {Server: "a", Load: "m4", Source: FromDisk, Takes: 840 * time.Millisecond}}},
+		{"a load from the store not at the server that alone has a model which may be asked for", Input{
+			Wants: []Want{{Model: "m5", Weight: 2}}, StoreLoads: 1, Demand: map[string]Demand{"m0": {Rate: 1}},
+			Servers: []Server{
+				{ID: "a", OnDisk: []string{"m4"}}, {ID: "b", Copies: []Copy{held("m0", 0)}, OnDisk: []string{"m0"}}, {ID: "c", Copies: []Copy{held("m1", 0), held("m2", 0), held("m3", 0)}},
+			},
+		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}, {Server: "a", Load: "m4", Source: FromDisk, Takes: 840 * time.Millisecond}}},
+		{"no load from the store before enough is known", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4, Keep: true, Servers: []Server{{ID: "a"}, {ID: "b", Engaged: true, FreeIn: -1}},
+		}, nil},
+		{"nor of what a server has that is about to be free", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4, Keep: true,
+			Servers: []Server{{ID: "a"}, {ID: "b", Copies: []Copy{held("m0", 0), held("m1", 0), held("m2", 0)}, OnDisk: []string{"m5"}}},
+		}, nil},
+		{"but of what nobody has", Input{
+			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoads: 4, Keep: true, Servers: []Server{{ID: "a"}},
+		}, []Action{{Server: "a", Load: "m5", Source: FromStore, Takes: 6 * time.Second}}},
 		{"no load from the store beyond its rate", Input{
 			Wants: []Want{{Model: "m5", Weight: 1}}, Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}}},
 		}, nil},
@@ -168,7 +184,7 @@
 			for _, c := range in.Servers[i].Copies {
 				if slices.Contains(a.Evict, c.Model) {
 					g.Expect(c.InFlight).To(BeNumerically("<=", maxInFlight))
-					g.Expect(in.wanted(c.Model)).To(BeFalse())
+					g.Expect(newDecision(in).of(c.Model).wanted).To(BeFalse())
 					continue
 				}
 				used += 72700
@@ -305,7 +321,7 @@
 				in.Wants = append(in.Wants, Want{Model: m, Weight: busyRate})
 			}
 			looks++
-			if in.copies(m) < 3 {
+			if x := newDecision(in).of(m); x.serving+x.coming < 3 {
 				short++
 			}
 		}
