--- a/internal/back/conns/pool.go
+++ b/internal/back/conns/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,6 +73,14 @@
 	}
 }
 
+// Connected reports whether an idle connection to a target is at hand.
+func (p *Pool) Connected(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	return slices.ContainsFunc(p.idle[t], func(c *conn) bool { return now.Before(c.until) })
+}
+
 // open dials a new connection.
 func (p *Pool) open(ctx context.Context, t Target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/front/relay/answer.go
+++ b/internal/front/relay/answer.go
@@ -19,12 +19,15 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// forwarded returns a copy of headers without those of one connection.
-func forwarded(h http.Header) http.Header {
+// forwarded returns a copy of headers without those of one connection. A sender
+// may not name a header that is meant for all recipients as one of its connection.
+func forwarded(h http.Header, forAll func(name string) bool) http.Header {
 	out := h.Clone()
 	for _, name := range h.Values("Connection") {
 		for _, n := range splitList(name) {
-			out.Del(n)
+			if !forAll(n) {
+				out.Del(n)
+			}
 		}
 	}
 	for _, name := range connectionHeaders {
@@ -62,7 +65,7 @@
 		c.reason = "resumed stream refused: " + http.StatusText(res.Status)
 		return c.afterFailure(true)
 	}
-	copyHeader(c.w.Header(), res.Header)
+	c.copyHeader(c.w.Header(), res.Header)
 	c.w.WriteHeader(res.Status)
 	c.outcome, c.status = outcomeAnswered, res.Status
 	c.first = time.Since(c.arrived)
@@ -72,8 +75,8 @@
 	return done
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range forwarded(from) {
+func (c *call) copyHeader(to, from http.Header) {
+	for name, values := range forwarded(from, c.server.dialect.ForAll) {
 		to[name] = values
 	}
 }
--- a/internal/front/relay/call.go
+++ b/internal/front/relay/call.go
@@ -113,7 +113,7 @@
 	answered, ended := t.begin(in.Key, &c.ask, plain)
 	defer ended()
 	c.instance = in.ID
-	header := forwarded(c.r.Header)
+	header := forwarded(c.r.Header, c.server.dialect.ForAll)
 	lastEvent := ""
 	if c.stream != nil {
 		lastEvent = c.stream.last
--- a/internal/front/relay/find.go
+++ b/internal/front/relay/find.go
@@ -40,7 +40,7 @@
 	for {
 		c.state = c.server.sites.State()
 		list := c.untried(c.candidates())
-		if chosen, ok := c.server.track.pick(list, c.server.set.Node.Domain, &c.ask, c.route.MaxGap); ok {
+		if chosen, ok := c.server.track.pick(list, c.server.set.Node.Domain, &c.ask, c.route.MaxGap, c.server.pool.Connected); ok {
 			c.chosen = chosen
 			return chosen.Instance, true
 		}
--- /dev/null
+++ b/internal/front/relay/raw_test.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"foxtailcroft/test/draws"
+)
+
+func TestMain(m *testing.M) { draws.Main(m, 150) }
+
+// rawRequest is a request as bytes, with what a server may run of it.
+type rawRequest struct {
+	bytes string
+	id    string
+	body  int64
+}
+
+// drawRaw draws a request that is well formed, or wrong in ways in which
+// requests have been smuggled: two lengths, a length and chunks, odd codings,
+// white space, a second request in the body, a short body.
+func drawRaw(rt *rapid.T, n int) rawRequest {
+	r := rawRequest{id: fmt.Sprintf("id-%d", n)}
+	inner := fmt.Sprintf("POST /unsafe/in HTTP/1.1\r\nHost: h.example\r\nRequest-Id: smuggled-%d\r\nContent-Length: 0\r\n\r\n", n)
+	body := rapid.SampledFrom([]string{"", "x", "order", inner, strings.Repeat("y", 600)}).Draw(rt, "body")
+	r.body = int64(len(body))
+	head := fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Milliseconds: 900\r\n", r.id)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	if body == "" {
+		chunked = "0\r\n\r\n"
+	}
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	switch rapid.IntRange(0, 9).Draw(rt, "form") {
+	case 0, 1, 2:
+		r.bytes = head + length + "\r\n" + body
+	case 3, 4:
+		r.bytes = head + "Transfer-Encoding: chunked\r\n\r\n" + chunked
+	case 5:
+		r.bytes = head + length + "Transfer-Encoding: chunked\r\n\r\n" + chunked
+	case 6:
+		r.bytes = head + length + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)+3) + body
+	case 7:
+		r.bytes = head + "Transfer-Encoding: xchunked\r\n" + length + "\r\n" + body
+	case 8:
+		r.bytes = head + "Content-Length : 4\r\n" + length + "\r\n" + body
+	default:
+		r.bytes = head + "Connection: Request-Id, close\r\n" + length + "\r\n" + body
+	}
+	return r
+}
+
+// TestRawRequests sends drawn bytes over callers' connections: servers run no
+// request that no caller sent, none twice, and none with another body.
+func TestRawRequests(t *testing.T) {
+	t.Logf("FOXTAILCROFT_SEED=%d", draws.Seed())
+	rapid.Check(t, func(rt *rapid.T) {
+		var sent []rawRequest
+		for n := range rapid.IntRange(1, 5).Draw(rt, "requests") {
+			sent = append(sent, drawRaw(rt, n))
+		}
+		play(t, 2, func(r *rig) {
+			r.net.Serve("front:1", r.relay)
+			conn, err := r.net.Dial(r.t.Context(), "front:1")
+			r.g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			r.sendRaw(conn, sent)
+			time.Sleep(5 * time.Second)
+			runs := r.book.All()
+			seen := map[string]bool{}
+			for _, run := range runs {
+				r.g.Expect(seen[run.ID]).To(BeFalse(), "%s ran twice", run.ID)
+				seen[run.ID] = true
+				var from *rawRequest
+				for i := range sent {
+					if sent[i].id == run.ID {
+						from = &sent[i]
+					}
+				}
+				r.g.Expect(from).NotTo(BeNil(), "%s was not sent", run.ID)
+				r.g.Expect(run.Body).To(Equal(from.body), "the body of %q", from.bytes)
+			}
+		})
+	})
+}
+
+// sendRaw writes requests one behind the other and reads what comes back.
+func (r *rig) sendRaw(conn net.Conn, list []rawRequest) {
+	var all bytes.Buffer
+	for _, x := range list {
+		all.WriteString(x.bytes)
+	}
+	r.group.Go(func() {
+		// The front may close the connection at a malformed request.
+		_, _ = conn.Write(all.Bytes())
+	})
+	in := bufio.NewReader(conn)
+	for range list {
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+}
+
+// TestBodyThatDoesNotComeIsAnsweredInTime sends half a body and waits.
+func TestBodyThatDoesNotComeIsAnsweredInTime(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.net.Serve("front:1", r.relay)
+		conn, err := r.net.Dial(r.t.Context(), "front:1")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		began := time.Now()
+		_, err = io.WriteString(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline-Milliseconds: 900\r\nContent-Length: 10\r\n\r\nhalf")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+		r.g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		r.g.Expect(r.book.All()).To(BeEmpty())
+	})
+}
+
+// FuzzEvent reads events from any bytes: what comes out is what went in, and an event ends with a blank line.
+func FuzzEvent(f *testing.F) {
+	for _, s := range []string{whole, "id: 1\r\ndata: x\r\n\r\n", "\n\n\n", "id:\n\n", "data: " + strings.Repeat("x", 9000) + "\n\nid: 2", "weight-versions: 3\nid: 4\ndata: y\n\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		in := bufio.NewReaderSize(bytes.NewReader(data), 64)
+		var out []byte
+		for {
+			event, _, err := readEvent(in)
+			out = append(out, event...)
+			if err != nil {
+				break
+			}
+			g.Expect(bytes.HasSuffix(event, []byte("\n"))).To(BeTrue())
+		}
+		if len(data) < maxEvent {
+			g.Expect(out).To(Equal(data))
+		}
+	})
+}
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
@@ -36,6 +37,7 @@
 	state   *follow.State
 	asked   int
 	log     *bytes.Buffer
+	group   conc.WaitGroup
 }
 
 func (r *rig) State() *follow.State { return r.state }
@@ -76,6 +78,7 @@
 		r.g.Expect(err).NotTo(HaveOccurred())
 		set := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
 		r.relay = New(set, r, pool, platform.Dialect{}, r, metrics.NewSet(), log.Sugar())
+		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
 		test(r)
@@ -204,10 +207,16 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			play(t, 2, func(r *rig) {
-				// All but the second server of each service fail.
+				// All but the second server of each service fail; they are nearer, so that requests meet them.
 				for _, s := range r.servers[:2] {
 					s.SetFaults(c.faults)
 				}
+				r.relay.set.Node.Domain = "a"
+				for _, id := range []string{"plain-2", "llm-2"} {
+					in := r.state.Instances[id]
+					in.Domain = "b"
+					r.state.Instances[id] = in
+				}
 				for i := range 6 {
 					id := "id-" + string(rune('a'+i))
 					w, aborted := r.send(r.t.Context(), c.path, id)
--- a/internal/front/relay/server.go
+++ b/internal/front/relay/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 // Dialect reads and writes the headers of requests and answers.
 type Dialect interface {
 	Request(h http.Header) site.Request
+	// ForAll reports whether a header is meant for all recipients, not for one connection.
+	ForAll(name string) bool
 	Outgoing(h http.Header, instance string, left time.Duration, priority int, lastEvent string)
 	Answers(h http.Header, id string) bool
 	Signed(h http.Header) bool
@@ -114,10 +117,19 @@
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
+	c.service = c.route.Pick(xxhash.Sum64String(c.ask.ID))
+	c.end = c.arrived.Add(c.limit())
 	if !c.readBody(doc.Limits.BodyBytes) {
 		return
 	}
-	c.service = c.route.Pick(xxhash.Sum64String(c.ask.ID))
+	ctx, cancel := context.WithDeadline(r.Context(), c.end)
+	defer cancel()
+	s.earn(c.service)
+	c.run(ctx)
+}
+
+// limit returns how long the request may take.
+func (c *call) limit() time.Duration {
 	limit := c.route.Timeout
 	if c.ask.Patience > 0 && (limit <= 0 || c.ask.Patience < limit) {
 		limit = c.ask.Patience
@@ -125,24 +137,24 @@
 	if limit <= 0 {
 		limit = defaultLimit
 	}
-	c.end = c.arrived.Add(limit)
-	ctx, cancel := context.WithDeadline(r.Context(), c.end)
-	defer cancel()
-	s.earn(c.service)
-	c.run(ctx)
+	return limit
 }
 
 // defaultLimit bounds requests whose route and caller name no time.
 const defaultLimit = 60 * time.Second
 
-// readBody reads the whole body; false if it did not come or is too long.
+// readBody reads the whole body; false if it did not come in time or is too long.
 func (c *call) readBody(most int64) bool {
 	if c.r.Body == nil || c.r.ContentLength == 0 {
 		return true
 	}
+	c.readUntil(c.end)
 	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, max(most, 1)))
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuse(http.StatusRequestTimeout, "body not complete in time", soonRetry)
+		return false
 	case errors.As(err, &large):
 		c.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
@@ -150,10 +162,18 @@
 		c.outcome, c.reason = "caller left", "body not read: "+err.Error()
 		panic(http.ErrAbortHandler)
 	}
+	c.readUntil(time.Time{})
 	c.body = data
 	return true
 }
 
+// readUntil bounds the reading of the body; a zero time lifts the bound.
+func (c *call) readUntil(t time.Time) {
+	if err := http.NewResponseController(c.w).SetReadDeadline(t); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		c.server.log.Warnw("reading not bounded", "Request", c.ask.ID, "Error", err.Error())
+	}
+}
+
 // earn counts a first send towards a service.
 func (s *Server) earn(service string) {
 	s.mu.Lock()
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -91,7 +91,7 @@
 	}
 	c.stream = &stream{last: c.ask.LastEvent}
 	c.first = time.Since(c.arrived)
-	copyHeader(c.w.Header(), res.Header)
+	c.copyHeader(c.w.Header(), res.Header)
 	c.w.WriteHeader(res.Status)
 }
 
--- a/internal/front/relay/track.go
+++ b/internal/front/relay/track.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/choose"
@@ -86,7 +87,7 @@
 }
 
 // pick chooses among instances; ok is false if none is left.
-func (t *tracker) pick(list []site.Instance, domain string, r *site.Request, maxGap time.Duration) (c choice, ok bool) {
+func (t *tracker) pick(list []site.Instance, domain string, r *site.Request, maxGap time.Duration, connected func(conns.Target) bool) (c choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -98,7 +99,7 @@
 	for _, in := range list {
 		s := t.of(in.Key)
 		c := choose.Candidate{
-			ID: in.ID, Near: in.Domain == domain, Slots: in.Slots, InFlight: s.total, Reading: s.reading,
+			ID: in.ID, Near: in.Domain == domain, Connected: connected(conns.Target{Key: in.Key, Address: in.Address}), Slots: in.Slots, InFlight: s.total, Reading: s.reading,
 			Missing: t.speeds[r.Target.Model].Time(s.missing(r)), LongRead: choose.LongRead(maxGap), Failing: s.failed(now), Answers: s.answers,
 			PauseRisk: choose.Risk(s.pauses.Value(now), maxGap),
 		}
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -6,8 +6,10 @@
 type Candidate struct {
 	ID string
 	// Near instances are in the entry's own failure domain.
-	Near  bool
-	Slots int
+	Near bool
+	// Connected is set if there is a connection to it to use.
+	Connected bool
+	Slots     int
 	// InFlight are the entry's own requests there, and Reported all requests that the instance last reported.
 	InFlight int
 	Reported int
@@ -31,6 +33,8 @@
 	sharing = 1.0
 	// crossing is the cost in milliseconds of leaving the failure domain.
 	crossing = 4.0
+	// connecting is the cost in milliseconds of a new connection: its way, and the server's time for it.
+	connecting = 15.0
 	// queueing is the cost in milliseconds of each request beyond the slots.
 	queueing = 40.0
 	// late is the cost in milliseconds of a request that is not served in time.
@@ -56,6 +60,9 @@
 	if !c.Near {
 		cost += crossing
 	}
+	if !c.Connected {
+		cost += connecting
+	}
 	return cost + float64(c.Answers.Milliseconds())/2
 }
 
--- a/internal/policy/choose/choose_test.go
+++ b/internal/policy/choose/choose_test.go
@@ -17,6 +17,7 @@
 	}{
 		{"nobody", nil, ""},
 		{"own failure domain at equal load", []Candidate{{ID: "far", Slots: 8}, {ID: "near", Near: true, Slots: 8}}, "near"},
+		{"one with a connection at equal load", []Candidate{{ID: "new", Near: true, Slots: 8}, {ID: "connected", Connected: true, Slots: 8}}, "connected"},
 		{"an idle one far away before a full one nearby", []Candidate{{ID: "near", Near: true, Slots: 8, Reported: 9}, {ID: "far", Slots: 8}}, "far"},
 		{"the one that has read the prompt's parts", []Candidate{{ID: "new", Near: true, Slots: 64, Missing: 237 * ms}, {ID: "read", Slots: 64, Missing: 74 * ms}}, "read"},
 		{"another if that one has much to read first", []Candidate{{ID: "read", Slots: 64, Missing: 74 * ms, Reading: 789 * ms}, {ID: "new", Slots: 64, Missing: 237 * ms}}, "new"},
