--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -83,7 +83,9 @@
 		Returning: set.Bounds.Returning, Gather: min(set.Bounds.InForce, set.Bounds.Drain) * gatherShare / 10,
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.Dial, o.Meters)
-	lead := orders.NewLead(set.Node.Name, set.Listen.Peers, o.Store, follower.State, set.Bounds.MinLease, clock.SinceBoot, log.Named("Lead"))
+	lead := orders.NewLead(orders.Place{
+		Name: set.Node.Name, Address: set.Listen.Peers, MinLease: set.Bounds.MinLease, Processor: set.Processor, Boot: clock.SinceBoot,
+	}, o.Store, follower.State, log.Named("Lead"))
 	planner, closePlanner := orders.New(orders.Settings{
 		Node: set.Node.Name, ChecksFence: set.ChecksFence, LoadWindow: set.Bounds.LoadWindow, TurnGap: set.Bounds.Lease,
 	}, lead, follower.State, pool, o.Dialect, o.Meters, log.Named("Planner"))
