policy/choose, front/orders: very long prompts where few streams run; a new planner listens before long loads

A new planner loaded from the weight store before any front had told it of its demand. Changes: the risk of a pause grows with a prompt's reading time; no load from the store in a planner's first 650 ms; a new connection weighs 5 ms instead of 15. Tests: tables of choices.

--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -16,10 +16,14 @@
 // lingeringWeight ranks a model that was asked for and refused, against the number of requests that wait for others.
 const lingeringWeight = 0.5
 
-// settling is how long a new planner evicts nothing and loads nothing from the
-// weight store, until it knows the servers and the fronts have reported their demand.
+// settling is how long a new planner evicts nothing, until it knows the servers
+// and the fronts have reported their demand.
 const settling = 1200 * time.Millisecond
 
+// listening is the part of it in which nothing is loaded from the weight store:
+// by then fronts have reported once.
+const listening = 650 * time.Millisecond
+
 // step starts what the wants need.
 func (p *Planner) step(ctx context.Context) {
 	p.mu.Lock()
@@ -60,7 +64,11 @@
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), AtOnce: p.pace.AtOnce(), Keep: now.Sub(p.since) < settling}
+	since := now.Sub(p.since)
+	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), AtOnce: p.pace.AtOnce(), Keep: since < settling}
+	if since < listening {
+		in.StoreLoads = 0
+	}
 	for _, s := range p.servers {
 		if s.inst.Service == service && !s.inst.Leaving {
 			in.Servers = append(in.Servers, p.viewed(s, now))
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -34,13 +34,17 @@
 	// crossing is the cost in milliseconds of leaving the failure domain.
 	crossing = 4.0
 	// connecting is the cost in milliseconds of a new connection: its way, and the server's time for it.
-	connecting = 15.0
+	connecting = 5.0
 	// queueing is the cost in milliseconds of each request beyond the slots.
 	queueing = 40.0
 	// late is the cost in milliseconds of a request that is not served in time.
 	late = 1000.0
 	// usualRisk is the chance of a pause at a server of which none is known.
 	usualRisk = 0.01
+	// longPrompt is the length, in long reads, from which a prompt alone makes
+	// streams pause, and mostRisk the most that this is taken to be likely.
+	longPrompt = 1.5
+	mostRisk   = 0.5
 	// exposure is the chance that a long prompt is read beside a stream while it runs.
 	exposure = 0.25
 	// failing is the cost in milliseconds of an instance that fails all requests.
@@ -69,11 +73,17 @@
 // pauses forecasts how many streams pause for too long if the request goes there: itself and those that run.
 func (c Candidate) pauses(running int) float64 {
 	if c.Missing+c.Reading > c.LongRead {
-		return max(usualRisk, c.PauseRisk) * float64(1+running)
+		return max(usualRisk, c.PauseRisk, c.lengthRisk()) * float64(1+running)
 	}
 	return exposure * c.PauseRisk
 }
 
+// lengthRisk is the chance that the prompt by itself makes streams pause: the
+// steps that read a prompt take the longer the more of it was read before.
+func (c Candidate) lengthRisk() float64 {
+	return min(mostRisk, max(0, float64(c.Missing)/float64(c.LongRead)-longPrompt))
+}
+
 // Risk returns the chance of a pause beyond what is allowed at a server with a known longest pause.
 func Risk(longest, allowed time.Duration) float64 {
 	if allowed <= 0 {
--- a/internal/policy/choose/choose_test.go
+++ b/internal/policy/choose/choose_test.go
@@ -25,6 +25,7 @@
 		{"a stream not beside a long prompt", []Candidate{{ID: "reads", Near: true, Slots: 64, Reported: 3, Missing: 8 * ms, Reading: 237 * ms, LongRead: 220 * ms}, {ID: "calm", Slots: 64, Reported: 12, Missing: 8 * ms, LongRead: 220 * ms}}, "calm"},
 		{"a stream not where streams pause", []Candidate{{ID: "pauses", Near: true, Slots: 64, Missing: 8 * ms, LongRead: 220 * ms, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 6, Missing: 8 * ms, LongRead: 220 * ms}}, "calm"},
 		{"a long prompt not beside streams where they are known to pause, also if it must be read anew", []Candidate{{ID: "pauses", Near: true, Slots: 64, Reported: 2, Missing: 74 * ms, Reading: 158 * ms, LongRead: 220 * ms, PauseRisk: 1}, {ID: "calm", Slots: 64, Reported: 4, Missing: 237 * ms, LongRead: 220 * ms}}, "calm"},
+		{"a very long prompt where few streams run, also if its parts were read elsewhere", []Candidate{{ID: "streams", Near: true, Slots: 64, Reported: 12, Missing: 500 * ms, LongRead: 220 * ms}, {ID: "calm", Slots: 64, Reported: 2, Missing: 690 * ms, LongRead: 220 * ms}}, "calm"},
 		{"not the one that fails", []Candidate{{ID: "grey", Near: true, Slots: 8, Failing: 0.5}, {ID: "sound", Slots: 8, InFlight: 3}}, "sound"},
 		{"not the slow one", []Candidate{{ID: "slow", Near: true, Slots: 8, Answers: 200 * time.Millisecond}, {ID: "quick", Slots: 8, Answers: 20 * time.Millisecond}}, "quick"},
 	}
