policy/swap, front/orders: a new planner that has heard all fronts decides at once; loads wait for room

Changes: the wait ends once all servers are known and all fronts have reported, which each does at once to a new planner; what the first report lists counts as held for long; a model waits for a server with its weights that will have room soon, as it does for one that is engaged.

--- a/internal/front/orders/server.go
+++ b/internal/front/orders/server.go
@@ -70,13 +70,18 @@
 	}
 	same := s.known && !s.resync && r.Sequence == s.sequence
 	busy := r.Busy && (!same || s.busy)
+	since := now
+	if !s.known {
+		// What the first report lists was there before.
+		since = now.Add(-heldBefore)
+	}
 	models := map[string]*held{}
 	for _, m := range r.Models {
-		models[m] = keptOr(s.models[m], now)
+		models[m] = keptOr(s.models[m], since)
 	}
 	adapters := map[site.Adapter]*held{}
 	for _, a := range r.Adapters {
-		adapters[a] = keptOr(s.adapters[a], now)
+		adapters[a] = keptOr(s.adapters[a], since)
 	}
 	if same {
 		keepHeld(models, s.models, r.Busy)
@@ -104,6 +109,9 @@
 	}
 }
 
+// heldBefore is how old something counts that was found at a server.
+const heldBefore = 10 * time.Second
+
 // replaced reports whether a report comes from another start than the one that is meant.
 func (s *server) replaced(r site.Report) bool {
 	return r.Born != 0 && s.inst.Born != 0 && r.Born != s.inst.Born
--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -13,15 +13,42 @@
 	"foxtailcroft/internal/policy/swap"
 )
 
+// heard reports whether this front has planned long enough to know the demand: all fronts have told theirs, or had the time to.
+func (p *Planner) heard(now time.Time) bool {
+	if now.Sub(p.since) >= listening {
+		return true
+	}
+	fronts := p.state().Fronts
+	for name := range fronts {
+		if u, ok := p.uses[name]; !ok || u.at.Before(p.since) {
+			return false
+		}
+	}
+	return len(fronts) > 0
+}
+
+// settled reports whether models may be evicted: the demand is known, and all servers are, or had the time to be.
+func (p *Planner) settled(now time.Time) bool {
+	if now.Sub(p.since) >= settling {
+		return true
+	}
+	for _, s := range p.servers {
+		if !s.known {
+			return false
+		}
+	}
+	return p.heard(now) && len(p.servers) > 0
+}
+
 // lingeringWeight ranks a model that was asked for and refused, against the number of requests that wait for others.
 const lingeringWeight = 0.5
 
-// settling is how long a new planner evicts nothing, until it knows the servers
-// and the fronts have reported their demand.
+// settling is how long a new planner evicts nothing, unless it knows the servers
+// and their demand before.
 const settling = 1200 * time.Millisecond
 
-// listening is the part of it in which nothing is loaded from the weight store:
-// by then fronts have reported once.
+// listening is how long a new planner loads nothing from the weight store, unless
+// all fronts have reported their demand before; then each had the time to.
 const listening = 650 * time.Millisecond
 
 // step starts what the wants need.
@@ -64,9 +91,8 @@
 		return
 	}
 	now := time.Now()
-	since := now.Sub(p.since)
-	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), AtOnce: p.pace.AtOnce(), Keep: since < settling}
-	if since < listening {
+	in := swap.Input{Engine: engine, Wants: merged(wants), Demand: p.demand.all(now), StoreLoads: p.loadsLeft(engine, now), Loading: p.loading(), AtOnce: p.pace.AtOnce(), Keep: !p.settled(now)}
+	if !p.heard(now) {
 		in.StoreLoads = 0
 	}
 	for _, s := range p.servers {
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -178,7 +178,7 @@
 // unplanned reports whether a want has been known for a while and no server has the model or prepares for it.
 func (p *Planner) unplanned(t site.Adapter) bool {
 	x := p.wants[t]
-	return x != nil && time.Since(x.since) > planTime && time.Since(p.since) > settling+planTime && len(p.holders(x.service, t.Model)) == 0
+	return x != nil && time.Since(x.since) > planTime && p.settled(time.Now().Add(-planTime)) && len(p.holders(x.service, t.Model)) == 0
 }
 
 // forecast returns when a server that is being prepared for the model, or will be, is ready.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -157,14 +157,18 @@
 		if planner == nil {
 			continue
 		}
-		u := f.relay.Uses(planner.Fence != fence)
+		first := planner.Fence != fence
+		u := f.relay.Uses(first)
 		fence = planner.Fence
-		if len(u.Uses) == 0 && len(u.Asked) == 0 && len(u.Pauses) == 0 {
+		if !first && len(u.Uses) == 0 && len(u.Asked) == 0 && len(u.Pauses) == 0 {
 			continue
 		}
 		board, err := f.peers.Use(ctx, u)
 		if err != nil {
 			f.log.Debugw("usage not reported", "Error", err.Error())
+			if first {
+				fence = 0
+			}
 			continue
 		}
 		f.relay.SetLoads(board.Loads)
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -137,6 +137,27 @@
 	return evict, harm, wait, free >= model.SizeMB
 }
 
+// roomIn forecasts when a server will have room for a model: copies that are
+// too young or in use to be evicted now are not for long.
+func (d *decision) roomIn(s *Server, model *site.Model) (wait time.Duration, ok bool) {
+	free := d.free(s) - d.reserve(s, model)
+	copies := slices.DeleteFunc(slices.Clone(s.Copies), func(c Copy) bool { return d.of(c.Model).wanted })
+	slices.SortStableFunc(copies, func(a, b Copy) int { return cmp.Compare(a.evictableIn(), b.evictableIn()) })
+	for _, c := range copies {
+		if free >= model.SizeMB {
+			break
+		}
+		wait = max(wait, c.evictableIn())
+		free += d.size(c.Model)
+	}
+	return wait, free >= model.SizeMB
+}
+
+// evictableIn forecasts when a copy can have made way.
+func (c Copy) evictableIn() time.Duration {
+	return max(0, youngest-c.Age) + unloadTime + time.Duration(c.InFlight)*drainTime
+}
+
 // free returns the memory for weights that a server has left, in MB.
 func (d *decision) free(s *Server) float64 {
 	free := d.Engine.WeightsMB
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -182,7 +182,7 @@
 	return best, at, least
 }
 
-// later returns what an engaged server with a model's weights at hand can do once it is free.
+// later returns what a server with a model's weights at hand can do once it is free and has room.
 func (d *decision) later(name string) (best Action, ok bool) {
 	model := d.catalogue[name]
 	if model == nil {
@@ -190,11 +190,13 @@
 	}
 	for i := range d.Servers {
 		s := &d.Servers[i]
-		if !s.Engaged || s.FreeIn < 0 {
+		source, takes := d.load(s, model)
+		if source == FromStore || s.Engaged && s.FreeIn < 0 || s.holds(name) {
 			continue
 		}
-		if source, takes := d.load(s, model); source > FromStore && (!ok || s.FreeIn+takes < best.Takes) {
-			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: s.FreeIn + takes, Later: true}, true
+		wait, fits := d.roomIn(s, model)
+		if takes += max(wait, s.FreeIn); fits && (!ok || takes < best.Takes) {
+			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: takes, Later: true}, true
 		}
 	}
 	return best, ok
