--- a/internal/lab/emul/plot.go
+++ b/internal/lab/emul/plot.go
@@ -9,6 +9,9 @@
 const (
 	plotWidth  = 900
 	plotHeight = 520
+	// plotLeft is kept for the legend, and plotTop for the title.
+	plotLeft = 150
+	plotTop  = 50
 )
 
 // Plot writes an SVG of the share of requests served in time against the load, a line for each set of knowledge.
@@ -26,7 +29,8 @@
 	}
 	graph := chart.Chart{
 		Title: title, Width: plotWidth, Height: plotHeight, Series: series,
-		XAxis: chart.XAxis{Name: "load against the site's"}, YAxis: chart.YAxis{Name: "served in time, %"},
+		Background: chart.Style{Padding: chart.Box{Left: plotLeft, Top: plotTop}},
+		XAxis:      chart.XAxis{Name: "load against the site's"}, YAxis: chart.YAxis{Name: "served in time, %"}, YAxisSecondary: chart.HideYAxis(),
 	}
 	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
 	return graph.Render(chart.SVG, w)
