policy/swap: room at a server with the weights is not waited for again and again

Change: after a want has waited for 1.5 s, only engaged servers, whose end is known, are waited for. Test: 'but not for ever' in the table of decisions, failing before.

--- a/internal/front/orders/step.go
+++ b/internal/front/orders/step.go
@@ -64,7 +64,7 @@
 	for _, target := range p.eldest(now) {
 		w := p.wants[target]
 		if len(p.holders(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(len(w.waiters)))})
+			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(lingeringWeight, float64(len(w.waiters))), Waited: now.Sub(w.since)})
 			continue
 		}
 		if target.Name != "" {
@@ -127,6 +127,7 @@
 			continue
 		}
 		out[i].Weight += w.Weight
+		out[i].Waited = max(out[i].Waited, w.Waited)
 	}
 	return out
 }
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -26,6 +26,8 @@
 	usualWork = 200 * time.Millisecond
 	// fullUse bounds the share of a server's time in use that its queue is computed for.
 	fullUse = 0.9
+	// roomPatience is how long a want waits for room at servers that have its weights.
+	roomPatience = 1500 * time.Millisecond
 	// adapterMiss is the waiting in seconds for an adapter that was pushed out.
 	adapterMiss = 0.05
 )
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -39,6 +39,8 @@
 	Model string
 	// Weight is what a second of waiting costs, such as the number of requests that wait.
 	Weight float64
+	// Waited is how long the first of them has waited.
+	Waited time.Duration
 }
 
 // Input is all that a decision depends on.
@@ -152,7 +154,7 @@
 	}
 	best, s, cost := d.best(g.want, slowest)
 	if slowest == FromStore && !g.more {
-		if later, sooner := d.later(g.want.Model); sooner && (s == nil || later.Takes < best.Takes) {
+		if later, sooner := d.later(g.want); sooner && (s == nil || later.Takes < best.Takes) {
 			d.chosen[later.Load] = true
 			d.actions = append(d.actions, later)
 			return
@@ -183,20 +185,21 @@
 }
 
 // later returns what a server with a model's weights at hand can do once it is free and has room.
-func (d *decision) later(name string) (best Action, ok bool) {
-	model := d.catalogue[name]
+// Room that requests take longer to leave than forecast is not waited for again and again.
+func (d *decision) later(w Want) (best Action, ok bool) {
+	model := d.catalogue[w.Model]
 	if model == nil {
 		return Action{}, false
 	}
 	for i := range d.Servers {
 		s := &d.Servers[i]
 		source, takes := d.load(s, model)
-		if source == FromStore || s.Engaged && s.FreeIn < 0 || s.holds(name) {
+		if source == FromStore || s.Engaged && s.FreeIn < 0 || !s.Engaged && w.Waited > roomPatience || s.holds(w.Model) {
 			continue
 		}
 		wait, fits := d.roomIn(s, model)
 		if takes += max(wait, s.FreeIn); fits && (!ok || takes < best.Takes) {
-			best, ok = Action{Server: s.ID, Load: name, Source: source, Takes: takes, Later: true}, true
+			best, ok = Action{Server: s.ID, Load: w.Model, Source: source, Takes: takes, Later: true}, true
 		}
 	}
 	return best, ok
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -83,6 +83,12 @@
 				{ID: "a", Copies: []Copy{{Model: "m0", Age: time.Second}, held("m1", 5), held("m2", 5)}, OnDisk: []string{"m5"}}, {ID: "b"},
 			},
 		}, []Action{{Server: "a", Load: "m5", Source: FromDisk, Takes: 1390 * time.Millisecond, Later: true}}},
+		{"but not for ever", Input{
+			Wants: []Want{{Model: "m5", Weight: 1, Waited: 2 * time.Second}}, StoreLoads: 4,
+			Servers: []Server{
+				{ID: "a", Copies: []Copy{{Model: "m0", Age: time.Second}, held("m1", 5), held("m2", 5)}, OnDisk: []string{"m5"}}, {ID: "b"},
+			},
+		}, []Action{{Server: "b", Load: "m5", Source: FromStore, Takes: 6 * time.Second}}},
 		{"a load from the store not at the server that alone has a model which may be asked for", Input{
 			Wants: []Want{{Model: "m5", Weight: 2}}, StoreLoads: 1, Demand: map[string]Demand{"m0": {Rate: 1}},
 			Servers: []Server{
