--- a/internal/front/orders/churn_test.go
+++ b/internal/front/orders/churn_test.go
@@ -179,3 +179,32 @@
 		})
 	}
 }
+
+// TestChangesDoNotWakeEveryWaiter lets many requests wait while beliefs change
+// every millisecond: waiters are looked at once a look of the planner, not once a change.
+func TestChangesDoNotWakeEveryWaiter(t *testing.T) {
+	const waiters, changes = 100, 1000
+	open(t, 1, 1, 5, func(y *yard) {
+		p := y.planner().planner
+		time.Sleep(5 * time.Second)
+		for _, s := range y.servers {
+			s.SetLoadTime(time.Minute)
+		}
+		var group conc.WaitGroup
+		for range waiters {
+			group.Go(func() {
+				_, err := p.Want(y.ctx, peers.Want{Service: "llm", Target: site.Adapter{Model: "m4"}, Wait: 4 * time.Second, Answer: 4 * time.Second})
+				y.g.Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		time.Sleep(time.Second)
+		before := y.looks.Load()
+		for range changes {
+			p.wake()
+			time.Sleep(time.Millisecond)
+		}
+		const perLook = waiters + 20
+		y.g.Expect(y.looks.Load() - before).To(BeNumerically("<=", (changes/5+20)*perLook))
+		group.Wait()
+	})
+}
--- a/internal/front/orders/lead.go
+++ b/internal/front/orders/lead.go
@@ -55,8 +55,8 @@
 	failing bool
 }
 
-// Place is what a lead needs to know of its front's machine and store.
-type Place struct {
+// LeadOptions is what a lead needs to know of its front's machine and store.
+type LeadOptions struct {
 	Name    string
 	Address string
 	// MinLease is the shortest lease that the store grants.
@@ -68,10 +68,10 @@
 }
 
 // NewLead returns the lead of a front.
-func NewLead(p Place, s Leases, state func() *follow.State, log *zap.SugaredLogger) *Lead {
+func NewLead(o LeadOptions, s Leases, state func() *follow.State, log *zap.SugaredLogger) *Lead {
 	return &Lead{
-		Self: follow.Front{Name: p.Name, Address: p.Address, Run: uuid.NewString()}, store: s, state: state,
-		ttl: max(leaseTime, p.MinLease), boot: p.Boot, defers: deference(p.Processor), log: log,
+		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString()}, store: s, state: state,
+		ttl: max(leaseTime, o.MinLease), boot: o.Boot, defers: deference(o.Processor), log: log,
 	}
 }
 
--- a/internal/front/orders/planner_test.go
+++ b/internal/front/orders/planner_test.go
@@ -48,7 +48,9 @@
 	// checksFence says that the servers refuse old fencing numbers.
 	checksFence bool
 	fronts      []*planning
-	group       conc.WaitGroup
+	// looks counts the looks of planners at the state.
+	looks atomic.Int64
+	group conc.WaitGroup
 }
 
 // planning is one front as far as orders go.
@@ -163,13 +165,16 @@
 	name, log := fmt.Sprintf("front-%d", i), zap.NewNop().Sugar()
 	layout := follow.Layout{DocumentKey: platform.ConfigKey, InstancePrefix: platform.ServerPrefix, Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.OwnPrefix}}
 	p.follower = follow.New(name, p.cut, platform.Dialect{}, layout, follow.Times{Returning: 2 * time.Second, Gather: 600 * time.Millisecond}, log)
-	p.lead = NewLead(Place{
+	p.lead = NewLead(LeadOptions{
 		Name: name, Address: name + ":1", MinLease: time.Second,
 		Boot: func() time.Duration { return time.Since(began) + time.Duration(p.frozen.Load()) },
 	}, p.cut, p.follower.State, log)
 	pool, closePool := conns.New(y.net.Dial, metrics.NewSet())
 	var closePlanner func()
-	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: y.checksFence, LoadWindow: 5 * time.Second, TurnGap: turnGap}, p.lead, p.follower.State, pool, platform.Dialect{}, metrics.NewSet(), log)
+	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: y.checksFence, LoadWindow: 5 * time.Second, TurnGap: turnGap}, p.lead, func() *follow.State {
+		y.looks.Add(1)
+		return p.follower.State()
+	}, pool, platform.Dialect{}, metrics.NewSet(), log)
 	for _, run := range []func(context.Context){p.follower.Run, p.lead.Run, p.planner.Run, p.planner.RunReports} {
 		y.group.Go(func() { run(ctx) })
 	}
--- a/internal/front/relay/record.go
+++ b/internal/front/relay/record.go
@@ -37,7 +37,7 @@
 	log("request", "Request", c.ask.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.ask.Target.Model, "Adapter", c.ask.Target.Name,
 		"Prompt", c.ask.PromptTokens, "Instance", c.instance, "Sends", c.sends, "Unsent", c.unsent, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.held.Milliseconds(), "FirstMs", c.first.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", gap.Milliseconds(),
-		"MissingMs", c.chosen.Missing.Milliseconds(), "ReadingMs", c.chosen.Reading.Milliseconds(), "InFlight", c.chosen.InFlight, "Reported", c.chosen.Reported, "Of", c.chosen.of,
+		"MissingMs", c.chosen.Missing.Milliseconds(), "ReadingMs", c.chosen.Reading.Milliseconds(), "InFlight", c.chosen.InFlight, "Reported", c.chosen.Reported, "ReportedAgeMs", c.chosen.reportAge.Milliseconds(), "Of", c.chosen.of,
 		"GoalMs", route.Goal.Milliseconds(), "MaxGapMs", route.MaxGap.Milliseconds(),
 		"Patience", c.ask.Patience.Milliseconds(), "Version", version, "Revision", c.state.Revision)
 }
--- a/internal/lab/emul/server.go
+++ b/internal/lab/emul/server.go
@@ -141,7 +141,7 @@
 	return n
 }
 
-// source returns how long a model takes to load here.
+// takes returns how long a model takes to load here.
 func (s *server) takes(m *site.Model) time.Duration {
 	if slices.Contains(s.onDisk, m.Name) {
 		return m.FromDisk
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -83,7 +83,7 @@
 		Returning: set.Bounds.Returning, Gather: min(set.Bounds.InForce, set.Bounds.Drain) * gatherShare / 10,
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.Dial, o.Meters)
-	lead := orders.NewLead(orders.Place{
+	lead := orders.NewLead(orders.LeadOptions{
 		Name: set.Node.Name, Address: set.Listen.Peers, MinLease: set.Bounds.MinLease, Processor: set.Processor, Boot: clock.SinceBoot,
 	}, o.Store, follower.State, log.Named("Lead"))
 	planner, closePlanner := orders.New(orders.Settings{
