--- a/internal/front/orders/planner.go
+++ b/internal/front/orders/planner.go
@@ -251,7 +251,10 @@
 
 // wake makes the planner look again after a change of belief.
 func (p *Planner) wake() {
-	p.kickNow()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
 }
 
 // touch notes the use of a model and of its adapter.
--- a/internal/front/orders/wants.go
+++ b/internal/front/orders/wants.go
@@ -68,7 +68,7 @@
 	}
 	target.until = now.Add(w.Wait + lingering)
 	p.verify(w.Avoid)
-	p.kickNow()
+	p.wake()
 	found, wait = p.find(w)
 	if !wait {
 		p.met(w.Target, found)
@@ -192,13 +192,6 @@
 	return at, ok
 }
 
-func (p *Planner) kickNow() {
-	select {
-	case p.kick <- struct{}{}:
-	default:
-	}
-}
-
 // holders returns the servers that have the model of a target.
 func (p *Planner) holders(service, model string) []*server {
 	var out []*server
