front/sched: a planner cut off from the store renews through other fronts

Cause: on the new customer's site servers do not check fencing tokens.

Change: a renewal that the store does not answer within 150 ms also goes through two other fronts (Renew). A new planner applies its own claim at once instead of after the next watch batch, counts the hand-over from when it saw its predecessor's key vanish, and meanwhile reads reports and names servers of what is loaded; only orders wait.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
@@ -17,6 +20,7 @@
 	methodNewer = "Newer"
 	methodWant  = "Want"
 	methodUse   = "Use"
+	methodRenew = "Renew"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -117,6 +121,11 @@
 	ApplyUsage(u UsageReport) PlannerStatus
 }
 
+// LeaseStore renews leases at the store.
+type LeaseStore interface {
+	KeepAlive(ctx context.Context, lease int64) (bool, error)
+}
+
 // Client calls the other fronts.
 type Client struct {
 	self  follow.Front
@@ -127,7 +136,7 @@
 }
 
 // New returns a client for the other fronts, and registers the handlers of their calls.
-func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner) *Client {
+func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner, leases LeaseStore) *Client {
 	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
 		list, _ := f.Snapshot(after)
@@ -139,12 +148,17 @@
 	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u UsageReport) (PlannerStatus, error) {
 		return local.ApplyUsage(u), nil
 	})
+	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
+		return leases.KeepAlive(ctx, lease)
+	})
 	return m
 }
 
-// FetchNewer asks up to two other fronts, chosen at random, for cluster state newer than a
-// revision; false if neither has it.
-func (m *Client) FetchNewer(ctx context.Context, revision int64) (store.List, bool) {
+// sampleSize is the number of other fronts that a call for help goes to.
+const sampleSize = 2
+
+// sampleFronts returns the addresses of up to sampleSize other fronts, chosen at random.
+func (m *Client) sampleFronts() []string {
 	addresses := slices.Clone(m.seeds)
 	for _, f := range m.state().Fronts {
 		addresses = append(addresses, f.Address)
@@ -152,7 +166,47 @@
 	slices.Sort(addresses)
 	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == m.self.Address })
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(2, len(addresses))] {
+	return addresses[:min(sampleSize, len(addresses))]
+}
+
+// RenewLease asks other fronts to renew a lease at the store, all at once, and returns
+// the first answer; ok is false if the lease has ended.
+func (m *Client) RenewLease(ctx context.Context, lease int64) (ok bool, err error) {
+	type renewal struct {
+		ok  bool
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	addresses := m.sampleFronts()
+	renewals := make(chan renewal, len(addresses))
+	for _, address := range addresses {
+		group.Go(func() {
+			var r renewal
+			r.err = m.call(ctx, address, methodRenew, callTimeout, lease, &r.ok)
+			renewals <- r
+		})
+	}
+	err = errNoFronts
+	for range addresses {
+		r := <-renewals
+		if r.err == nil {
+			return r.ok, nil
+		}
+		err = r.err
+	}
+	return false, err
+}
+
+// errNoFronts is the error of a call for help when no other front is known.
+var errNoFronts = errors.New("no other front is known")
+
+// FetchNewer asks up to sampleSize other fronts, chosen at random, for cluster state newer
+// than a revision; false if none has it.
+func (m *Client) FetchNewer(ctx context.Context, revision int64) (store.List, bool) {
+	for _, address := range m.sampleFronts() {
 		var list store.List
 		if m.call(ctx, address, methodNewer, callTimeout, revision, &list) == nil && list.Revision > revision {
 			return list, true
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/sleep"
@@ -28,6 +29,9 @@
 	// maxClaimJitter bounds the random delay of a claim, as all fronts see the
 	// planner's key vanish at the same time.
 	maxClaimJitter = 150 * time.Millisecond
+	// relayDelay is how long a renewal may take before another front is asked to renew
+	// the lease as well.
+	relayDelay = 150 * time.Millisecond
 )
 
 // LeaseStore is the part of the store that a Candidate uses.
@@ -38,12 +42,25 @@
 	Commit(ctx context.Context, t store.Txn) (store.Result, error)
 }
 
+// LeaseRelay renews leases through other fronts, for a front that can't reach the store.
+type LeaseRelay interface {
+	RenewLease(ctx context.Context, lease int64) (bool, error)
+}
+
+// Site is the front's view of the site.
+type Site interface {
+	State() *follow.State
+	// ApplyWritten applies a key that this front has written, ahead of the watch.
+	ApplyWritten(kv store.KV)
+}
+
 // Candidate registers a front in the store under a lease and claims the planner's key
 // when no front holds it (leader election).
 type Candidate struct {
 	Self      follow.Front
 	store     LeaseStore
-	state     func() *follow.State
+	relay     LeaseRelay
+	site      Site
 	ttl       time.Duration
 	bootClock func() time.Duration
 	// claimDelay is how long this front waits before it claims the planner's key, so
@@ -57,6 +74,9 @@
 	// the time in which the machine is suspended.
 	renewedAtBoot time.Duration
 	leaving       bool
+	// predecessorGone is when this front saw the planner's key vanish that it then
+	// claimed, zero if it does not know.
+	predecessorGone time.Time
 	// renewalFailing is true while renewals fail. Only Run uses it, without the lock.
 	renewalFailing bool
 }
@@ -74,13 +94,18 @@
 }
 
 // NewCandidate returns a Candidate that registers the front once Run is called.
-func NewCandidate(o CandidateOptions, s LeaseStore, state func() *follow.State, log *zap.SugaredLogger) *Candidate {
+func NewCandidate(o CandidateOptions, s LeaseStore, view Site, log *zap.SugaredLogger) *Candidate {
 	return &Candidate{
-		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString()}, store: s, state: state,
+		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString()}, store: s, site: view,
 		ttl: max(leaseTTL, o.MinLeaseTTL), bootClock: o.SinceBoot, claimDelay: claimDelayFor(o.CPUShare), log: log,
 	}
 }
 
+// SetRelay sets the source of renewals while the store is out of reach; call it before Run.
+func (l *Candidate) SetRelay(r LeaseRelay) {
+	l.relay = r
+}
+
 const (
 	// sufficientCPUShare is the share of a core from which a planner for a few dozen
 	// fronts and servers has enough CPU time (docs/CAPACITY.md).
@@ -116,7 +141,7 @@
 func (l *Candidate) claimUntilRenewal(ctx context.Context) {
 	due := time.Now().Add(l.ttl / renewalsPerTTL)
 	for ctx.Err() == nil && time.Now().Before(due) {
-		s := l.state()
+		s := l.site.State()
 		if s.Planner == nil && l.registered() && sleep.For(ctx, l.claimDelay+rand.N(maxClaimJitter)) {
 			l.claimPlannerKey(ctx)
 		}
@@ -130,6 +155,33 @@
 	}
 }
 
+// maxVacancyAge is the age up to which a front trusts that it saw the last change of the
+// planner's key. Within it no other front can have claimed the key, waited for the
+// hand-over and given an order.
+const maxVacancyAge = 1500 * time.Millisecond
+
+func (l *Candidate) setPredecessorGone(at time.Time) {
+	if time.Since(at) > maxVacancyAge {
+		at = time.Now()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.predecessorGone = at
+}
+
+// takePredecessorGone returns when this front saw the previous planner's key vanish, or
+// the current time if it does not know, and forgets it.
+func (l *Candidate) takePredecessorGone() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := l.predecessorGone
+	l.predecessorGone = time.Time{}
+	if gone.IsZero() {
+		return time.Now()
+	}
+	return gone
+}
+
 func (l *Candidate) registered() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,7 +199,7 @@
 	}
 	began, beganBoot := time.Now(), l.bootClock()
 	if lease != 0 {
-		ok, err := l.store.KeepAlive(ctx, lease)
+		ok, err := l.renew(ctx, lease)
 		if err != nil {
 			return err
 		}
@@ -165,19 +217,65 @@
 	if err != nil {
 		return err
 	}
-	res, err := l.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: follow.FrontPrefix + l.Self.Name, Value: value, Lease: lease}}})
+	key := follow.FrontPrefix + l.Self.Name
+	res, err := l.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: value, Lease: lease}}})
 	if err != nil {
 		return err
 	}
 	l.log.Infow("registered", "Lease", lease, "Revision", res.Revision)
 	l.setLease(lease, began, beganBoot)
+	l.site.ApplyWritten(store.KV{Key: key, Value: value, Revision: res.Revision, Lease: lease})
 	return nil
 }
 
+// renew renews the lease at the store. If the store refuses or does not answer within
+// relayDelay, it also asks other fronts, so that a front that is cut off from the store
+// alone keeps its registration and the planner's key.
+func (l *Candidate) renew(ctx context.Context, lease int64) (bool, error) {
+	type renewal struct {
+		ok  bool
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	renewals := make(chan renewal, 2)
+	start := func(r func(context.Context, int64) (bool, error)) {
+		group.Go(func() {
+			ok, err := r(ctx, lease)
+			renewals <- renewal{ok, err}
+		})
+	}
+	start(l.store.KeepAlive)
+	running, relayed := 1, l.relay == nil
+	timer := time.NewTimer(relayDelay)
+	defer timer.Stop()
+	for {
+		var err error
+		select {
+		case r := <-renewals:
+			if running--; r.err == nil {
+				return r.ok, nil
+			}
+			err = r.err
+		case <-timer.C:
+		}
+		if !relayed {
+			relayed = true
+			running++
+			start(l.relay.RenewLease)
+		}
+		if running == 0 {
+			return false, err
+		}
+	}
+}
+
 // registrationVisible reports whether the store still lists this front. The
 // registration may be removed while renewals of the lease still succeed.
 func (l *Candidate) registrationVisible() bool {
-	front, ok := l.state().Fronts[l.Self.Name]
+	front, ok := l.site.State().Fronts[l.Self.Name]
 	return ok && front.Run == l.Self.Run
 }
 
@@ -195,7 +293,8 @@
 
 // claimPlannerKey writes the planner's key if no front holds it.
 func (l *Candidate) claimPlannerKey(ctx context.Context) {
-	if l.state().Planner != nil {
+	state := l.site.State()
+	if state.Planner != nil {
 		return
 	}
 	value, err := json.Marshal(l.Self)
@@ -218,6 +317,10 @@
 		l.log.Warnw("claiming the planner's key failed; retrying while no front holds it", "Error", err.Error())
 	default:
 		l.log.Infow("tried to claim the planner's key", "Won", res.Succeeded, "Revision", res.Revision)
+		if res.Succeeded {
+			l.setPredecessorGone(state.PlannerChangedAt)
+			l.site.ApplyWritten(store.KV{Key: follow.PlannerKey, Value: value, Revision: res.Revision, Lease: lease})
+		}
 	}
 }
 
@@ -226,7 +329,7 @@
 // If servers don't check fencing tokens (checked is false), the lease must also
 // have been renewed within three quarters of its TTL.
 func (l *Candidate) FencingToken(checked bool) (int64, bool) {
-	p := l.state().Planner
+	p := l.site.State().Planner
 	if p == nil || p.Run != l.Self.Run {
 		return 0, false
 	}
--- a/internal/front/sched/execute.go
+++ b/internal/front/sched/execute.go
@@ -125,7 +125,7 @@
 	}
 	fence, ok := p.candidate.FencingToken(p.settings.ChecksFence)
 	p.mu.Lock()
-	if !ok || fence != p.fence || fence == p.deposedFence || p.servers[s.inst.InstanceKey] != s || !s.allowsOrder(o, engineOf(p.state(), s.inst.Service)) {
+	if !ok || fence != p.fence || fence == p.deposedFence || !p.handoverEndedAt(time.Now()) || p.servers[s.inst.InstanceKey] != s || !s.allowsOrder(o, engineOf(p.state(), s.inst.Service)) {
 		p.mu.Unlock()
 		return false
 	}
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -70,8 +70,10 @@
 	deposedFence int64
 	// leadingSince is when this front became the planner.
 	leadingSince time.Time
-	servers      map[site.InstanceKey]*server
-	wants        map[site.Target]*wantedTarget
+	// predecessorGone is when this front saw the previous planner's key vanish.
+	predecessorGone time.Time
+	servers         map[site.InstanceKey]*server
+	wants           map[site.Target]*wantedTarget
 	// adaptersLoading are the adapters for which a load has been started.
 	adaptersLoading map[site.Target]bool
 	// inheritedLoads are the loads in progress in the last state that another
@@ -133,7 +135,9 @@
 		}
 		began := time.Now()
 		p.syncInstances(ctx)
-		p.startWork(ctx)
+		if p.handoverEnded() {
+			p.startWork(ctx)
+		}
 		p.answerWaiters()
 		sleep.For(ctx, max(minStepPause, time.Since(began)*stepPauseRatio))
 	}
@@ -153,7 +157,7 @@
 	}
 }
 
-// checkLeadership reports whether this front may give orders now. Under a new fencing
+// checkLeadership reports whether this front is the planner now. Under a new fencing
 // token it resets the planner's view of the servers, as other planners may have given
 // orders in between.
 func (p *Planner) checkLeadership() bool {
@@ -167,13 +171,28 @@
 		p.log.Infow("planning", "Fence", fence)
 		p.fence = fence
 		p.leadingSince = time.Now()
+		p.predecessorGone = p.candidate.takePredecessorGone()
 		p.servers = map[site.InstanceKey]*server{}
 		p.adaptersLoading = map[site.Target]bool{}
 		p.demand = newDemand()
 		// The previous planner may just have started as many loads as may run concurrently.
 		p.storeLoadStarts = slices.Repeat([]time.Time{p.leadingSince}, p.storeConcurrency.Limit())
 	}
-	return p.settings.ChecksFence || time.Since(p.leadingSince) >= p.settings.HandoverDelay
+	return true
+}
+
+// handoverEnded reports whether the servers may get orders: they check fencing tokens, or
+// the previous planner's last order is HandoverDelay ago. Before that the planner reads
+// reports and names instances that already serve a target.
+func (p *Planner) handoverEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handoverEndedAt(time.Now())
+}
+
+// handoverEndedAt is handoverEnded at a given time. The caller must hold p.mu.
+func (p *Planner) handoverEndedAt(now time.Time) bool {
+	return p.settings.ChecksFence || now.Sub(p.predecessorGone) >= p.settings.HandoverDelay
 }
 
 // syncInstances updates the servers from the announced instances, reads the report
--- a/internal/front/sched/planner_test.go
+++ b/internal/front/sched/planner_test.go
@@ -171,7 +171,7 @@
 	p.candidate = NewCandidate(CandidateOptions{
 		Name: name, Address: name + ":1", MinLeaseTTL: time.Second,
 		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(p.suspendedNanos.Load()) },
-	}, p.store, p.follower.State, log)
+	}, p.store, p.follower, log)
 	pool, closePool := conns.New(c.net.Dial, metrics.NewSet())
 	var closePlanner func()
 	p.planner, closePlanner = New(Settings{Node: name, ChecksFence: c.checksFence, LoadWindow: 5 * time.Second, HandoverDelay: handoverDelay}, p.candidate, func() *follow.State {
--- a/internal/front/sched/wants.go
+++ b/internal/front/sched/wants.go
@@ -192,7 +192,8 @@
 // is loading it.
 func (p *Planner) noServerPlanned(t site.Target) bool {
 	wanted := p.wants[t]
-	return wanted != nil && time.Since(wanted.firstRequested) > planningTimeout && p.evictionAllowed(time.Now().Add(-planningTimeout)) && len(p.serversWithModel(wanted.service, t.Model)) == 0
+	decidedBy := time.Now().Add(-planningTimeout)
+	return wanted != nil && wanted.firstRequested.Before(decidedBy) && p.handoverEndedAt(decidedBy) && p.evictionAllowed(decidedBy) && len(p.serversWithModel(wanted.service, t.Model)) == 0
 }
 
 // forecastReady returns when a server that loads the model, or will load it once it is
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -87,15 +87,16 @@
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
 	candidate := sched.NewCandidate(sched.CandidateOptions{
 		Name: settings.Node.Name, Address: settings.Listen.Peers, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: clock.SinceBoot,
-	}, o.Store, follower.State, log.Named("Lead"))
+	}, o.Store, follower, log.Named("Lead"))
 	planner, closePlanner := sched.New(sched.Settings{
 		Node: settings.Node.Name, ChecksFence: settings.ChecksFence, LoadWindow: settings.Bounds.LoadWindow, HandoverDelay: settings.Bounds.Lease,
 	}, candidate, follower.State, pool, o.Dialect, o.Metrics, log.Named("Planner"))
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner)
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner, o.Store)
 	follower.SetPeers(frontPeers)
+	candidate.SetRelay(frontPeers)
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, frontPeers, o.Metrics, log.Named("Relay")),
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,6 +192,16 @@
 	}
 }
 
+// ApplyWritten applies a key that this front has written, ahead of the watch.
+func (f *Follower) ApplyWritten(kv store.KV) {
+	f.update(func(old *State) *State {
+		if kv.Revision <= old.Keys[kv.Key].Revision {
+			return old
+		}
+		return f.deriveState(old, applyEvents(old.Keys, []store.Event{{KV: kv}}), old.Revision)
+	})
+}
+
 // RunPeerPoll polls other fronts for newer views while the store is unavailable or no document is known.
 func (f *Follower) RunPeerPoll(ctx context.Context) {
 	for sleep.For(ctx, peerPollInterval) {
@@ -275,7 +286,9 @@
 			keys[kv.Key] = kv
 		}
 		f.retainMissing(old, keys)
-		return f.deriveState(old, keys, list.Revision)
+		s := f.deriveState(old, keys, list.Revision)
+		s.PlannerChangedAt = time.Now()
+		return s
 	})
 }
 
@@ -293,7 +306,11 @@
 		}
 		keys := applyEvents(old.Keys, b.Events)
 		f.retainMissing(old, keys)
-		return f.deriveState(old, keys, max(old.Revision, b.Revision))
+		s := f.deriveState(old, keys, max(old.Revision, b.Revision))
+		if slices.ContainsFunc(b.Events, func(e store.Event) bool { return e.Key == PlannerKey }) {
+			s.PlannerChangedAt = time.Now()
+		}
+		return s
 	})
 }
 
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/plat/store"
@@ -42,7 +43,10 @@
 	Instances map[string]site.Instance
 	Fronts    map[string]Front
 	Planner   *Planner
-	replaced  chan struct{}
+	// PlannerChangedAt is when this view last learned of a change of the planner's key;
+	// a view that was read anew may have missed changes and counts as one.
+	PlannerChangedAt time.Time
+	replaced         chan struct{}
 }
 
 // Next returns a channel that is closed when a newer state replaces this one.
@@ -78,7 +82,7 @@
 
 // deriveState returns the state for keys, reusing what is unchanged from old.
 func (f *Follower) deriveState(old *State, keys map[string]store.KV, revision int64) *State {
-	s := &State{Revision: revision, Keys: keys, Document: old.Document, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})}
+	s := &State{Revision: revision, Keys: keys, Document: old.Document, PlannerChangedAt: old.PlannerChangedAt, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})}
 	f.decodeDocument(old, s)
 	for key, kv := range keys {
 		switch {
