front/sched: the load of a swap follows its unload at once

An unload of an idle model took the planner 0.43 s at least: reports lag by 0.2 s and were read at 0, 60, 180 and 420 ms; an unload that waited for streams was noticed up to 1.2 s late.

Change: the next order of a swap is repeated after 10, 20, 40, 80 and then every 160 ms until the server takes it. A server carries out one order at a time and rejects others meanwhile, so it can't be overfilled; every eighth rejection a report is read, in case the sequence number is wrong. The stand-in's reports can lag now.

Test: TestSwapDoesNotWaitForReports (before: 420 ms between unload and load at a server whose reports lag by 300 ms).

--- a/internal/front/sched/execute.go
+++ b/internal/front/sched/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"foxtailcroft/internal/back/conns"
@@ -26,17 +27,12 @@
 // requested one.
 func (p *Planner) executeSwap(ctx context.Context, s *server, a swap.Action) {
 	defer p.releaseServer(s)
-	for _, model := range a.Evict {
-		target := site.Target{Model: model}
-		if !p.sendOrder(ctx, s, site.Order{Unload: true, Target: target}) {
-			return
-		}
-		if !p.pollUntil(ctx, s, maxOverrun, func() bool { return !s.busy && s.models[model] == nil }) {
+	unloaded := ""
+	for _, o := range swapOrders(a) {
+		if !p.sendAfterUnload(ctx, s, unloaded, o) {
 			return
 		}
-	}
-	if !p.sendOrder(ctx, s, site.Order{Target: site.Target{Model: a.Load}}) {
-		return
+		unloaded = o.Target.Model
 	}
 	began := time.Now()
 	p.mu.Lock()
@@ -48,6 +44,54 @@
 	}
 }
 
+// swapOrders returns the orders of a swap: the unloads, then the load.
+func swapOrders(a swap.Action) []site.Order {
+	var out []site.Order
+	for _, model := range a.Evict {
+		out = append(out, site.Order{Unload: true, Target: site.Target{Model: model}})
+	}
+	return append(out, site.Order{Target: site.Target{Model: a.Load}})
+}
+
+// sendAfterUnload sends an order to a server that is unloading a model, as soon as the
+// unload has ended; an empty name stands for no unload. It reports whether the server
+// accepted the order. A server carries out one order at a time and rejects others
+// meanwhile, so repeating the order finds the end of the unload sooner than the server's
+// report, which lags, and can't overfill the server.
+func (p *Planner) sendAfterUnload(ctx context.Context, s *server, unloaded string, o site.Order) bool {
+	if unloaded == "" {
+		return p.sendOrder(ctx, s, o)
+	}
+	deadline, wait := time.Now().Add(maxOverrun), minOrderRetryInterval
+	for tries := 1; time.Now().Before(deadline); tries++ {
+		if !sleep.For(ctx, wait) {
+			return false
+		}
+		wait = min(2*wait, maxOrderRetryInterval)
+		outcome := p.dispatch(ctx, s, o, func(e *site.Engine) bool { return s.allowsAfterUnload(unloaded, o, e) })
+		switch {
+		case outcome == site.Accepted, outcome == site.AlreadyDone:
+			return true
+		case outcome != site.Conflict:
+			return false
+		case tries%conflictsPerReport == 0:
+			// The sequence number may be wrong instead.
+			p.log.Infow("order still waits for an unload", "Instance", s.inst.ID, "Unloaded", unloaded, "Model", o.Target.Model, "Tries", tries)
+			p.readReport(ctx, s)
+		}
+	}
+	return false
+}
+
+const (
+	// minOrderRetryInterval is the first interval between attempts of an order that
+	// waits for an unload; it doubles up to maxOrderRetryInterval.
+	minOrderRetryInterval = 10 * time.Millisecond
+	maxOrderRetryInterval = 160 * time.Millisecond
+	// conflictsPerReport is the number of rejected attempts after which the report is read.
+	conflictsPerReport = 8
+)
+
 // recordStoreLoad updates the estimate of how many weight store loads run at full
 // speed concurrently, from the duration of one that ran next to others.
 func (p *Planner) recordStoreLoad(s *server, a swap.Action, concurrent int, took time.Duration) {
@@ -117,17 +161,34 @@
 // sendOrder sends one order, if it is still allowed, and applies its outcome. It
 // reports whether the server accepted the order or was already in the desired state.
 func (p *Planner) sendOrder(ctx context.Context, s *server, o site.Order) bool {
+	outcome := p.dispatch(ctx, s, o, func(e *site.Engine) bool { return s.allowsOrder(o, e) })
+	if outcome == site.Conflict {
+		p.mu.Lock()
+		s.resync = true
+		p.log.Infow("order rejected: the server carries out another one or has another sequence number", "Instance", s.inst.ID, "Unload", o.Unload,
+			"Model", o.Target.Model, "Adapter", o.Target.Name, "Sequence", s.sequence, "Fence", p.fence)
+		p.mu.Unlock()
+		sleep.For(ctx, maxReportLag)
+		p.readReport(ctx, s)
+	}
+	return outcome == site.Accepted || outcome == site.AlreadyDone
+}
+
+// dispatch sends one order, if this front may give orders and allowed still holds, and
+// applies its outcome, but for site.Conflict. It returns site.Unknown if the order was
+// not sent. allowed is called with p.mu held.
+func (p *Planner) dispatch(ctx context.Context, s *server, o site.Order, allowed func(*site.Engine) bool) site.OrderOutcome {
 	select {
 	case s.orderSlot <- struct{}{}:
 		defer func() { <-s.orderSlot }()
 	case <-ctx.Done():
-		return false
+		return site.Unknown
 	}
 	fence, ok := p.candidate.FencingToken(p.settings.ChecksFence)
 	p.mu.Lock()
-	if !ok || fence != p.fence || fence == p.deposedFence || !p.handoverEndedAt(time.Now()) || p.servers[s.inst.InstanceKey] != s || !s.allowsOrder(o, engineOf(p.state(), s.inst.Service)) {
+	if !ok || fence != p.fence || fence == p.deposedFence || !p.handoverEndedAt(time.Now()) || p.servers[s.inst.InstanceKey] != s || !allowed(engineOf(p.state(), s.inst.Service)) {
 		p.mu.Unlock()
-		return false
+		return site.Unknown
 	}
 	o.Holder, o.Fence, o.Sequence = p.settings.Node, fence, s.sequence
 	in := s.inst
@@ -143,13 +204,12 @@
 		p.applyOutcome(s, o, outcome)
 	}
 	p.mu.Unlock()
-	p.log.Infow("order", "Instance", in.ID, "Unload", o.Unload, "Model", o.Target.Model, "Adapter", o.Target.Name, "Sequence", o.Sequence,
-		"Fence", fence, "Outcome", string(outcome), "Took", time.Since(began).String(), "Error", errorText(err))
-	if outcome == site.Conflict {
-		sleep.For(ctx, maxReportLag)
-		p.readReport(ctx, s)
+	// Callers log conflicts, which are routine while a server unloads a model.
+	if outcome != site.Conflict {
+		p.log.Infow("order", "Instance", in.ID, "Unload", o.Unload, "Model", o.Target.Model, "Adapter", o.Target.Name, "Sequence", o.Sequence,
+			"Fence", fence, "Outcome", string(outcome), "Took", time.Since(began).String(), "Error", errorText(err))
 	}
-	return outcome == site.Accepted || outcome == site.AlreadyDone
+	return outcome
 }
 
 func errorText(err error) string {
@@ -169,8 +229,6 @@
 			s.sequence = o.Sequence + 1
 		}
 		s.applyOrder(o, outcome == site.AlreadyDone, now)
-	case site.Conflict:
-		s.resync = true
 	case site.Fenced:
 		p.deposedFence = o.Fence
 		p.log.Warnw("deposed: a server has seen a higher fencing token; sending no more orders under this one", "Fence", o.Fence, "Instance", s.inst.ID)
@@ -204,6 +262,7 @@
 			h.unloading = true
 		}
 	case o.Unload:
+		s.dropUnloaded()
 		if h := s.models[o.Target.Model]; h != nil {
 			h.unloading = true
 		}
@@ -217,9 +276,16 @@
 		s.adapters[o.Target] = existingOrNew(s.adapters[o.Target], now)
 	default:
 		s.busy = true
+		s.dropUnloaded()
 	}
 }
 
+// dropUnloaded removes the models whose unload was ordered: a server that accepts
+// another order for a model has completed them.
+func (s *server) dropUnloaded() {
+	maps.DeleteFunc(s.models, func(_ string, m *loadedItem) bool { return m.unloading })
+}
+
 // loadAdapter evicts the victim, if there is one, and loads an adapter.
 func (p *Planner) loadAdapter(ctx context.Context, s *server, t, victim site.Target) {
 	if p.evictAdapter(ctx, s, victim) && p.sendOrder(ctx, s, site.Order{Target: t}) {
--- a/internal/front/sched/handover_test.go
+++ b/internal/front/sched/handover_test.go
@@ -115,3 +115,27 @@
 	}
 	return fmt.Errorf("no instance serves %v: %w", t, err)
 }
+
+// TestSwapDoesNotWaitForReports swaps models at a server whose reports lag. The load must
+// follow the unload at once, not when a report shows that the unload has ended.
+func TestSwapDoesNotWaitForReports(t *testing.T) {
+	const reportLag, swaps, models = 300 * time.Millisecond, 6, 4
+	runCluster(t, 1, 1, models, func(c *cluster) {
+		c.stops[0]()
+		c.servers, c.stops, c.reportLag = nil, nil, reportLag
+		c.addServer(0, 2, "m0", "m1", "m2")
+		time.Sleep(15 * time.Second)
+		for i := range swaps {
+			found, err := c.want(fmt.Sprintf("m%d", (models-1+i)%models), "", 5*time.Second)
+			c.g.Expect(err).NotTo(HaveOccurred())
+			c.g.Expect(found.Instances).To(HaveLen(1), found.Reason)
+			time.Sleep(12 * time.Second)
+		}
+		orders := c.orderLog.Orders()
+		c.g.Expect(len(orders)).To(And(BeNumerically(">=", 4), Satisfy(func(n int) bool { return n%2 == 0 })))
+		for i := 1; i < len(orders); i += 2 {
+			c.g.Expect(orders[i].At.Sub(orders[i-1].At)).To(BeNumerically("<", reportLag/2), "load %d after its unload", i/2)
+		}
+		c.g.Expect(c.orderLog.Breaches()).To(BeEmpty())
+	})
+}
--- a/internal/front/sched/planner_test.go
+++ b/internal/front/sched/planner_test.go
@@ -48,7 +48,9 @@
 	stops    []func()
 	// checksFence makes the servers reject old fencing tokens.
 	checksFence bool
-	fronts      []*testFront
+	// reportLag is how far the servers' reports lag behind their states.
+	reportLag time.Duration
+	fronts    []*testFront
 	// stateReads counts the planners' reads of the shared state.
 	stateReads atomic.Int64
 	group      conc.WaitGroup
@@ -148,7 +150,7 @@
 	}
 	s = fake.NewServer(fake.Spec{
 		ID: fmt.Sprintf("i-%d", i), Born: born, Service: "llm", Address: address, Zone: "a", Slots: 8, Sizes: sizes, WeightsMb: 220000,
-		AdapterSlots: 8, LoadTime: loadTime, AdapterTime: 8 * time.Millisecond, EventTime: 20 * time.Millisecond, ChecksFence: c.checksFence, AdapterSizeMb: adapterSizeMB,
+		AdapterSlots: 8, LoadTime: loadTime, AdapterTime: 8 * time.Millisecond, EventTime: 20 * time.Millisecond, ChecksFence: c.checksFence, AdapterSizeMb: adapterSizeMB, ReportLag: c.reportLag,
 	}, c.orderLog, announce, models...)
 	stop := c.net.Serve(address, s)
 	announce()
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -184,6 +184,26 @@
 	return s.usedMB(e)+m.SizeMB <= e.WeightsMB
 }
 
+// allowsAfterUnload reports whether an order may be sent while the server still unloads a
+// model, which it does not carry out before the unload has ended.
+func (s *server) allowsAfterUnload(unloaded string, o site.Order, e *site.Engine) bool {
+	if !s.known || s.lost || s.outcomeUnknown || s.inst.Draining || e == nil {
+		return false
+	}
+	m := e.Model(o.Target.Model)
+	switch {
+	case m == nil:
+		return false
+	case o.Unload:
+		return s.models[m.Name] != nil
+	}
+	used := s.usedMB(e)
+	if left := e.Model(unloaded); left != nil && s.models[unloaded] != nil {
+		used -= left.SizeMB
+	}
+	return used+m.SizeMB <= e.WeightsMB
+}
+
 // available reports whether the server can take an order now.
 func (s *server) available() bool {
 	return s.known && !s.lost && !s.busy && !s.reserved && !s.outcomeUnknown && !s.inst.Draining && !time.Now().Before(s.pausedUntil)
