front: long prompts apart from chats where streams pause

Cause: on the large site 30 % of the most urgent kind (chats) were late by a pause, all but a few beside a prompt whose reading took over 0.6 s: a server's steps then take 68 ms, an event ten of them. Each of 103 fronts knows only its own prompts, so chats and long lists met on every server, most often where a model has many copies.

Change: fronts report how many streams paused and how long prompts take to read, the planner learns how pauses follow from a server's utilization (policy/stall) and whether long prompts are a kind of their own that does most of the reading (policy/split). Adapters go to servers for short prompts first.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -13,6 +13,7 @@
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/split"
 )
 
 // Names of the RPC methods between fronts.
@@ -60,6 +61,10 @@
 	InFlight int
 	// Work is the expected prefill time of the prompts that were sent.
 	Work time.Duration
+	// Streams is the number of streams that ended since the last report, and Paused how
+	// many of them paused for longer than their routes allow.
+	Streams int
+	Paused  int
 }
 
 // UsageReport is one front's usage report.
@@ -71,6 +76,8 @@
 	Asked []RequestCount
 	// Pauses are the longest pauses in streams since the last report.
 	Pauses []StreamPause
+	// Prompts counts the requests sent since the last report to streams whose pauses are limited.
+	Prompts split.Mix
 }
 
 // StreamPause is the longest time between two events of a stream at an instance.
@@ -104,6 +111,10 @@
 	StoreLoads int
 	// Pending are the model loads in progress.
 	Pending []PendingLoad
+	// PauseFactor relates the servers' utilization to pauses in their streams (policy/stall).
+	PauseFactor float64
+	// LongShare is the share of a model's servers that get long prompts (policy/split).
+	LongShare float64
 }
 
 // PendingLoad is a model that an instance is loading; In is the expected time until it
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -112,6 +112,9 @@
 func (c *call) sendTo(ctx context.Context, in site.Instance) nextStep {
 	t := c.server.tracker
 	buffered := c.route.Kind != site.Streaming
+	if c.route.MaxTokenGap > 0 && c.request.Target.Model != "" {
+		t.countPrompt(in.InstanceKey, &c.request, c.route.MaxTokenGap)
+	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
 	c.instanceID = in.ID
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -8,6 +8,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/policy/score"
+	"foxtailcroft/internal/policy/split"
 )
 
 // choice is a chosen instance with the estimates that led to the choice.
@@ -30,14 +31,16 @@
 		s := t.statsOf(in.InstanceKey)
 		return now.Sub(s.absentAt[r.Target]) < absenceValidity || now.Before(s.excludedUntil)
 	})
+	others := t.leftToOthers(list, r, maxGap)
 	var candidates []score.Candidate
-	for _, in := range list {
+	for i, in := range list {
 		s := t.statsOf(in.InstanceKey)
 		c := score.Candidate{
 			ID: in.ID, SameDomain: in.Domain == domain, Connected: connected(conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}), Slots: in.ConcurrentRequests, InFlight: s.totalInFlight, PendingPrefill: s.pendingPrefill,
 			MissingPrefill: t.prefillSpeeds[r.Target.Model].Duration(s.uncachedTokens(r)), LongPrefill: score.LongPrefill(maxGap), FailureShare: s.currentFailureShare(now), TimeToAnswer: s.meanAnswerTime,
 			PauseRisk: score.PauseRisk(s.longestPause.Value(now), maxGap),
 		}
+		c.OtherPrompts = others != nil && others[i]
 		if now.Sub(s.reportedAt) < reportedLoadValidity {
 			c.Reported = s.reportedRequests
 		}
@@ -54,6 +57,33 @@
 	return chosen, true
 }
 
+// leftToOthers returns for each instance whether it is left to prompts of another length
+// than the request's, nil if none is; the caller holds the lock. Adapters are placed
+// accordingly by the planner.
+func (t *instanceTracker) leftToOthers(list []site.Instance, r *site.RequestInfo, maxGap time.Duration) []bool {
+	if t.longShare <= 0 || maxGap <= 0 || r.Target.Model == "" || r.Target.Name != "" {
+		return nil
+	}
+	ids := make([]string, len(list))
+	for i, in := range list {
+		ids[i] = in.ID
+	}
+	out := split.ForLong(r.Target.Model, ids, t.longShare)
+	if !t.isLongPrompt(r, maxGap) {
+		return out
+	}
+	for i := range out {
+		out[i] = !out[i]
+	}
+	return out
+}
+
+// isLongPrompt reports whether reading the whole prompt takes long beside streams that
+// may pause for maxGap; the caller holds the lock.
+func (t *instanceTracker) isLongPrompt(r *site.RequestInfo, maxGap time.Duration) bool {
+	return t.prefillSpeeds[r.Target.Model].Duration(r.PromptTokens) > score.LongPrompt(maxGap)
+}
+
 // uncachedTokens returns the number of prompt tokens after the leading prompt parts
 // that the instance has read before for the same model and adapter.
 func (s *instanceStats) uncachedTokens(r *site.RequestInfo) int {
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -97,9 +97,11 @@
 	})
 }
 
-// RecordLoads records the loads and longest pauses of instances that the planner knows from all fronts.
-func (s *Server) RecordLoads(loads []peers.ServerLoad) {
-	for _, l := range loads {
+// RecordStatus records what the planner knows from all fronts: the loads and longest
+// pauses of instances, and how they are divided between long and short prompts.
+func (s *Server) RecordStatus(status peers.PlannerStatus) {
+	s.tracker.setLongShare(status.LongShare)
+	for _, l := range status.Loads {
 		s.tracker.recordLoad(l.Instance, l.Requests, time.Now().Add(-l.Age))
 		if l.Pause > 0 {
 			s.tracker.recordRemotePause(l.Instance, l.Pause)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -47,6 +47,7 @@
 		return c.handleFailure(true)
 	}
 	reader := bufio.NewReader(res.Body)
+	defer c.recordStreamEnd(in.InstanceKey)
 	for {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -97,6 +98,13 @@
 	c.w.WriteHeader(res.Status)
 }
 
+// recordStreamEnd records a stream for the planner if its route limits pauses.
+func (c *call) recordStreamEnd(k site.InstanceKey) {
+	if c.stream != nil && c.route.MaxTokenGap > 0 {
+		c.server.tracker.recordStreamEnd(k, c.request.Target, c.stream.longestPause > c.route.MaxTokenGap)
+	}
+}
+
 // endStream ends a request whose stream is complete.
 func (c *call) endStream(in site.Instance, res *conns.Response) nextStep {
 	c.writeHead(res)
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -9,6 +9,7 @@
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/decay"
 	"foxtailcroft/internal/policy/speed"
+	"foxtailcroft/internal/policy/split"
 )
 
 const (
@@ -34,6 +35,10 @@
 	recentRequests map[site.Target]decay.Count
 	// prefillSpeeds are the learned prefill speeds by model.
 	prefillSpeeds map[string]speed.Prefill
+	// newPrompts counts the requests to streams whose pauses are limited since the last usage report.
+	newPrompts split.Mix
+	// longShare is the share of a model's instances that get long prompts, 0 if all get prompts of any length.
+	longShare float64
 }
 
 // instanceStats is what this front knows of one instance.
@@ -44,6 +49,8 @@
 	newRequests map[site.Target]int
 	// pendingPrefill is the expected prefill time of prompts whose answers have not begun.
 	pendingPrefill time.Duration
+	// newStreams counts the streams that ended since the last usage report.
+	newStreams map[site.Target]streamCounts
 	// newPrefill is the expected prefill time of the prompts sent since the last usage report.
 	newPrefill map[site.Target]time.Duration
 	// reportedRequests are the running and waiting requests of the newest load report.
@@ -66,6 +73,12 @@
 	absentAt map[site.Target]time.Time
 }
 
+// streamCounts counts ended streams, and those of them that paused for longer than their routes allow.
+type streamCounts struct {
+	ended  int
+	paused int
+}
+
 func newInstanceTracker() *instanceTracker {
 	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}}
 }
@@ -74,7 +87,7 @@
 func (t *instanceTracker) statsOf(k site.InstanceKey) *instanceStats {
 	s := t.stats[k]
 	if s == nil {
-		s = &instanceStats{inFlight: map[site.Target]int{}, newRequests: map[site.Target]int{}, newPrefill: map[site.Target]time.Duration{}, promptParts: map[string]time.Time{}, absentAt: map[site.Target]time.Time{}}
+		s = &instanceStats{inFlight: map[site.Target]int{}, newRequests: map[site.Target]int{}, newPrefill: map[site.Target]time.Duration{}, newStreams: map[site.Target]streamCounts{}, promptParts: map[string]time.Time{}, absentAt: map[site.Target]time.Time{}}
 		t.stats[k] = s
 	}
 	return s
@@ -171,6 +184,19 @@
 	s.newLongestPause = max(s.newLongestPause, gap)
 }
 
+// recordStreamEnd records that a stream from an instance ended, and whether it paused for longer than its route allows.
+func (t *instanceTracker) recordStreamEnd(k site.InstanceKey, target site.Target, paused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsOf(k)
+	counts := s.newStreams[target]
+	counts.ended++
+	if paused {
+		counts.paused++
+	}
+	s.newStreams[target] = counts
+}
+
 // recordRemotePause records the longest pause at an instance that other fronts measured.
 func (t *instanceTracker) recordRemotePause(k site.InstanceKey, longest time.Duration) {
 	t.mu.Lock()
@@ -250,6 +276,25 @@
 	t.recentRequests[target] = t.recentRequests[target].Add(1, time.Now())
 }
 
+// countPrompt counts a request that is sent to a stream whose pauses are limited to maxGap.
+func (t *instanceTracker) countPrompt(k site.InstanceKey, r *site.RequestInfo, maxGap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	work := t.prefillSpeeds[r.Target.Model].Duration(t.statsOf(k).uncachedTokens(r))
+	if t.isLongPrompt(r, maxGap) {
+		t.newPrompts = t.newPrompts.Plus(split.Mix{Long: 1, LongWork: work})
+		return
+	}
+	t.newPrompts = t.newPrompts.Plus(split.Mix{Short: 1, ShortWork: work})
+}
+
+// setLongShare sets the share of a model's instances that get long prompts.
+func (t *instanceTracker) setLongShare(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.longShare = share
+}
+
 // minRecentWeight is the decayed number of requests below which past requests for a target are forgotten.
 const minRecentWeight = 0.2
 
@@ -279,11 +324,15 @@
 func (t *instanceTracker) takeUsage(front string, allRecent bool, live func(site.InstanceKey) bool) peers.UsageReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usage := peers.UsageReport{Front: front, Asked: t.takeRequestCounts(allRecent)}
+	usage := peers.UsageReport{Front: front, Asked: t.takeRequestCounts(allRecent), Prompts: t.newPrompts}
+	t.newPrompts = split.Mix{}
 	for k, s := range t.stats {
 		for target, n := range s.inFlight {
-			if n > 0 || s.newRequests[target] > 0 {
-				usage.Uses = append(usage.Uses, peers.TargetUsage{Instance: k, Target: target, Requests: s.newRequests[target], InFlight: n, Work: s.newPrefill[target]})
+			streams := s.newStreams[target]
+			if n > 0 || s.newRequests[target] > 0 || streams.ended > 0 {
+				usage.Uses = append(usage.Uses, peers.TargetUsage{
+					Instance: k, Target: target, Requests: s.newRequests[target], InFlight: n, Work: s.newPrefill[target], Streams: streams.ended, Paused: streams.paused,
+				})
 			}
 			if n == 0 {
 				delete(s.inFlight, target)
@@ -291,6 +340,7 @@
 		}
 		clear(s.newRequests)
 		clear(s.newPrefill)
+		clear(s.newStreams)
 		if s.newLongestPause > 0 {
 			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause})
 			s.newLongestPause = 0
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -16,6 +16,8 @@
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/loads"
+	"foxtailcroft/internal/policy/split"
+	"foxtailcroft/internal/policy/stall"
 )
 
 const (
@@ -90,8 +92,15 @@
 	// storeConcurrency estimates how many loads from the weight store run at full
 	// speed concurrently.
 	storeConcurrency loads.Concurrency
-	cachedLoads      []peers.ServerLoad
-	cachedLoadsAt    time.Time
+	// pauses estimates how often streams pause at the servers' utilization.
+	pauses stall.Estimate
+	// prompts is the decayed mix of prompts at promptsAt.
+	prompts   split.Mix
+	promptsAt time.Time
+	// copies counts the servers that serve each model, as of the last planning step.
+	copies        map[string]int
+	cachedLoads   []peers.ServerLoad
+	cachedLoadsAt time.Time
 	// wakeup triggers the next planning step.
 	wakeup          chan struct{}
 	ordersTotal     *metrics.Counter
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -10,6 +10,7 @@
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/policy/score"
+	"foxtailcroft/internal/policy/split"
 	"foxtailcroft/internal/policy/swap"
 )
 
@@ -22,6 +23,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.countCopies()
 	models := map[string][]swap.Want{}
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
@@ -177,16 +179,21 @@
 	victim site.Target
 	// victimLastUse is when the victim was last used.
 	victimLastUse time.Time
+	// forLong is set if the server gets the model's long prompts.
+	forLong bool
 }
 
-// betterThan reports whether x is preferred: free places come first, at the server
-// with the fewest adapters, then the least recently used victim.
+// betterThan reports whether x is preferred: free places come first, then servers that
+// don't get long prompts, then the server with the fewest adapters or the least recently
+// used victim.
 func (x adapterPlace) betterThan(other adapterPlace) bool {
 	switch {
 	case other.server == nil:
 		return true
 	case (x.victim.Name == "") != (other.victim.Name == ""):
 		return x.victim.Name == ""
+	case x.forLong != other.forLong:
+		return !x.forLong
 	case x.victim.Name == "":
 		return len(x.server.adapters) < len(other.server.adapters)
 	}
@@ -202,9 +209,16 @@
 	if p.adaptersLoading[t] || present || engine == nil || engine.Model(t.Model) == nil {
 		return
 	}
+	ids := make([]string, len(holders))
+	for i, s := range holders {
+		ids[i] = s.inst.ID
+	}
+	forLong := split.ForLong(t.Model, ids, p.longShare())
 	var best adapterPlace
-	for _, s := range holders {
-		if candidate, ok := p.findPlace(s, engine, engine.Model(t.Model)); ok && candidate.betterThan(best) {
+	for i, s := range holders {
+		candidate, ok := p.findPlace(s, engine, engine.Model(t.Model))
+		candidate.forLong = forLong != nil && forLong[i]
+		if ok && candidate.betterThan(best) {
 			best = candidate
 		}
 	}
@@ -227,5 +241,5 @@
 		return adapterPlace{server: s}, true
 	}
 	victim, lastUse, ok := s.leastRecentlyUsedAdapter(time.Now(), p.requestsInFlight)
-	return adapterPlace{s, victim, lastUse}, ok
+	return adapterPlace{server: s, victim: victim, victimLastUse: lastUse}, ok
 }
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -8,7 +8,10 @@
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/policy/decay"
 	"foxtailcroft/internal/policy/loads"
+	"foxtailcroft/internal/policy/split"
+	"foxtailcroft/internal/policy/stall"
 )
 
 // maxLoggedModels bounds the models that the demand log line lists.
@@ -26,17 +29,11 @@
 		Copies   int
 	}
 	var list []modelDemand
-	copies := map[string]int{}
-	for _, s := range p.servers {
-		for _, m := range s.modelNames() {
-			copies[m]++
-		}
-	}
 	for m, d := range p.demand.byModel(time.Now()) {
-		list = append(list, modelDemand{m, math.Round(d.Rate*10) / 10, d.PrefillTime.Milliseconds(), d.ActiveAdapters, copies[m]})
+		list = append(list, modelDemand{m, math.Round(d.Rate*10) / 10, d.PrefillTime.Milliseconds(), d.ActiveAdapters, p.copies[m]})
 	}
 	slices.SortFunc(list, func(a, b modelDemand) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Model, b.Model)) })
-	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(maxLoggedModels, len(list))], "Wants", len(p.wants), "Servers", len(p.servers))
+	p.log.Infow("demand", "Models", len(list), "Busiest", list[:min(maxLoggedModels, len(list))], "Wants", len(p.wants), "Servers", len(p.servers), "PauseFactor", math.Round(p.pauses.Factor()*100)/100, "LongShare", p.longShare())
 }
 
 // ApplyUsage applies a front's usage report. It returns the load of the busiest
@@ -52,11 +49,13 @@
 		}
 		report.inFlight[use.Instance][use.Target] += use.InFlight
 		p.demand.addSent(use.Target, use.Requests, use.Work, now)
+		p.pauses = p.pauses.Observe(use.Streams, use.Paused, p.utilization(use.Target.Model, now))
 		if s := p.servers[use.Instance]; s != nil && use.Requests+use.InFlight > 0 {
 			s.markUsed(use.Target, now)
 		}
 	}
 	p.usageByFront[u.Front] = report
+	p.addPrompts(u.Prompts, now)
 	for _, x := range u.Pauses {
 		if s := p.servers[x.Instance]; s != nil {
 			s.pausePeak = s.pausePeak.Add(x.Longest, now)
@@ -65,7 +64,40 @@
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	return peers.PlannerStatus{StoreLoads: p.storeConcurrency.Limit(), Loads: p.busiestServers(now), Pending: p.pendingLoads(now)}
+	return peers.PlannerStatus{StoreLoads: p.storeConcurrency.Limit(), Loads: p.busiestServers(now), Pending: p.pendingLoads(now), PauseFactor: p.pauses.Factor(), LongShare: p.longShare()}
+}
+
+// addPrompts adds to the decayed mix of prompts. The caller must hold p.mu.
+func (p *Planner) addPrompts(m split.Mix, now time.Time) {
+	p.prompts = p.prompts.Times(math.Exp(-now.Sub(p.promptsAt).Seconds() / decay.TimeConstant.Seconds())).Plus(m)
+	p.promptsAt = now
+}
+
+// longShare returns the share of each model's servers that get long prompts. The caller must hold p.mu.
+func (p *Planner) longShare() float64 {
+	return split.LongShare(p.prompts, p.pauses.Factor())
+}
+
+// utilization returns the share of time in which a model's servers read its prompts. The
+// caller must hold p.mu.
+func (p *Planner) utilization(model string, now time.Time) float64 {
+	copies := p.copies[model]
+	if copies == 0 {
+		return 0
+	}
+	return p.demand.requests[model].Rate(now) * p.demand.promptTimePerRequest(model, now).Seconds() / float64(copies)
+}
+
+// countCopies counts the servers that serve each model. The caller must hold p.mu.
+func (p *Planner) countCopies() {
+	p.copies = map[string]int{}
+	for _, s := range p.servers {
+		for name, m := range s.models {
+			if !m.unloading {
+				p.copies[name]++
+			}
+		}
+	}
 }
 
 // busiestServers returns the load of the maxListedServers servers with the most
@@ -109,6 +141,9 @@
 	if p.storeConcurrency.Limit() != status.StoreLoads && status.StoreLoads > 0 {
 		p.storeConcurrency = loads.FromEstimate(status.StoreLoads)
 	}
+	if p.pauses.Factor() != status.PauseFactor {
+		p.pauses = stall.FromFactor(status.PauseFactor)
+	}
 	now := time.Now()
 	p.inheritedLoads = map[site.InstanceKey]inheritedLoad{}
 	for _, x := range status.Pending {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -175,7 +175,7 @@
 			}
 			continue
 		}
-		f.reverseProxy.RecordLoads(status.Loads)
+		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
 	}
 }
--- a/internal/policy/score/score.go
+++ b/internal/policy/score/score.go
@@ -23,6 +23,8 @@
 	LongPrefill time.Duration
 	// PauseRisk is the probability that a long prefill makes a stream there pause for too long, 0 if not known.
 	PauseRisk float64
+	// OtherPrompts is set if the instance is left to prompts of another length (policy/split).
+	OtherPrompts bool
 	// FailureShare is the recent share of failed requests, from 0 to 1.
 	FailureShare float64
 	// TimeToAnswer is the usual time until an answer starts, 0 if not known.
@@ -34,6 +36,8 @@
 	concurrentCostMs = 1.0
 	// crossDomainCostMs is the cost of leaving the failure domain.
 	crossDomainCostMs = 4.0
+	// otherPromptsCostMs is the cost of a request at an instance that is left to prompts of another length.
+	otherPromptsCostMs = 250.0
 	// connectCostMs is the cost of a new connection: the network round trip and the server's work for it.
 	connectCostMs = 5.0
 	// queuedCostMs is the cost of each request beyond the slots.
@@ -64,6 +68,9 @@
 	if c.LongPrefill > 0 {
 		cost += lateCostMs * c.expectedPauses(running)
 	}
+	if c.OtherPrompts {
+		cost += otherPromptsCostMs
+	}
 	if !c.SameDomain {
 		cost += crossDomainCostMs
 	}
@@ -108,6 +115,16 @@
 	return time.Duration(float64(pause) * prefillPauseShare)
 }
 
+// LongPrompt returns the reading time from which a prompt counts as long where streams
+// may pause for the given time.
+func LongPrompt(pause time.Duration) time.Duration {
+	return LongPrefill(pause) / longPromptDivisor
+}
+
+// longPromptDivisor divides LongPrefill: a few prompts of that length that are read one
+// after the other make streams pause.
+const longPromptDivisor = 3
+
 // prefillPauseShare is the share of a pause that is left for prefill; the steps themselves take the rest.
 const prefillPauseShare = 0.55
 
