plat/follow: fronts of a failure domain watch the store through two of them

Change: where a failure domain has more than two fronts, two of them (not the planner) watch the store and the others ask one of the two for changes of its view: a long poll between fronts, from a cursor, with only the keys that are newer when it starts. A front watches by itself as soon as its parent fails, does not reach the store, or has not heard from it for 65 % of the time in which changes must be in force, and for 5 s after that. A view that is read whole keeps what the front wrote itself ahead of it. A watch without changes returns in half the time as before.

Tried and changed: trying the other parent first.

--- a/cmd/foxtailcroft/front.go
+++ b/cmd/foxtailcroft/front.go
@@ -25,6 +25,9 @@
 )
 
 const (
+	// watchWindowDivisor divides the time in which a front must learn of changes, so that a
+	// watch that returns without any tells the fronts that follow this one soon enough.
+	watchWindowDivisor = 2
 	// logBufferLines bounds the log lines that are buffered for a slow reader; further lines are dropped.
 	logBufferLines = 4096
 	// softMemoryLimitPercent is the share of the process's memory limit that the Go runtime gets as its soft
@@ -78,7 +81,7 @@
 		Settings: settings, Dialect: platform.Dialect{}, DialInstance: conns.DialTCP, DialPeer: conns.DialTCP, ReadyPath: platform.ReadyPath, Metrics: meters, Log: log,
 		Store: platform.NewStore(settings.Store, &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return conns.DialTCP(ctx, address)
-		}}, min(settings.Bounds.InForce, settings.Bounds.Contact*2/3), meters),
+		}}, min(settings.Bounds.InForce, settings.Bounds.Contact*2/3)/watchWindowDivisor, meters),
 		StoreLayout: follow.Layout{
 			DocumentKey: platform.DocumentKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.SystemPrefix},
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -18,10 +18,11 @@
 
 // Names of the RPC methods between fronts.
 const (
-	methodNewer = "Newer"
-	methodWant  = "Want"
-	methodUse   = "Use"
-	methodRenew = "Renew"
+	methodNewer   = "Newer"
+	methodWant    = "Want"
+	methodUse     = "Use"
+	methodRenew   = "Renew"
+	methodChanges = "Changes"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -159,6 +160,9 @@
 	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u UsageReport) (PlannerStatus, error) {
 		return local.ApplyUsage(u), nil
 	})
+	peer.OnCall(mux, methodChanges, func(ctx context.Context, _ *peer.Conn, r follow.ChangesRequest) (follow.Changes, error) {
+		return f.Changes(ctx, r), nil
+	})
 	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
 		return leases.KeepAlive(ctx, lease)
 	})
@@ -226,6 +230,13 @@
 	return store.List{}, false
 }
 
+// FetchChanges asks a front that watches the store for the changes of its view.
+func (m *Client) FetchChanges(ctx context.Context, parent follow.Front, r follow.ChangesRequest) (follow.Changes, error) {
+	var changes follow.Changes
+	err := m.call(ctx, parent.Address, methodChanges, r.Wait+callTimeout, r, &changes)
+	return changes, err
+}
+
 // RequestInstances asks the current planner for instances. It returns a NoPlannerError if there
 // is no planner.
 func (m *Client) RequestInstances(ctx context.Context, w InstanceRequest) (InstanceReply, error) {
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -85,6 +85,7 @@
 type CandidateOptions struct {
 	Name    string
 	Address string
+	Domain  string
 	// MinLeaseTTL is the shortest lease TTL that the store grants.
 	MinLeaseTTL time.Duration
 	// CPUShare is the share of a CPU core available to the front, 0 if unknown.
@@ -96,7 +97,7 @@
 // NewCandidate returns a Candidate that registers the front once Run is called.
 func NewCandidate(o CandidateOptions, s LeaseStore, view Site, log *zap.SugaredLogger) *Candidate {
 	return &Candidate{
-		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString()}, store: s, site: view,
+		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString(), Domain: o.Domain}, store: s, site: view,
 		ttl: max(leaseTTL, o.MinLeaseTTL), bootClock: o.SinceBoot, claimDelay: claimDelayFor(o.CPUShare), log: log,
 	}
 }
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -86,7 +86,7 @@
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
 	candidate := sched.NewCandidate(sched.CandidateOptions{
-		Name: settings.Node.Name, Address: settings.Listen.Peers, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: clock.SinceBoot,
+		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: clock.SinceBoot,
 	}, o.Store, follower, log.Named("Lead"))
 	planner, closePlanner := sched.New(sched.Settings{
 		Node: settings.Node.Name, ChecksFence: settings.ChecksFence, LoadWindow: settings.Bounds.LoadWindow, HandoverDelay: settings.Bounds.Lease,
@@ -96,6 +96,7 @@
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner, o.Store)
 	follower.SetPeers(frontPeers)
+	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
@@ -113,6 +114,9 @@
 	// batchDelayTenths is the time for which the follower batches changes, in tenths of the
 	// shorter of two time limits: for configurations and for leaving servers to take effect.
 	batchDelayTenths = 3
+	// maxParentAgePercent is the age of another front's view up to which it is followed, in
+	// percent of the same time limits; what is left covers noticing and reading the store.
+	maxParentAgePercent = 65
 	// minUsageInterval is the shortest interval of a front's usage reports to the planner.
 	minUsageInterval = 500 * time.Millisecond
 	// usageIntervalPerFront is the shortest mean time between two reports that the planner receives from all fronts.
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/sleep"
@@ -53,6 +54,21 @@
 	outageSince time.Time
 	// recoveredAt is the end of the last outage; zero if there was none.
 	recoveredAt time.Time
+	// relay fetches changes from other fronts of the domain; nil if this front always watches the store.
+	relay        Relay
+	domain       string
+	maxParentAge time.Duration
+	// ownWatchUntil is the time until which no other front is followed after one failed, and
+	// parentFailures counts the failures; mu guards both.
+	ownWatchUntil  time.Time
+	parentFailures uint64
+	// epoch identifies this process in cursors.
+	epoch string
+	// changes are the newest changes of the state, and changeNumber is the last one's number; updateMu guards both.
+	changes      []change
+	changeNumber int64
+	// confirmedAt is when the store last answered, in Unix nanoseconds.
+	confirmedAt atomic.Int64
 	// missing holds the keys of instances whose announcements lapsed around an outage and that may return.
 	missing map[string]bool
 }
@@ -67,7 +83,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]bool{}}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]bool{}, epoch: uuid.NewString()}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
 }
@@ -127,6 +143,7 @@
 // watch applies changes until the store has compacted the history; after other errors it resumes at the same revision.
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.followParents(ctx)
 		if !f.probeStore(ctx) {
 			sleep.For(ctx, storeRetryInterval)
 			continue
@@ -134,11 +151,17 @@
 		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 			f.markAvailable()
 			f.applyBatch(b)
+			if _, ok := f.parent(); ok {
+				return errFollowParent
+			}
 			if len(b.Events) > 0 {
 				sleep.For(ctx, f.batchDelay())
 			}
 			return nil
 		})
+		if errors.Is(err, errFollowParent) {
+			continue
+		}
 		var compacted *store.Compacted
 		if errors.As(err, &compacted) {
 			f.log.Infow("history lost, reading all again", "Revision", compacted.Revision)
@@ -172,12 +195,18 @@
 	if s := f.State(); s.Planner != nil && s.Planner.Name == f.self {
 		return plannerBatchDelay
 	}
+	if f.isFollowed() {
+		return min(parentBatchDelay, f.delays.BatchDelay)
+	}
 	return f.delays.BatchDelay
 }
 
 // RunReread reads the document linearizably every rereadInterval, in case the watch drops changes.
 func (f *Follower) RunReread(ctx context.Context) {
-	for sleep.For(ctx, rereadInterval) {
+	for round := 1; sleep.For(ctx, rereadInterval); round++ {
+		if !f.rereadDue(round) {
+			continue
+		}
 		kv, ok, err := f.store.Get(ctx, f.layout.DocumentKey)
 		if err != nil || !ok {
 			continue
@@ -261,6 +290,7 @@
 }
 
 func (f *Follower) markAvailable() {
+	f.confirmedAt.Store(time.Now().UnixNano())
 	f.mu.Lock()
 	since := f.outageSince
 	if !since.IsZero() {
@@ -285,6 +315,12 @@
 			}
 			keys[kv.Key] = kv
 		}
+		for key, kv := range old.Keys {
+			// Keys that this front wrote may be ahead of the view.
+			if _, ok := keys[key]; !ok && kv.Revision > list.Revision {
+				keys[key] = kv
+			}
+		}
 		f.retainMissing(old, keys)
 		s := f.deriveState(old, keys, list.Revision)
 		s.PlannerChangedAt = time.Now()
@@ -350,6 +386,7 @@
 		return
 	}
 	f.logRemoved(old, s)
+	f.keepChange(old, s)
 	f.state.Store(s)
 	close(old.replaced)
 }
--- /dev/null
+++ b/internal/plat/follow/relay.go
@@ -0,0 +1,300 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"foxtailcroft/internal/base/sleep"
+	"foxtailcroft/internal/plat/store"
+)
+
+const (
+	// watchersPerDomain is the number of fronts in a failure domain that watch the store;
+	// the other fronts of the domain follow one of them.
+	watchersPerDomain = 2
+	// relayWindow is how long a front that is followed waits for a change before it replies.
+	relayWindow = 500 * time.Millisecond
+	// ownWatchTime is how long a front watches the store itself after a parent failed. It does
+	// not try the other parents first, because together they could fail for too long.
+	ownWatchTime = 5 * time.Second
+	// behindWatchTime is that time if the parent only is behind, as when both have just started.
+	behindWatchTime = 500 * time.Millisecond
+	// parentBatchDelay is the pause of a front that others follow after a batch of changes.
+	parentBatchDelay = 600 * time.Millisecond
+	// parentSwitchDelay is the pause before another parent is followed.
+	parentSwitchDelay = 50 * time.Millisecond
+	// maxKeptChanges bounds the changes that are kept for followers.
+	maxKeptChanges = 128
+	// followerRereadRatio is how much more seldom than a watcher a front that follows another reads the document itself.
+	followerRereadRatio = 6
+)
+
+// Cursor is a position in the changes of one front's view.
+type Cursor struct {
+	// Epoch identifies the process that made the changes.
+	Epoch  string
+	Number int64
+}
+
+// Changes are changes of another front's view.
+type Changes struct {
+	// Next is the cursor after these changes.
+	Next     Cursor
+	Revision int64
+	Events   []store.Event
+	// Keys lists the revisions of all keys if the changes start from scratch. Events then
+	// hold the keys that are newer than the revision that was asked for.
+	Keys map[string]int64
+	// Age is the time since the store last answered.
+	Age time.Duration
+	// Available is false while the front can't reach the store.
+	Available bool
+}
+
+// ChangesRequest asks a front for the changes of its view after a cursor.
+type ChangesRequest struct {
+	After Cursor
+	// Revision is the revision of the asking front's view.
+	Revision int64
+	Wait     time.Duration
+}
+
+// Relay fetches changes from other fronts.
+type Relay interface {
+	FetchChanges(ctx context.Context, parent Front, r ChangesRequest) (Changes, error)
+}
+
+// change is one replacement of the state.
+type change struct {
+	number int64
+	events []store.Event
+}
+
+// SetRelay lets the front follow others of its failure domain if there are more than
+// watchersPerDomain; call it before Run. A front does not follow a view that is older than maxAge.
+func (f *Follower) SetRelay(r Relay, domain string, maxAge time.Duration) {
+	f.relay, f.domain, f.maxParentAge = r, domain, maxAge
+}
+
+// watchers returns the fronts of a failure domain that watch the store, sorted by name. The
+// planner, which watches the store in any case and is the busiest, is not among them.
+func (s *State) watchers(domain string) []Front {
+	var out []Front
+	for _, front := range s.Fronts {
+		if front.Domain == domain && (s.Planner == nil || s.Planner.Run != front.Run) {
+			out = append(out, front)
+		}
+	}
+	slices.SortFunc(out, func(a, b Front) int { return cmp.Compare(a.Name, b.Name) })
+	return out[:min(watchersPerDomain, len(out))]
+}
+
+// parent returns the front to follow, and false if this front watches the store itself.
+func (f *Follower) parent() (Front, bool) {
+	s := f.State()
+	if f.relay == nil || s.Document == nil || s.Planner != nil && s.Planner.Name == f.self || f.Unavailable(0) {
+		return Front{}, false
+	}
+	list := s.watchers(f.domain)
+	if slices.ContainsFunc(list, func(x Front) bool { return x.Name == f.self }) {
+		return Front{}, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(list) == 0 || time.Now().Before(f.ownWatchUntil) {
+		return Front{}, false
+	}
+	return list[(hashOf(f.self)+f.parentFailures)%uint64(len(list))], true
+}
+
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// isFollowed reports whether other fronts follow this one.
+func (f *Follower) isFollowed() bool {
+	s := f.State()
+	inDomain := 0
+	for _, front := range s.Fronts {
+		if front.Domain == f.domain {
+			inDomain++
+		}
+	}
+	return inDomain > watchersPerDomain && slices.ContainsFunc(s.watchers(f.domain), func(x Front) bool { return x.Name == f.self })
+}
+
+// errFollowParent ends a watch because the front is to follow another one.
+var errFollowParent = errors.New("following another front from now on")
+
+// followParents applies the changes of parents until the front has none. After a failure it
+// watches the store for a while, and then tries the next parent.
+func (f *Follower) followParents(ctx context.Context) {
+	var cursor Cursor
+	var followed string
+	for ctx.Err() == nil {
+		parent, ok := f.parent()
+		if !ok {
+			return
+		}
+		if parent.Run != followed {
+			if followed != "" && !sleep.For(ctx, parentSwitchDelay) {
+				return
+			}
+			f.log.Infow("following another front", "Front", parent.Name, "Revision", f.State().Revision)
+			cursor, followed = Cursor{}, parent.Run
+		}
+		if err := f.followOnce(ctx, parent, &cursor); err != nil && ctx.Err() == nil {
+			f.log.Warnw("following another front failed; watching the store for a while", "Front", parent.Name, "Error", err.Error(), "Revision", f.State().Revision)
+			f.leaveParent(err)
+		}
+	}
+}
+
+// leaveParent stops following for a while; the next parent is another one, unless this one was only behind.
+func (f *Follower) leaveParent(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if errors.Is(err, errParentBehind) {
+		f.ownWatchUntil = time.Now().Add(behindWatchTime)
+		return
+	}
+	f.ownWatchUntil = time.Now().Add(ownWatchTime)
+	f.parentFailures++
+}
+
+// errStaleParent reports a parent that does not reach the store or whose view is too old.
+var errStaleParent = errors.New("the front's view of the store is out of date")
+
+// errParentBehind reports a parent whose view is older than this front's.
+var errParentBehind = errors.New("the front's view is older than this one's")
+
+// followOnce fetches changes from a parent, applies them and advances the cursor.
+func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
+	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow})
+	if err != nil {
+		return err
+	}
+	if !changes.Available || changes.Age > f.maxParentAge {
+		return errStaleParent
+	}
+	if changes.Keys != nil && changes.Revision < f.State().Revision {
+		return errParentBehind
+	}
+	if changes.Keys != nil {
+		list, ok := f.mergeKeys(changes)
+		if !ok {
+			return errStaleParent
+		}
+		f.replaceView(list)
+	} else {
+		f.applyBatch(store.Batch{Revision: changes.Revision, Events: changes.Events})
+	}
+	f.confirmedAt.Store(time.Now().Add(-changes.Age).UnixNano())
+	*cursor = changes.Next
+	return nil
+}
+
+// mergeKeys returns the parent's view, with the values that this front has; false if a value is missing.
+func (f *Follower) mergeKeys(c Changes) (store.List, bool) {
+	known := f.State().Keys
+	newer := map[string]store.KV{}
+	for _, e := range c.Events {
+		newer[e.Key] = e.KV
+	}
+	list := store.List{Revision: c.Revision}
+	for key, revision := range c.Keys {
+		kv, ok := newer[key]
+		if !ok {
+			kv = known[key]
+		}
+		if kv.Revision < revision {
+			return store.List{}, false
+		}
+		list.KVs = append(list.KVs, kv)
+	}
+	return list, true
+}
+
+// keepChange keeps the difference between two states for the fronts that follow this one;
+// the caller holds updateMu.
+func (f *Follower) keepChange(old, s *State) {
+	var events []store.Event
+	for key, kv := range s.Keys {
+		if old.Keys[key].Revision != kv.Revision {
+			events = append(events, store.Event{KV: kv})
+		}
+	}
+	for key, kv := range old.Keys {
+		if _, ok := s.Keys[key]; !ok {
+			events = append(events, store.Event{KV: store.KV{Key: key, Revision: max(s.Revision, kv.Revision+1)}, Deleted: true})
+		}
+	}
+	if len(events) == 0 {
+		return
+	}
+	f.changeNumber++
+	f.changes = append(f.changes, change{f.changeNumber, events})
+	f.changes = f.changes[max(0, len(f.changes)-maxKeptChanges):]
+}
+
+// Changes returns the changes of this front's view after a cursor, and waits for some if there are none.
+func (f *Follower) Changes(ctx context.Context, r ChangesRequest) Changes {
+	ctx, cancel := context.WithTimeout(ctx, min(r.Wait, relayWindow))
+	defer cancel()
+	for {
+		out, next := f.changesAfter(r)
+		if out.Keys != nil || len(out.Events) > 0 || !out.Available {
+			return out
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+// changesAfter returns the changes after a cursor, and a channel that is closed with the next change.
+func (f *Follower) changesAfter(r ChangesRequest) (Changes, <-chan struct{}) {
+	f.updateMu.Lock()
+	defer f.updateMu.Unlock()
+	s := f.state.Load()
+	out := Changes{
+		Next: Cursor{Epoch: f.epoch, Number: f.changeNumber}, Revision: s.Revision,
+		Age: time.Since(time.Unix(0, f.confirmedAt.Load())), Available: !f.Unavailable(0) && s.Document != nil,
+	}
+	oldest := f.changeNumber + 1
+	if len(f.changes) > 0 {
+		oldest = f.changes[0].number
+	}
+	if r.After.Epoch == f.epoch && r.After.Number+1 >= oldest {
+		for _, c := range f.changes {
+			if c.number > r.After.Number {
+				out.Events = append(out.Events, c.events...)
+			}
+		}
+		return out, s.Next()
+	}
+	out.Keys = make(map[string]int64, len(s.Keys))
+	for key, kv := range s.Keys {
+		out.Keys[key] = kv.Revision
+		if kv.Revision > r.Revision {
+			out.Events = append(out.Events, store.Event{KV: kv})
+		}
+	}
+	return out, s.Next()
+}
+
+// rereadDue reports whether to read the document in a round of RunReread. A front that
+// follows another does so more seldom, because the other one does it as well.
+func (f *Follower) rereadDue(round int) bool {
+	_, follows := f.parent()
+	return !follows || round%followerRereadRatio == 0
+}
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -27,6 +27,8 @@
 	Address string
 	// Run distinguishes restarts under the same name.
 	Run string
+	// Domain is the front's failure domain.
+	Domain string
 }
 
 // Planner is the front with the planner role, and its fencing token.
