back/conns, front/proxy: bytes without end use no memory without end

Cause: found by test. A response head was read without a bound, so a faulty server that sends a status line or header without end filled the front's memory until its caller's deadline; the test's process ended out of memory at 7 GB with eight requests. Bodies were read up to 16 MB each before the signature was looked at, an event up to 1 MB, the body of a response to another request without a bound; a planner's reply cut at 1 MB counted as whole and its connection as reusable.

Change: a head, with the bodies of foreign responses before it, is bounded to 64 KB, unsigned bodies to 64 KB, signed ones to 8 MB each and 32 MB in all that are being read, an event to 128 KB; unsigned successes are not read at all.

Tests: TestBytesWithoutEnd (twelve kinds, fails without the change), TestSlowAndStalledStreams: slow streams are passed on whole, and a stream that sends a byte now and then ends visibly at the deadline (held before).

--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -12,14 +13,42 @@
 type conn struct {
 	net.Conn
 	reader        *bufio.Reader
+	head          *headReader
 	reuseDeadline time.Time
 }
 
+// maxHeadBytes bounds the head of a response, as a faulty server may send one without end.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong reports a response head over maxHeadBytes.
+var errHeadTooLong = errors.New("response head is too long")
+
+// headReader reads from a connection and bounds what is read while a head is expected.
+type headReader struct {
+	io.Reader
+	// left is the number of bytes that may still be read, negative if there is no bound.
+	left int
+}
+
+// Read reads up to the bound.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.left < 0 {
+		return h.Reader.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.Reader.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
 // readBufferBytes is large enough for one event of a stream; longer bodies are read in several pieces.
 const readBufferBytes = 4 << 10
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	head := &headReader{Reader: raw, left: -1}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
 // isIdle reports whether the connection is open and no bytes have arrived since the last response.
--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -117,6 +117,8 @@
 
 // readOwnResponse skips informational responses and those to other requests.
 func (c *conn) readOwnResponse(r *Request) (*http.Response, error) {
+	c.head.left = maxHeadBytes
+	defer func() { c.head.left = -1 }()
 	for range maxForeignResponses {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -128,6 +130,7 @@
 		if r.IsOwn == nil || r.IsOwn(res.Header) {
 			return res, nil
 		}
+		// The bound on the head also covers this body, so that it can't be without end.
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, err
 		}
--- a/internal/front/proxy/answer.go
+++ b/internal/front/proxy/answer.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,8 +13,17 @@
 	"foxtailcroft/internal/core/site"
 )
 
-// maxAnswerBytes bounds an answer that is read completely before it is passed on.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds an answer that is read completely before it is passed on.
+	maxAnswerBytes = 8 << 20
+	// maxUnsignedBytes bounds such an answer if no instance has signed it.
+	maxUnsignedBytes = 64 << 10
+	// maxBufferedBytes bounds the memory of all long answers that are being read; faulty
+	// instances may send them without end.
+	maxBufferedBytes = 32 << 20
+	// answerBlockBytes is the unit in which that memory is reserved, after the first block of an answer.
+	answerBlockBytes = 64 << 10
+)
 
 // hopByHopHeaders concern a single connection and are not passed on.
 var hopByHopHeaders = []string{
@@ -39,17 +50,12 @@
 // relayBuffered reads an answer to its end before passing it on, so that another
 // instance can be tried where that is allowed if the answer is incomplete or an error.
 func (c *call) relayBuffered(ctx context.Context, in site.Instance, res *conns.Response) nextStep {
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err == nil && len(data) > maxAnswerBytes {
-		err = fmt.Errorf("answer over %d bytes", maxAnswerBytes)
-	}
+	data, release, err := c.readAnswer(res)
+	defer release()
 	res.Finish(err == nil)
 	if ctx.Err() != nil {
 		return tryAnother
 	}
-	if err == nil && res.Status < http.StatusMultipleChoices && !c.server.dialect.IsSigned(res.Header) {
-		err = fmt.Errorf("answer without signature or with an encoding")
-	}
 	if err != nil {
 		c.server.tracker.recordOutcome(in.InstanceKey, true)
 		c.reason = err.Error()
@@ -76,6 +82,34 @@
 	return requestEnded
 }
 
+// readAnswer reads an answer's body and returns a function that releases its memory.
+func (c *call) readAnswer(res *conns.Response) (data []byte, release func(), err error) {
+	reserved := int64(0)
+	release = func() { c.server.answerMemory.Release(reserved) }
+	limit := maxAnswerBytes
+	if !c.server.dialect.IsSigned(res.Header) {
+		if res.Status < http.StatusMultipleChoices {
+			return nil, release, errors.New("answer without signature or with an encoding")
+		}
+		limit = maxUnsignedBytes
+	}
+	var buffer bytes.Buffer
+	for {
+		n, err := io.CopyN(&buffer, res.Body, answerBlockBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), release, nil
+		case err != nil:
+			return nil, release, err
+		case buffer.Len() >= limit:
+			return nil, release, fmt.Errorf("answer over %d bytes", limit)
+		case !c.server.answerMemory.TryAcquire(n):
+			return nil, release, fmt.Errorf("long answers take over %d bytes of memory", maxBufferedBytes)
+		}
+		reserved += n
+	}
+}
+
 // copyHeader copies the end-to-end headers of an answer.
 func (c *call) copyHeader(to, from http.Header) {
 	for name, values := range endToEndHeaders(from, c.server.dialect.IsEndToEnd) {
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
@@ -66,6 +67,8 @@
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
+	// answerMemory is the memory that is left for long answers.
+	answerMemory *semaphore.Weighted
 	// stopTime is when the process ends; nil unless it is stopping.
 	stopTime atomic.Pointer[time.Time]
 	mu       sync.Mutex
@@ -77,7 +80,7 @@
 func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, finder InstanceFinder, meters *metrics.Set, log *zap.SugaredLogger) *Server {
 	return &Server{
 		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: finder, tracker: newInstanceTracker(),
-		log: log, meters: meters, retryBudgets: map[string]retry.BudgetShare{},
+		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
 
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -15,7 +15,7 @@
 )
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
 
 // recordedPauseDivisor divides a route's longest allowed gap: pauses above the result are recorded.
 const recordedPauseDivisor = 2
--- a/internal/front/sched/client.go
+++ b/internal/front/sched/client.go
@@ -82,7 +82,10 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if err == nil && len(data) > maxReplyBytes {
+		err = fmt.Errorf("reply over %d bytes", maxReplyBytes)
+	}
 	res.Finish(err == nil)
 	return res.Status, data, err
 }
