policy/swap: idle copies are evicted first, others after a wait

Cause: on further a third of the swaps evicted a copy with one or two requests in flight (1,880 of 5,300 in 30 days). Such an unload waits for 1 to 2 s in the median and keeps its server from other loads meanwhile, so that fewer idle copies are left to choose from.

Change: a wanted model waits 1.2 s for an idle copy on a server that has its weights; only then are copies with up to two requests in flight evicted.

Also tried and reverted: loading models whose weights are on no server's disk before traffic starts.

--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -17,8 +17,11 @@
 	costHorizon = 10 * time.Second
 	// minCopyAge is the age below which a copy is not evicted, so that two models don't keep evicting each other.
 	minCopyAge = 1500 * time.Millisecond
-	// maxEvictInFlight bounds the running requests of a copy that may be evicted, because its unload waits for them.
-	maxEvictInFlight = 2
+	// maxEvictInFlight bounds the running requests of a copy that may be evicted for a model
+	// that has waited for idleEvictionPatience. Before that only idle copies are: an unload
+	// waits for running requests and meanwhile keeps the server from other loads.
+	maxEvictInFlight     = 2
+	idleEvictionPatience = 1200 * time.Millisecond
 )
 
 const (
@@ -62,7 +65,7 @@
 	if source < slowest || source == FromStore && d.StoreLoadsLeft <= 0 || s.holds(model.Name) {
 		return Action{}, 0, false
 	}
-	evict, lossSeconds, unloadWait, ok := d.chooseEvictions(s, model)
+	evict, lossSeconds, unloadWait, ok := d.chooseEvictions(s, model, w.maxEvictInFlight())
 	if !ok {
 		return Action{}, 0, false
 	}
@@ -116,10 +119,19 @@
 	return FromStore, time.Duration(float64(model.StoreLoadTime) * slowdown)
 }
 
+// maxEvictInFlight returns how many running requests a copy may have to be evicted for a wanted model.
+func (w Want) maxEvictInFlight() int {
+	if w.Waited < idleEvictionPatience {
+		return 0
+	}
+	return maxEvictInFlight
+}
+
 // chooseEvictions returns the models to evict, cheapest first, until the new one
 // fits, with their total cost in seconds of waiting and the time until they are
-// unloaded. ok is false if the model doesn't fit.
-func (d *decision) chooseEvictions(s *Server, model *site.Model) (evict []string, cost float64, wait time.Duration, ok bool) {
+// unloaded. Copies with more than maxInFlight requests stay. ok is false if the model
+// doesn't fit.
+func (d *decision) chooseEvictions(s *Server, model *site.Model, maxInFlight int) (evict []string, cost float64, wait time.Duration, ok bool) {
 	free := d.freeMB(s) - d.adapterReserveMB(s, model)
 	if free >= model.SizeMB || d.Conservative {
 		return nil, 0, 0, free >= model.SizeMB
@@ -130,7 +142,7 @@
 	}
 	copies := make([]costedCopy, 0, len(s.Copies))
 	for _, c := range s.Copies {
-		if c.Age >= minCopyAge && c.InFlight <= maxEvictInFlight && !d.summary(c.Model).wanted {
+		if c.Age >= minCopyAge && c.InFlight <= maxInFlight && !d.summary(c.Model).wanted {
 			copies = append(copies, costedCopy{c, d.evictionCost(s, c)})
 		}
 	}
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -51,6 +51,14 @@
 			Wants:   []Want{{Model: "m5", Weight: 1}},
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 3), held("m1", 9), held("m2", 5)}, OnDisk: []string{"m5"}}},
 		}, []Action{{Server: "a", Load: "m5", Source: FromDisk, ReadyIn: 5390 * time.Millisecond, Deferred: true}}},
+		{"waits for an idle copy at first", Input{
+			Wants:   []Want{{Model: "m5", Weight: 1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 1), held("m1", 9), held("m2", 5)}, OnDisk: []string{"m5"}}},
+		}, []Action{{Server: "a", Load: "m5", Source: FromDisk, ReadyIn: 2390 * time.Millisecond, Deferred: true}}},
+		{"evicts a copy with a request in flight for a model that has waited", Input{
+			Wants:   []Want{{Model: "m5", Weight: 1, Waited: idleEvictionPatience}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 1), held("m1", 9), held("m2", 5)}, OnDisk: []string{"m5"}}},
+		}, []Action{{Server: "a", Evict: []string{"m0"}, Load: "m5", Source: FromDisk, ReadyIn: 2390 * time.Millisecond}}},
 		{"does not load a wanted model that another server is loading", Input{
 			Wants: []Want{{Model: "m5", Weight: 1}}, StoreLoadsLeft: 4,
 			Servers: []Server{{ID: "a", Busy: true, Loading: "m5"}, {ID: "b", OnDisk: []string{"m5"}}},
