--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -85,7 +85,8 @@
 type CandidateOptions struct {
 	Name    string
 	Address string
-	Domain  string
+	// Domain is the front's failure domain.
+	Domain string
 	// MinLeaseTTL is the shortest lease TTL that the store grants.
 	MinLeaseTTL time.Duration
 	// CPUShare is the share of a CPU core available to the front, 0 if unknown.
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -4,10 +4,11 @@
 	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/plat/store"
 )
@@ -108,14 +109,7 @@
 	if len(list) == 0 || time.Now().Before(f.ownWatchUntil) {
 		return Front{}, false
 	}
-	return list[(hashOf(f.self)+f.parentFailures)%uint64(len(list))], true
-}
-
-func hashOf(name string) uint64 {
-	h := fnv.New64a()
-	// A hash never fails to write.
-	_, _ = h.Write([]byte(name))
-	return h.Sum64()
+	return list[(xxhash.Sum64String(f.self)+f.parentFailures)%uint64(len(list))], true
 }
 
 // isFollowed reports whether other fronts follow this one.
