front/sched: lagging reports can't hide adapters that a server has

Four adapters in transit make a server reject further orders; after such a rejection the planner took the next report whole, whose list lags by 0.2 s although its number of orders does not, and forgot three adapters that had been accepted meanwhile. The same could happen to a new planner whose predecessor has just resigned: its first report shows free places that are taken.

Change: a report that confirms the number of accepted orders only adds to what is known, also after a rejected order. A new planner reads reports 0.35 s after it saw its predecessor go. The race between several renewals is one function (tasks.First). The stand-in's reports lag in what is held, not in the number of orders.

Tests: TestReportAfterRejectedOrderKeepsAcceptedAdapters, TestSuccessorWaitsForSettledReports (16 adapters of 8 before), TestFirst.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -7,8 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
+	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
@@ -187,32 +186,17 @@
 // RenewLease asks other fronts to renew a lease at the store, all at once, and returns
 // the first answer; ok is false if the lease has ended.
 func (m *Client) RenewLease(ctx context.Context, lease int64) (ok bool, err error) {
-	type renewal struct {
-		ok  bool
-		err error
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	addresses := m.sampleFronts()
-	renewals := make(chan renewal, len(addresses))
-	for _, address := range addresses {
-		group.Go(func() {
-			var r renewal
-			r.err = m.call(ctx, address, methodRenew, callTimeout, lease, &r.ok)
-			renewals <- r
+	var calls []func(context.Context) (bool, error)
+	for _, address := range m.sampleFronts() {
+		calls = append(calls, func(ctx context.Context) (renewed bool, err error) {
+			err = m.call(ctx, address, methodRenew, callTimeout, lease, &renewed)
+			return renewed, err
 		})
 	}
-	err = errNoFronts
-	for range addresses {
-		r := <-renewals
-		if r.err == nil {
-			return r.ok, nil
-		}
-		err = r.err
+	if len(calls) == 0 {
+		return false, errNoFronts
 	}
-	return false, err
+	return tasks.First(ctx, calls...)
 }
 
 // errNoFronts is the error of a call for help when no other front is known.
--- a/internal/front/proxy/endless_test.go
+++ b/internal/front/proxy/endless_test.go
@@ -135,6 +135,7 @@
 				r.g.Expect(time.Since(began)).To(BeNumerically("<", c.atMost))
 				r.g.Expect(strings.Count(w.Body.String(), event)).To(Equal(c.eventsAfter))
 				r.g.Expect(!aborted && w.Code == http.StatusOK).To(Equal(c.isWhole))
+				time.Sleep(2 * c.every) // The server notices the closed connection with its next write.
 			})
 		})
 	}
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/sleep"
+	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
@@ -230,48 +230,20 @@
 	return nil
 }
 
-// renew renews the lease at the store. If the store refuses or does not answer within
-// relayDelay, it also asks other fronts, so that a front that is cut off from the store
+// renew renews the lease at the store. If the store has not done so within relayDelay, it
+// also asks other fronts, so that a front that is cut off from the store
 // alone keeps its registration and the planner's key.
 func (l *Candidate) renew(ctx context.Context, lease int64) (bool, error) {
-	type renewal struct {
-		ok  bool
-		err error
+	direct := func(ctx context.Context) (bool, error) { return l.store.KeepAlive(ctx, lease) }
+	if l.relay == nil {
+		return direct(ctx)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	renewals := make(chan renewal, 2)
-	start := func(r func(context.Context, int64) (bool, error)) {
-		group.Go(func() {
-			ok, err := r(ctx, lease)
-			renewals <- renewal{ok, err}
-		})
-	}
-	start(l.store.KeepAlive)
-	running, relayed := 1, l.relay == nil
-	timer := time.NewTimer(relayDelay)
-	defer timer.Stop()
-	for {
-		var err error
-		select {
-		case r := <-renewals:
-			if running--; r.err == nil {
-				return r.ok, nil
-			}
-			err = r.err
-		case <-timer.C:
-		}
-		if !relayed {
-			relayed = true
-			running++
-			start(l.relay.RenewLease)
+	return tasks.First(ctx, direct, func(ctx context.Context) (bool, error) {
+		if !sleep.For(ctx, relayDelay) {
+			return false, ctx.Err()
 		}
-		if running == 0 {
-			return false, err
-		}
-	}
+		return l.relay.RenewLease(ctx, lease)
+	})
 }
 
 // registrationVisible reports whether the store still lists this front. The
--- a/internal/front/sched/handover_test.go
+++ b/internal/front/sched/handover_test.go
@@ -139,3 +139,35 @@
 		c.g.Expect(c.orderLog.Breaches()).To(BeEmpty())
 	})
 }
+
+// TestSuccessorWaitsForSettledReports lets a planner resign right after it has filled a
+// server whose reports lag. Its successor must not take the free places that a lagging
+// report shows for free.
+func TestSuccessorWaitsForSettledReports(t *testing.T) {
+	const reportLag, places = 300 * time.Millisecond, 8
+	for range 5 {
+		runCluster(t, 1, 3, 1, func(c *cluster) {
+			c.stops[0]()
+			c.servers, c.stops, c.reportLag = nil, nil, reportLag
+			c.addServer(0, 2, "m0")
+			first := c.leader()
+			time.Sleep(5 * time.Second)
+			var group conc.WaitGroup
+			for i := range places {
+				group.Go(func() {
+					_, err := c.want("m0", fmt.Sprintf("a%d", i+1), 4*time.Second)
+					c.g.Expect(err).NotTo(HaveOccurred())
+				})
+			}
+			group.Wait()
+			first.candidate.Resign(c.ctx)
+			for i := range places {
+				group.Go(func() {
+					c.g.Expect(c.waitForInstance(first, site.Target{Model: "m0", Name: fmt.Sprintf("a%d", places+1+i)})).To(Succeed())
+				})
+			}
+			group.Wait()
+			c.g.Expect(c.orderLog.Breaches()).To(BeEmpty())
+		})
+	}
+}
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -26,6 +26,10 @@
 	// minReportSpacing is the least average time between two report reads, so that
 	// their rate stays bounded as the number of servers grows.
 	minReportSpacing = 5 * time.Millisecond
+	// reportSettleTime is the time after which a report shows all orders that were accepted before.
+	reportSettleTime = 350 * time.Millisecond
+	// reportBatch is the number of reports that are read at once.
+	reportBatch = 8
 	// maxListedServers bounds the server loads in a reply to a front: the busiest
 	// servers, which fronts should avoid.
 	maxListedServers = 64
@@ -152,17 +156,38 @@
 	}
 }
 
-// RunReports reads the reports of all model servers periodically while this front
-// is the planner.
+// RunReports reads the reports of all model servers in turn, a few at a time, while this
+// front is the planner.
 func (p *Planner) RunReports(ctx context.Context) {
-	for sleep.For(ctx, max(reportInterval, time.Duration(len(p.serverList()))*minReportSpacing)) {
-		if !p.checkLeadership() {
-			continue
+	for ctx.Err() == nil {
+		servers := p.serverList()
+		pause := max(reportInterval, time.Duration(len(servers))*minReportSpacing) / time.Duration(max(1, (len(servers)+reportBatch-1)/reportBatch))
+		for batch := range slices.Chunk(servers, reportBatch) {
+			if !sleep.For(ctx, pause) {
+				return
+			}
+			if p.checkLeadership() {
+				p.readReports(ctx, batch)
+			}
 		}
-		for _, s := range p.serverList() {
+		if len(servers) == 0 && !sleep.For(ctx, reportInterval) {
+			return
+		}
+		if p.checkLeadership() {
+			p.logDemand()
+		}
+	}
+}
+
+// readReports starts reading the reports of servers, but for those that were just read.
+func (p *Planner) readReports(ctx context.Context, servers []*server) {
+	for _, s := range servers {
+		p.mu.Lock()
+		isRecent := time.Since(s.reportRequestedAt) < minRecheckInterval
+		p.mu.Unlock()
+		if !isRecent {
 			p.group.Go(func() { p.readReport(ctx, s) })
 		}
-		p.logDemand()
 	}
 }
 
@@ -269,8 +294,15 @@
 }
 
 // readReport reads a server's report and updates the planner's view of it. A
-// failure marks the server as lost.
+// failure marks the server as lost. A new planner first waits until reports show what its
+// predecessor ordered.
 func (p *Planner) readReport(ctx context.Context, s *server) {
+	p.mu.Lock()
+	settlesIn := time.Until(p.predecessorGone.Add(reportSettleTime))
+	p.mu.Unlock()
+	if settlesIn > 0 && !sleep.For(ctx, settlesIn) {
+		return
+	}
 	p.mu.Lock()
 	in := s.inst
 	s.reportRequestedAt = time.Now()
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -79,7 +79,9 @@
 	if s.replaced(r) || s.known && !s.resync && r.Sequence < s.sequence {
 		return false
 	}
-	sameSequence := s.known && !s.resync && r.Sequence == s.sequence
+	// A report that confirms the sequence number may still list less than was accepted, also
+	// after a rejected order: the server was then busy with another one.
+	sameSequence := s.known && r.Sequence == s.sequence
 	busy := r.Busy && (!sameSequence || s.busy)
 	loadedAt := now
 	if !s.known {
--- a/internal/front/sched/server_test.go
+++ b/internal/front/sched/server_test.go
@@ -59,3 +59,31 @@
 		})
 	}
 }
+
+// TestReportAfterRejectedOrderKeepsAcceptedAdapters applies a report that lags behind the
+// accepted orders, after the server rejected one because others were in progress. Adapters
+// that it doesn't list yet must still count, or the server would be ordered to hold too many.
+func TestReportAfterRejectedOrderKeepsAcceptedAdapters(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		sequence int64
+		adapters int
+	}{
+		{"sequence number confirmed", 9, 3},
+		{"sequence number corrected", 12, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Now()
+			s := newServer(site.Instance{InstanceKey: site.InstanceKey{ID: "i-0", Born: 1}})
+			s.known, s.sequence, s.resync = true, 9, true
+			s.models["m"] = existingOrNew(nil, now)
+			for _, name := range []string{"a1", "a2", "a3"} {
+				s.adapters[site.Target{Model: "m", Name: name}] = existingOrNew(nil, now)
+			}
+			g.Expect(s.applyReport(site.ServerReport{Born: 1, Sequence: c.sequence, Models: []string{"m"}, Adapters: []site.Target{{Model: "m", Name: "a1"}}}, now)).To(BeTrue())
+			g.Expect(s.adapters).To(HaveLen(c.adapters))
+			g.Expect(s.sequence).To(Equal(c.sequence))
+		})
+	}
+}
