front/proxy: log lines name prompt parts and whether an answer had begun

Cause: lines of broken attempts couldn't tell requests that share a prompt part from requests that happened to wait at the same instance. Change: Parts and AnswerBegan in the lines of requests and of attempts without success. TestLogShowsPromptPartsOfBrokenAttempts failed before.

--- a/internal/front/proxy/answer.go
+++ b/internal/front/proxy/answer.go
@@ -50,6 +50,7 @@
 // relayBuffered reads an answer to its end before passing it on, so that another
 // instance can be tried where that is allowed if the answer is incomplete or an error.
 func (c *call) relayBuffered(ctx context.Context, in site.Instance, res *conns.Response) nextStep {
+	c.answerBegan = true
 	data, release, err := c.readAnswer(res)
 	defer release()
 	res.Finish(err == nil)
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -45,6 +45,9 @@
 	reason     string
 	status     int
 	instanceID string
+	// answerBegan is true once the instance of the latest attempt has sent a part of its answer: the
+	// first whole event of a stream, or the head of another answer.
+	answerBegan bool
 	// lastChoice is the instance chosen for the latest attempt.
 	lastChoice choice
 	// waited is the time spent waiting for an instance or a model.
@@ -117,7 +120,7 @@
 	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
-	c.instanceID = in.ID
+	c.instanceID, c.answerBegan = in.ID, false
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
 	lastEvent := ""
 	if c.stream != nil {
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -10,7 +10,19 @@
 // logAttempt logs an attempt that did not succeed at an instance, and why.
 func (c *call) logAttempt(event string, in site.Instance, reason string) {
 	c.server.log.Infow(event, "Request", c.request.ID, "Instance", in.ID, "Born", in.Born, "Announced", in.Revision,
-		"Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
+		"Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "AnswerBegan", c.answerBegan, "Parts", c.loggedParts(), "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
+}
+
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the request's first prompt parts.
+func (c *call) loggedParts() []string {
+	var out []string
+	for _, p := range c.request.PromptParts[:min(maxLoggedParts, len(c.request.PromptParts))] {
+		out = append(out, p.ID)
+	}
+	return out
 }
 
 // logRequest logs and counts a request that has ended, with the inputs of its last instance choice.
@@ -35,7 +47,7 @@
 		log = c.server.log.Warnw
 	}
 	log("request", "Request", c.request.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
-		"Prompt", c.request.PromptTokens, "Instance", c.instanceID, "Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "Outcome", c.outcome, "Status", c.status,
+		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
 		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "InFlight", c.lastChoice.InFlight, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount,
 		"GoalMs", route.ResponseGoal.Milliseconds(), "MaxGapMs", route.MaxTokenGap.Milliseconds(),
--- a/internal/front/proxy/log_test.go
+++ b/internal/front/proxy/log_test.go
@@ -62,3 +62,15 @@
 		r.g.Expect(end["FirstMs"]).To(BeNumerically(">=", 1500), "the request was sent at once and its first event came late: the server was slow")
 	})
 }
+
+func TestLogShowsPromptPartsOfBrokenAttempts(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		r.setFaults(fake.Faults{LostResponses: 1})
+		r.sendPrompt("/stream/x", "id-1", "a1:10,b2:20,c3:30")
+		lines := r.logLines("id-1")
+		r.g.Expect(lines[0]).To(And(HaveKeyWithValue("Message", "no answer"), HaveKeyWithValue("AnswerBegan", false), HaveKeyWithValue("Parts", ConsistOf("a1", "b2", "c3"))))
+		r.setFaults(fake.Faults{TruncatedResponses: 1, TruncateAfterEvent: 2})
+		r.sendPrompt("/stream/x", "id-2", "a1:10,b2:20,c3:30")
+		r.g.Expect(r.logLines("id-2")[0]).To(And(HaveKeyWithValue("Message", "stream ended with an error"), HaveKeyWithValue("AnswerBegan", true)))
+	})
+}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -111,12 +112,22 @@
 
 // send serves a request by the proxy; aborted is true if the answer was cut off.
 func (r *harness) send(ctx context.Context, path, id string) (w *httptest.ResponseRecorder, aborted bool) {
+	return r.serve(ctx, path, id, nil)
+}
+
+// sendPrompt serves a request with prompt parts by the proxy.
+func (r *harness) sendPrompt(path, id, parts string) (w *httptest.ResponseRecorder, aborted bool) {
+	return r.serve(r.t.Context(), path, id, http.Header{"Prompt-Prefix": {parts}})
+}
+
+func (r *harness) serve(ctx context.Context, path, id string, header http.Header) (w *httptest.ResponseRecorder, aborted bool) {
 	method, body := http.MethodPost, "order"
 	if strings.HasPrefix(path, "/safe/") {
 		method, body = http.MethodGet, ""
 	}
 	req := httptest.NewRequestWithContext(ctx, method, "http://h.example"+path, strings.NewReader(body))
 	req.RequestURI = path
+	maps.Copy(req.Header, header)
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Milliseconds", "4000")
 	if strings.HasPrefix(path, "/resume/") || strings.HasPrefix(path, "/stream/") {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -67,6 +67,7 @@
 
 // relayEvent writes one event to the caller, preceded by the header if it is the first.
 func (c *call) relayEvent(key site.InstanceKey, res *conns.Response, event []byte, id string) error {
+	c.answerBegan = true
 	c.writeHead(res)
 	if id != "" {
 		c.stream.lastEventID = id
