front/crash, policy/blame: prompt parts that crash instances are blocked at all fronts

Cause: a broken attempt counted against the instance only. Nothing kept what the requests at crashed instances had in common, and a request was sent on to as many instances as its route allows. Change: a front whose attempt breaks off before its answer is under way, and whose instance then refuses connections, writes the prompt parts of its requests there to the store. All fronts judge the same records: a part in three crashes that no later answer has refuted is blocked for ten minutes, of parts that always came together the deepest. A request goes to two instances at most if both ended as they began to answer it. Why it works: the records are in the store, so that any front sees the crashes of all, also after a restart and without a planner; an answer under way refutes only crash records known before it. Ruled out: crashes from overload; every crash has a request with the part.

--- a/internal/back/conns/pool.go
+++ b/internal/back/conns/pool.go
@@ -93,6 +93,15 @@
 	return newConn(raw), nil
 }
 
+// Probe opens a connection to a target and keeps it for reuse; the error is that of dialing.
+func (p *Pool) Probe(ctx context.Context, t Target) error {
+	c, err := p.dialTarget(ctx, t)
+	if err == nil {
+		p.putIdle(t, c, defaultReuseTime)
+	}
+	return err
+}
+
 // putIdle keeps a connection for reuse for the idle time, or closes it if the pool is closed or full.
 func (p *Pool) putIdle(t Target, c *conn, idle time.Duration) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/front/crash/record.go
@@ -0,0 +1,86 @@
+package crash
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/blame"
+)
+
+const (
+	// recordPrefix is the prefix of the fronts' records of crashes.
+	recordPrefix = follow.SystemPrefix + "crashes/"
+	// harmlessPrefix is the prefix of the prompt parts that answers have proved harmless.
+	harmlessPrefix = follow.SystemPrefix + "harmless/"
+)
+
+// record is what one front saw of the crash of an instance.
+type record struct {
+	Service  string
+	Suspects []blame.Suspect
+}
+
+// harmlessPart is a prompt part of which an answer came after the crash records up to a revision were known.
+type harmlessPart struct {
+	Service string
+	Part    string
+	// UpTo is the revision of the newest refuted crash record.
+	UpTo int64
+}
+
+// recordKey returns the key of a front's record of the crash of an incarnation.
+func recordKey(k site.InstanceKey, front string) string {
+	return recordPrefix + k.ID + "." + strconv.FormatInt(k.Born, 10) + "/" + front
+}
+
+// harmlessKey returns the key of a harmless part; the ID comes from callers, so it is hashed.
+func harmlessKey(p blame.Part) string {
+	return harmlessPrefix + p.Service + "/" + strconv.FormatUint(xxhash.Sum64String(p.ID), 16)
+}
+
+// evidence is what the keys in the store tell of crashes.
+type evidence struct {
+	crashes  []blame.Crash
+	harmless map[blame.Part]int64
+	// newest gives for each prompt part the newest crash record that names it, and its revision.
+	newest map[blame.Part]store.KV
+}
+
+// readEvidence decodes the keys under the package's prefixes; undecodable ones are left out.
+func readEvidence(keys map[string]store.KV) evidence {
+	e := evidence{harmless: map[blame.Part]int64{}, newest: map[blame.Part]store.KV{}}
+	for key, kv := range keys {
+		if rest, ok := strings.CutPrefix(key, recordPrefix); ok {
+			e.addRecord(rest, kv)
+			continue
+		}
+		var h harmlessPart
+		if json.Unmarshal(kv.Value, &h) == nil {
+			e.harmless[blame.Part{Service: h.Service, ID: h.Part}] = h.UpTo
+		}
+	}
+	return e
+}
+
+// addRecord adds a crash record whose key ends in rest.
+func (e *evidence) addRecord(rest string, kv store.KV) {
+	var r record
+	if json.Unmarshal(kv.Value, &r) != nil {
+		return
+	}
+	instance, _, _ := strings.Cut(rest, "/")
+	e.crashes = append(e.crashes, blame.Crash{Instance: instance, Service: r.Service, Revision: kv.Revision, Suspects: r.Suspects})
+	for _, s := range r.Suspects {
+		for _, id := range s.Parts {
+			if p := (blame.Part{Service: r.Service, ID: id}); kv.Revision > e.newest[p].Revision {
+				e.newest[p] = kv
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/crash/watcher.go
@@ -0,0 +1,182 @@
+package crash
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/tasks"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/blame"
+)
+
+const (
+	// retention is how long a crash record counts, and so how long a prompt part stays blocked.
+	retention = 10 * time.Minute
+	// maxPartBytes bounds the IDs of prompt parts that are recorded; they come from callers.
+	maxPartBytes = 64
+	// maxParts bounds the prompt parts recorded of one request.
+	maxParts = 8
+	// maxSuspects bounds the requests in one record.
+	maxSuspects = 16
+)
+
+// Site is the front's view of the site.
+type Site interface {
+	State() *follow.State
+	// ApplyWritten applies a key that this front has written, ahead of the watch.
+	ApplyWritten(kv store.KV)
+}
+
+// Committer writes to the store.
+type Committer interface {
+	Commit(ctx context.Context, t store.Txn) (store.Result, error)
+}
+
+// Prober reports whether an instance accepts connections.
+type Prober interface {
+	Probe(ctx context.Context, t conns.Target) error
+}
+
+// Watcher records crashes of instances and blocks the prompt parts that cause them.
+type Watcher struct {
+	self   follow.Front
+	site   Site
+	store  Committer
+	prober Prober
+	log    *zap.SugaredLogger
+	group  *tasks.Group
+	// ctx ends the background work.
+	ctx context.Context
+	// blocks is the verdict in force, never nil.
+	blocks          atomic.Pointer[blocks]
+	crashesTotal    *metrics.Counter
+	mu              sync.Mutex
+	pending         map[site.InstanceKey]*pendingRecord
+	ownHarmless     map[blame.Part]int64
+	keys            map[string]store.KV
+	firstSeen       map[string]time.Time
+	shareInProgress map[blame.Part]bool
+}
+
+// blocks is the verdict on all known crashes.
+type blocks struct {
+	blame.Verdict
+	// until is when the blocked parts are released unless more crashes are recorded.
+	until map[blame.Part]time.Time
+	// newest is the revision of the newest crash record of each watched part.
+	newest map[blame.Part]int64
+}
+
+// New returns a watcher, and a function that ends its background work.
+func New(self follow.Front, view Site, s Committer, p Prober, meters *metrics.Set, log *zap.SugaredLogger) (*Watcher, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{
+		self: self, site: view, store: s, prober: p, log: log, group: &tasks.Group{}, ctx: ctx,
+		crashesTotal: meters.GetOrCreateCounter("foxtailcroft_instance_crashes_total"),
+		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, shareInProgress: map[blame.Part]bool{},
+	}
+	w.blocks.Store(&blocks{})
+	meters.GetOrCreateGauge("foxtailcroft_blocked_prompt_parts", func() float64 { return float64(len(w.blocks.Load().Blocked)) })
+	return w, func() {
+		cancel()
+		w.group.Close()
+	}
+}
+
+// Run applies the crash records of all fronts until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	cleanup := time.NewTicker(cleanupInterval)
+	defer cleanup.Stop()
+	for ctx.Err() == nil {
+		s := w.site.State()
+		w.apply(s.Keys)
+		select {
+		case <-s.Next():
+		case <-cleanup.C:
+			w.removeExpired(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Blocked returns the first prompt part of a request that must not be sent to instances of a
+// service, and for how long yet; ok is false if there is none.
+func (w *Watcher) Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool) {
+	b := w.blocks.Load()
+	if len(b.Blocked) == 0 {
+		return "", 0, false
+	}
+	for _, p := range prompt {
+		key := blame.Part{Service: service, ID: p.ID}
+		if _, ok := b.Blocked[key]; ok {
+			return p.ID, max(0, time.Until(b.until[key])), true
+		}
+	}
+	return "", 0, false
+}
+
+// apply judges the crash records among the keys if they have changed.
+func (w *Watcher) apply(keys map[string]store.KV) {
+	own := map[string]store.KV{}
+	for key, kv := range keys {
+		if strings.HasPrefix(key, recordPrefix) || strings.HasPrefix(key, harmlessPrefix) {
+			own[key] = kv
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if maps.EqualFunc(own, w.keys, func(a, b store.KV) bool { return a.Revision == b.Revision }) {
+		return
+	}
+	now := time.Now()
+	for key := range w.firstSeen {
+		if _, ok := own[key]; !ok {
+			delete(w.firstSeen, key)
+		}
+	}
+	for key, kv := range own {
+		if kv.Revision != w.keys[key].Revision {
+			w.firstSeen[key] = now
+		}
+	}
+	w.keys = own
+	w.judge()
+}
+
+// judge replaces the verdict; the caller holds the lock.
+func (w *Watcher) judge() {
+	e := readEvidence(w.keys)
+	for p, upTo := range w.ownHarmless {
+		if e.newest[p].Revision == 0 {
+			delete(w.ownHarmless, p)
+			continue
+		}
+		e.harmless[p] = max(e.harmless[p], upTo)
+	}
+	b := &blocks{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}}
+	for p := range b.Watched {
+		b.newest[p] = e.newest[p].Revision
+		b.until[p] = w.firstSeen[e.newest[p].Key].Add(retention)
+	}
+	before := w.blocks.Swap(b)
+	for p, n := range b.Blocked {
+		if _, ok := before.Blocked[p]; !ok {
+			w.log.Warnw("prompt part blocked", "Service", p.Service, "PromptPart", p.ID, "Crashes", n, "Records", len(e.crashes), "Revision", b.newest[p])
+		}
+	}
+	for p := range before.Blocked {
+		if _, ok := b.Blocked[p]; !ok {
+			w.log.Infow("prompt part no longer blocked", "Service", p.Service, "PromptPart", p.ID, "Harmless", e.harmless[p], "Records", len(e.crashes))
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/crash/watcher_test.go
@@ -0,0 +1,140 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+)
+
+// rig is a store, a view of it and instances for watchers.
+type rig struct {
+	mu       sync.Mutex
+	keys     map[string]store.KV
+	revision int64
+	failing  bool
+	alive    map[string]bool
+	planner  string
+}
+
+func (r *rig) State() *follow.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &follow.State{Keys: maps.Clone(r.keys), Revision: r.revision, Planner: &follow.Planner{Front: follow.Front{Run: r.planner}}}
+}
+
+func (r *rig) ApplyWritten(store.KV) {}
+
+func (r *rig) Probe(_ context.Context, t conns.Target) error {
+	if r.alive[t.ID] {
+		return nil
+	}
+	return errors.New("connection refused")
+}
+
+func (r *rig) Commit(_ context.Context, t store.Txn) (store.Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failing {
+		return store.Result{}, errors.New("store away")
+	}
+	for _, c := range t.If {
+		if r.keys[c.Key].Revision != c.Revision {
+			return store.Result{}, nil
+		}
+	}
+	r.revision++
+	for _, p := range t.Puts {
+		r.keys[p.Key] = store.KV{Key: p.Key, Value: p.Value, Revision: r.revision}
+	}
+	for _, key := range t.Deletes {
+		delete(r.keys, key)
+	}
+	return store.Result{Succeeded: true, Revision: r.revision}, nil
+}
+
+func (r *rig) watcher(name string) (*Watcher, func()) {
+	return New(follow.Front{Name: name, Run: name}, r, r, r, metrics.NewSet(), zap.NewNop().Sugar())
+}
+
+func prompt(ids ...string) []site.PromptPart {
+	var out []site.PromptPart
+	for _, id := range append(ids, "own") {
+		out = append(out, site.PromptPart{ID: id, Tokens: 1})
+	}
+	return out
+}
+
+func TestWatchersShareCrashes(t *testing.T) {
+	deadly := prompt("root", "dead")
+	for _, c := range []struct {
+		name string
+		// alive tells that the instances still accept connections; away that the store fails for a second.
+		alive, away bool
+		// answer is a prompt that a front answers after the crashes.
+		answer []site.PromptPart
+		// wait is the time after which a front that has started meanwhile is asked.
+		wait    time.Duration
+		blocked bool
+	}{
+		{"three crashes", false, false, nil, time.Second, true},
+		{"broken connections, but no crash", true, false, nil, time.Second, false},
+		{"store away at first", false, true, nil, 2 * time.Second, true},
+		{"another part answered", false, false, prompt("root"), time.Second, true},
+		{"the part answered", false, false, deadly, time.Second, false},
+		{"still blocked shortly before the records expire", false, false, nil, retention - 10*time.Second, true},
+		{"released when the records expire", false, false, nil, retention + 10*time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r := &rig{keys: map[string]store.KV{}, alive: map[string]bool{"1": c.alive, "2": c.alive, "3": c.alive}, failing: c.away, planner: "a"}
+				a, closeA := r.watcher("a")
+				b, closeB := r.watcher("b")
+				defer closeA()
+				defer closeB()
+				a.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: "1", Born: 7}, Service: "llm"}, deadly, true)
+				b.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: "2", Born: 7}, Service: "llm"}, deadly, true)
+				b.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: "3", Born: 7}, Service: "llm"}, deadly, false)
+				time.Sleep(time.Second)
+				r.mu.Lock()
+				r.failing = false
+				r.mu.Unlock()
+				a.apply(r.State().Keys)
+				if c.answer != nil {
+					a.RecordAnswer("llm", c.answer)
+				}
+				for range c.wait / time.Second {
+					time.Sleep(time.Second)
+					a.apply(r.State().Keys)
+					a.removeExpired(t.Context())
+				}
+				successor, closeSuccessor := r.watcher("c")
+				defer closeSuccessor()
+				successor.apply(r.State().Keys)
+				part, left, ok := successor.Blocked("llm", deadly)
+				g.Expect(ok).To(Equal(c.blocked))
+				if ok {
+					g.Expect(part).To(Equal("dead"))
+					g.Expect(left).To(BeNumerically(">", 0))
+				}
+				_, _, ok = successor.Blocked("llm", prompt("root", "other"))
+				g.Expect(ok).To(BeFalse())
+				_, _, ok = successor.Blocked("another service", deadly)
+				g.Expect(ok).To(BeFalse())
+			})
+		})
+	}
+}
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxBrokenStarts is the number of instances that may fail as they begin to answer a request;
+	// the request itself is a likely cause, so it is not sent to more of them.
+	maxBrokenStarts = 2
 	// maxNotRunAttempts bounds, per request, the attempts that certainly did not run: the connection failed, or the instance reported it.
 	maxNotRunAttempts = 6
 	// fullInstanceDelay is the wait before trying instances again that were full or busy with an order.
@@ -48,6 +51,10 @@
 	// answerBegan is true once the instance of the latest attempt has sent a part of its answer: the
 	// first whole event of a stream, or the head of another answer.
 	answerBegan bool
+	// attemptEvents counts the events of the latest attempt.
+	attemptEvents int
+	// brokenStarts counts the attempts that broke off after the head of the answer, before it was under way.
+	brokenStarts int
 	// lastChoice is the instance chosen for the latest attempt.
 	lastChoice choice
 	// waited is the time spent waiting for an instance or a model.
@@ -120,7 +127,7 @@
 	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
-	c.instanceID, c.answerBegan = in.ID, false
+	c.instanceID, c.answerBegan, c.attemptEvents = in.ID, false, 0
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
 	lastEvent := ""
 	if c.stream != nil {
@@ -162,7 +169,9 @@
 		return tryAnother
 	}
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
-	if !sent {
+	if sent {
+		c.server.crashes.RecordBroken(in, c.request.PromptParts, false)
+	} else {
 		c.server.tracker.exclude(in.InstanceKey, refusedConnectionExclusion)
 	}
 	c.logAttempt("no answer", in, err.Error())
@@ -175,7 +184,7 @@
 	switch {
 	case !sent && c.notRunAttempts < maxNotRunAttempts:
 		return tryAnother
-	case sent && c.reserveResend():
+	case sent && c.brokenStarts < maxBrokenStarts && c.reserveResend():
 		return tryAnother
 	case c.possibleRuns == 0:
 		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -35,6 +35,9 @@
 
 // findInstance returns the instance to try next, waiting for one if needed; false if the request has ended.
 func (c *call) findInstance(ctx context.Context) (site.Instance, bool) {
+	if c.endIfBlocked() {
+		return site.Instance{}, false
+	}
 	if c.request.Target.Model != "" && c.possibleRuns+c.notRunAttempts == 0 {
 		c.server.tracker.countRequest(c.request.Target)
 	}
@@ -45,12 +48,22 @@
 			c.lastChoice = chosen
 			return chosen.Instance, true
 		}
-		if !c.waitForInstance(ctx) {
+		if !c.waitForInstance(ctx) || c.endIfBlocked() {
 			return site.Instance{}, false
 		}
 	}
 }
 
+// endIfBlocked ends the request if a part of its prompt crashes instances, and reports whether it did.
+func (c *call) endIfBlocked() bool {
+	part, left, ok := c.server.crashes.Blocked(c.service, c.request.PromptParts)
+	if ok {
+		c.server.meters.GetOrCreateCounter("foxtailcroft_blocked_requests_total").Inc()
+		c.endWithoutInstance("prompt part "+part+" crashes instances", left)
+	}
+	return ok
+}
+
 // candidates returns the instances that could serve the request, including those already tried.
 func (c *call) candidates() []site.Instance {
 	list := c.state.Serving(c.service)
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -6,7 +6,9 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,8 +39,21 @@
 	servers      []*fake.Server
 	state        *follow.State
 	plannerCalls int
-	log          *bytes.Buffer
-	group        conc.WaitGroup
+	// blockedPart is a prompt part that the crash watch blocks, empty for none; broken and underWay are
+	// the attempts that it was told of.
+	blockedPart string
+	watchMu     sync.Mutex
+	broken      []brokenAttempt
+	underWay    []int
+	log         *bytes.Buffer
+	group       conc.WaitGroup
+}
+
+// brokenAttempt is an attempt that broke off before its answer was under way.
+type brokenAttempt struct {
+	instance string
+	parts    int
+	started  bool
 }
 
 func (r *harness) State() *follow.State { return r.state }
@@ -48,6 +63,25 @@
 	return peers.InstanceReply{Reason: "nowhere", ReadyIn: 2 * time.Second}, nil
 }
 
+func (r *harness) RecordBroken(in site.Instance, prompt []site.PromptPart, started bool) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	r.broken = append(r.broken, brokenAttempt{in.ID, len(prompt), started})
+}
+
+func (r *harness) RecordAnswer(_ string, prompt []site.PromptPart) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	r.underWay = append(r.underWay, len(prompt))
+}
+
+func (r *harness) Blocked(_ string, prompt []site.PromptPart) (string, time.Duration, bool) {
+	if slices.ContainsFunc(prompt, func(p site.PromptPart) bool { return p.ID == r.blockedPart }) {
+		return r.blockedPart, time.Minute, true
+	}
+	return "", 0, false
+}
+
 // withProxy runs a test with a proxy in front of n servers of each service, of which those of llm
 // hold model m; routes begin with /safe/, /unsafe/, /resume/ and /stream/.
 func withProxy(t *testing.T, n int, test func(*harness)) {
@@ -79,7 +113,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, r, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, r, r, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -52,6 +52,18 @@
 	RequestInstances(ctx context.Context, w peers.InstanceRequest) (peers.InstanceReply, error)
 }
 
+// CrashWatch learns at which requests instances crash, and tells which prompt parts cause that.
+type CrashWatch interface {
+	// RecordBroken records an attempt that broke off before its answer was under way; started
+	// is true if the head of the answer had arrived.
+	RecordBroken(in site.Instance, prompt []site.PromptPart, started bool)
+	// RecordAnswer records that the answer to a request is under way or complete.
+	RecordAnswer(service string, prompt []site.PromptPart)
+	// Blocked returns the prompt part for which a request must not be sent, and for how long; ok is
+	// false if there is none.
+	Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool)
+}
+
 // StateSource returns the newest known state of the deployment.
 type StateSource interface {
 	State() *follow.State
@@ -64,6 +76,7 @@
 	pool        *conns.Pool
 	dialect     Dialect
 	finder      InstanceFinder
+	crashes     CrashWatch
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
@@ -77,9 +90,9 @@
 }
 
 // New returns a server without statistics of instances and with full retry budgets.
-func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, finder InstanceFinder, meters *metrics.Set, log *zap.SugaredLogger) *Server {
+func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, finder InstanceFinder, crashes CrashWatch, meters *metrics.Set, log *zap.SugaredLogger) *Server {
 	return &Server{
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: finder, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: finder, crashes: crashes, tracker: newInstanceTracker(),
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -17,6 +17,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 128 << 10
 
+// eventsUnderWay is the number of events after which an answer is under way, so that its
+// request has not crashed the instance.
+const eventsUnderWay = 2
+
 // recordedPauseDivisor divides a route's longest allowed gap: pauses above the result are recorded.
 const recordedPauseDivisor = 2
 
@@ -68,6 +72,9 @@
 // relayEvent writes one event to the caller, preceded by the header if it is the first.
 func (c *call) relayEvent(key site.InstanceKey, res *conns.Response, event []byte, id string) error {
 	c.answerBegan = true
+	if c.attemptEvents++; c.attemptEvents == eventsUnderWay {
+		c.server.crashes.RecordAnswer(c.service, c.request.PromptParts)
+	}
 	c.writeHead(res)
 	if id != "" {
 		c.stream.lastEventID = id
@@ -110,6 +117,7 @@
 func (c *call) endStream(in site.Instance, res *conns.Response) nextStep {
 	c.writeHead(res)
 	c.server.tracker.recordOutcome(in.InstanceKey, false)
+	c.server.crashes.RecordAnswer(c.service, c.request.PromptParts)
 	c.outcome, c.status = outcomeAnswered, res.Status
 	return requestEnded
 }
@@ -121,6 +129,10 @@
 		return tryAnother
 	}
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
+	if c.attemptEvents < eventsUnderWay {
+		c.brokenStarts++
+		c.server.crashes.RecordBroken(in, c.request.PromptParts, true)
+	}
 	c.logAttempt("stream ended with an error", in, c.reason)
 	return c.handleFailure(true)
 }
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -15,6 +15,7 @@
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/proxy"
 	"foxtailcroft/internal/front/sched"
@@ -66,6 +67,7 @@
 	follower       *follow.Follower
 	candidate      *sched.Candidate
 	planner        *sched.Planner
+	crashes        *crash.Watcher
 	peers          *peers.Client
 	reverseProxy   *proxy.Server
 	pool           *conns.Pool
@@ -98,13 +100,15 @@
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
+	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	f := &Front{
-		settings: settings, follower: follower, candidate: candidate, planner: planner, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
-		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, frontPeers, o.Metrics, log.Named("Relay")),
+		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
+		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, frontPeers, crashes, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = newCallerServer(f.reverseProxy, follower)
 	return f, func() {
 		closeLinks()
+		closeCrashes()
 		closePlanner()
 		closePool()
 	}
@@ -143,6 +147,7 @@
 	t.KeepRunning("Lead", f.candidate.Run)
 	t.KeepRunning("Planner", f.planner.Run)
 	t.KeepRunning("Reports", f.planner.RunReports)
+	t.KeepRunning("Crashes", f.crashes.Run)
 	t.KeepRunning("Uses", f.reportUsage)
 	t.KeepRunning("Sweep", f.closeIdleConnections)
 }
