platform, front/proxy: logs show the limits that instances name

Cause: the limit that an instance names was read nowhere, so the logs couldn't tell whether fronts ignored it or exceeded it together. Change: the dialect decodes it, the tracker keeps it per instance until an answer names none, and the line of a request shows it. It changes no choice yet. TestLogShowsLimitOfInstance failed before.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -145,6 +145,9 @@
 	if load, ok := c.server.dialect.DecodeLoad(res.Header); ok {
 		t.recordLoad(in.InstanceKey, load.Running+load.Waiting, time.Now())
 	}
+	if limit := c.server.dialect.DecodeLimit(res.Header); limit > 0 || c.server.dialect.IsSigned(res.Header) {
+		t.recordLimit(in.InstanceKey, limit)
+	}
 	if c.server.dialect.ReportsNotRun(res.Status, res.Header) {
 		return c.handleNotRun(in, res)
 	}
--- a/internal/front/proxy/log_test.go
+++ b/internal/front/proxy/log_test.go
@@ -74,3 +74,17 @@
 		r.g.Expect(r.logLines("id-2")[0]).To(And(HaveKeyWithValue("Message", "stream ended with an error"), HaveKeyWithValue("AnswerBegan", true)))
 	})
 }
+
+func TestLogShowsLimitOfInstance(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		for _, c := range []struct {
+			id           string
+			limit, known float64
+		}{{"id-1", 1.5, 0}, {"id-2", 1.5, 1.5}, {"id-3", 0, 1.5}, {"id-4", 0, 0}} {
+			r.setFaults(fake.Faults{Limit: c.limit})
+			r.send(r.t.Context(), "/unsafe/x", c.id)
+			r.g.Expect(r.logLines(c.id)[0]).To(HaveKeyWithValue("Limit", c.known))
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -19,6 +19,8 @@
 	candidateCount int
 	// reportedLoadAge is the age of the instance's newest load report, 0 if there is none.
 	reportedLoadAge time.Duration
+	// limit is the number of requests a second that the instance takes from all fronts, 0 for any.
+	limit float64
 }
 
 // pickInstance returns the instance of the list with the lowest expected cost; ok
@@ -51,7 +53,9 @@
 		return choice{}, false
 	}
 	chosen := choice{Instance: list[i], Candidate: candidates[i], candidateCount: len(list)}
-	if s := t.statsOf(list[i].InstanceKey); !s.reportedAt.IsZero() {
+	s := t.statsOf(list[i].InstanceKey)
+	chosen.limit = s.limit
+	if !s.reportedAt.IsZero() {
 		chosen.reportedLoadAge = now.Sub(s.reportedAt)
 	}
 	return chosen, true
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -42,6 +42,8 @@
 	ReportsNotRun(status int, h http.Header) bool
 	// DecodeLoad decodes the instance's load; false if the answer has none.
 	DecodeLoad(h http.Header) (site.ServerLoad, bool)
+	// DecodeLimit decodes the requests a second that the instance takes from all fronts together; 0 if it names no limit.
+	DecodeLimit(h http.Header) float64
 	// SetRefusalHeaders sets the headers of the front's own refusals and errors; a zero
 	// retryAfter sends no Retry-After.
 	SetRefusalHeaders(h http.Header, id string, retryAfter time.Duration)
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -56,6 +56,8 @@
 	// reportedRequests are the running and waiting requests of the newest load report.
 	reportedRequests int
 	reportedAt       time.Time
+	// limit is the number of requests a second that the instance takes from all fronts, 0 if it names none.
+	limit float64
 	// failureShare is the moving average of failures at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -175,6 +177,14 @@
 	}
 }
 
+// recordLimit records the requests a second that an instance takes from all fronts, as its
+// newest answer names them, 0 for none.
+func (t *instanceTracker) recordLimit(k site.InstanceKey, perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statsOf(k).limit = perSecond
+}
+
 // recordPause records a pause between two events of this front's streams from an instance.
 func (t *instanceTracker) recordPause(k site.InstanceKey, gap time.Duration) {
 	t.mu.Lock()
