front/crash: an answer refutes the suspicion against all parts of its prompt

Cause: an answer marked the watched parts of its prompt only. With the deepest part refuted, the part before it explained the same crashes and was blocked instead, though the same answer had come with it. Change: all shared parts of the prompt are marked up to their newest crash record before the crashes are judged anew. TestWatchersShareCrashes, case 'the part answered', failed 60 of 60 runs before and passes 20 of 20 with -race.

--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -73,7 +73,7 @@
 	blame.Verdict
 	// until is when the blocked parts are released unless more crashes are recorded.
 	until map[blame.Part]time.Time
-	// newest is the revision of the newest crash record of each watched part.
+	// newest is the revision of the newest crash record that names a part.
 	newest map[blame.Part]int64
 }
 
@@ -164,8 +164,10 @@
 		e.harmless[p] = max(e.harmless[p], upTo)
 	}
 	b := &blocks{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}}
-	for p := range b.Watched {
-		b.newest[p] = e.newest[p].Revision
+	for p, kv := range e.newest {
+		b.newest[p] = kv.Revision
+	}
+	for p := range b.Blocked {
 		b.until[p] = w.firstSeen[e.newest[p].Key].Add(retention)
 	}
 	before := w.blocks.Swap(b)
--- a/internal/front/crash/write.go
+++ b/internal/front/crash/write.go
@@ -140,26 +140,38 @@
 }
 
 // RecordAnswer records that the answer to a request is under way or complete, which proves
-// the request's prompt parts harmless.
+// all of the request's prompt parts harmless.
 func (w *Watcher) RecordAnswer(service string, prompt []site.PromptPart) {
 	b := w.blocks.Load()
 	if len(b.Watched) == 0 {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	var parts []blame.Part
+	watched := false
 	for _, id := range sharedParts(prompt) {
 		p := blame.Part{Service: service, ID: id}
-		if !b.Watched[p] || w.ownHarmless[p] >= b.newest[p] {
+		parts = append(parts, p)
+		watched = watched || b.Watched[p]
+	}
+	if !watched {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed := false
+	for _, p := range parts {
+		if w.ownHarmless[p] >= b.newest[p] {
 			continue
 		}
-		w.ownHarmless[p] = b.newest[p]
-		w.judge()
+		w.ownHarmless[p], changed = b.newest[p], true
 		if !w.shareInProgress[p] {
 			w.shareInProgress[p] = true
 			w.group.Go(func() { w.shareHarmless(w.ctx, p) })
 		}
 	}
+	if changed {
+		w.judge()
+	}
 }
 
 // shareHarmless tells the other fronts that a prompt part is harmless, unless they know.
