front/pacer, policy/pace: fronts together keep to the limits that instances name

Cause: nothing read the limit. Change: one front, by a hash over the registered ones, keeps the schedule of an instance with a limit; each send there is reserved with it first, in one call between fronts. If that front doesn't answer, the others divide half of the limit. A request takes the instance that is expected to answer first, the wait for its limit included; it waits there as long as it has time, asks the planner for another instance after half of its goal, and is refused at once, with the wait as Retry-After, if none takes it in time. The planner learns the limits from usage reports and tells all fronts. It counts copies by the requests that their servers take, and loads adapters elsewhere if all waiting requests find their server at its limit. Ruled out: second sends (none was one).

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -22,6 +22,7 @@
 	methodUse     = "Use"
 	methodRenew   = "Renew"
 	methodChanges = "Changes"
+	methodPace    = "Pace"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -76,10 +77,20 @@
 	Asked []RequestCount
 	// Pauses are the longest pauses in streams since the last report.
 	Pauses []StreamPause
+	// Limits are the limits that instances have named or lifted since the last report.
+	Limits []InstanceLimit
 	// Prompts counts the requests sent since the last report to streams whose pauses are limited.
 	Prompts split.Mix
 }
 
+// InstanceLimit is the number of requests a second that an instance takes from all fronts, 0 for any.
+type InstanceLimit struct {
+	Instance  site.InstanceKey
+	PerSecond float64
+	// Age is the time since the instance named the limit.
+	Age time.Duration
+}
+
 // StreamPause is the longest time between two events of a stream at an instance.
 type StreamPause struct {
 	Instance site.InstanceKey
@@ -107,6 +118,8 @@
 // servers, and what a successor would otherwise have to learn again.
 type PlannerStatus struct {
 	Loads []ServerLoad
+	// Limits are the limits that instances have named or lifted recently.
+	Limits []InstanceLimit
 	// StoreLoads is how many loads from the weight store run at full speed concurrently.
 	StoreLoads int
 	// Pending are the model loads in progress.
@@ -132,6 +145,26 @@
 	ApplyUsage(u UsageReport) PlannerStatus
 }
 
+// PaceRequest asks the front that keeps an instance's schedule to reserve one request.
+type PaceRequest struct {
+	Instance site.InstanceKey
+	// PerSecond is the number of requests a second that the instance takes from all fronts.
+	PerSecond float64
+	// MaxWait is the longest wait with which the request is reserved.
+	MaxWait time.Duration
+}
+
+// PaceReply tells how long a request must wait, and whether it is reserved.
+type PaceReply struct {
+	Wait     time.Duration
+	Reserved bool
+}
+
+// PaceIssuer keeps the schedules of instances that limit their requests.
+type PaceIssuer interface {
+	Reserve(r PaceRequest) PaceReply
+}
+
 // LeaseStore renews leases at the store.
 type LeaseStore interface {
 	KeepAlive(ctx context.Context, lease int64) (bool, error)
@@ -147,7 +180,7 @@
 }
 
 // New returns a client for the other fronts, and registers the handlers of their calls.
-func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner, leases LeaseStore) *Client {
+func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner, leases LeaseStore, paces PaceIssuer) *Client {
 	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
 		list, _ := f.Snapshot(after)
@@ -165,6 +198,9 @@
 	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
 		return leases.KeepAlive(ctx, lease)
 	})
+	peer.OnCall(mux, methodPace, func(_ context.Context, _ *peer.Conn, r PaceRequest) (PaceReply, error) {
+		return paces.Reserve(r), nil
+	})
 	return m
 }
 
@@ -214,6 +250,13 @@
 	return store.List{}, false
 }
 
+// RequestPace asks the front that keeps an instance's schedule to reserve a request.
+func (m *Client) RequestPace(ctx context.Context, to follow.Front, r PaceRequest) (PaceReply, error) {
+	var reply PaceReply
+	err := m.call(ctx, to.Address, methodPace, callTimeout, r, &reply)
+	return reply, err
+}
+
 // FetchChanges asks a front that watches the store for the changes of its view.
 func (m *Client) FetchChanges(ctx context.Context, parent follow.Front, r follow.ChangesRequest) (follow.Changes, error) {
 	var changes follow.Changes
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -46,7 +46,13 @@
 		list := c.untried(c.candidates())
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
-			return chosen.Instance, true
+			if c.waitForLimit(ctx, chosen) {
+				return chosen.Instance, true
+			}
+			if c.endIfExpired(ctx) || c.endIfBlocked() {
+				return site.Instance{}, false
+			}
+			continue
 		}
 		if !c.waitForInstance(ctx) || c.endIfBlocked() {
 			return site.Instance{}, false
@@ -79,9 +85,9 @@
 	return c.request.Target.Model != "" && svc != nil && svc.Engine != nil
 }
 
-// untried returns the instances that the request has not tried yet.
+// untried returns the instances that the request has not tried yet and that would take it in time.
 func (c *call) untried(list []site.Instance) []site.Instance {
-	return slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return c.tried[in.InstanceKey] })
+	return slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return c.tried[in.InstanceKey] || c.isOverLimit(in.InstanceKey) })
 }
 
 // waitForInstance waits until instances may be tried again; false if the request has ended.
@@ -91,6 +97,10 @@
 	if c.needsLoadedModel() {
 		return c.waitForModel(ctx)
 	}
+	if wait, ok := c.limitRetryAfter(); ok {
+		c.endWithoutInstance("instances are at their limits", max(defaultRetryAfter, wait))
+		return false
+	}
 	if c.waited > plainServiceMaxWait {
 		c.endWithoutInstance("no instance to try", defaultRetryAfter)
 		return false
@@ -136,26 +146,44 @@
 		return !c.endIfExpired(ctx)
 	}
 	if found.Waiting {
+		clear(c.overLimit)
 		return true
 	}
 	if len(found.Instances) == 0 {
+		if wait, ok := c.limitRetryAfter(); ok && !c.outOfOptions {
+			c.outOfOptions = true
+			clear(c.overLimit)
+			return true
+		} else if ok {
+			found.Reason, found.ReadyIn = "instances are at their limits", wait
+		}
 		c.endWithoutInstance("model not loaded: "+found.Reason, max(defaultRetryAfter, found.ReadyIn))
 		return false
 	}
-	c.server.tracker.setHolders(c.request.Target, found.Instances)
+	c.server.tracker.setHolders(c.request.Target, append(found.Instances, c.overLimitHolders()...))
 	clear(c.tried)
+	clear(c.overLimit)
 	if len(c.candidates()) == 0 {
 		sleep.For(ctx, fullInstanceDelay)
 	}
 	return !c.endIfExpired(ctx)
 }
 
-// unusableInstances returns the instances that this request has tried, or that are excluded or lacked the model recently.
+// overLimitHolders returns the instances that hold the model but would take the request too late.
+func (c *call) overLimitHolders() []site.InstanceKey {
+	var out []site.InstanceKey
+	for k := range c.overLimit {
+		out = append(out, k)
+	}
+	return out
+}
+
+// unusableInstances returns the instances that this request has tried, or that would take it too late, or that are excluded or lacked the model recently.
 func (c *call) unusableInstances() []site.InstanceKey {
 	list := c.state.Serving(c.service)
 	out := c.server.tracker.unusable(list, c.request.Target)
 	for _, in := range list {
-		if c.tried[in.InstanceKey] && !slices.Contains(out, in.InstanceKey) {
+		if (c.tried[in.InstanceKey] || c.isOverLimit(in.InstanceKey)) && !slices.Contains(out, in.InstanceKey) {
 			out = append(out, in.InstanceKey)
 		}
 	}
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -21,6 +21,8 @@
 	reportedLoadAge time.Duration
 	// limit is the number of requests a second that the instance takes from all fronts, 0 for any.
 	limit float64
+	// lead is how much longer the next best instance is expected to take, negative if there is none.
+	lead time.Duration
 }
 
 // pickInstance returns the instance of the list with the lowest expected cost; ok
@@ -42,6 +44,9 @@
 			MissingPrefill: t.prefillSpeeds[r.Target.Model].Duration(s.uncachedTokens(r)), LongPrefill: score.LongPrefill(maxGap), FailureShare: s.currentFailureShare(now), TimeToAnswer: s.meanAnswerTime,
 			PauseRisk: score.PauseRisk(s.longestPause.Value(now), maxGap),
 		}
+		if s.limit > 0 {
+			c.LimitWait = max(0, s.limitFreeAt.Sub(now))
+		}
 		c.OtherPrompts = others != nil && others[i]
 		if now.Sub(s.reportedAt) < reportedLoadValidity {
 			c.Reported = s.reportedRequests
@@ -54,13 +59,24 @@
 	}
 	chosen := choice{Instance: list[i], Candidate: candidates[i], candidateCount: len(list)}
 	s := t.statsOf(list[i].InstanceKey)
-	chosen.limit = s.limit
+	chosen.limit, chosen.lead = s.limit, lead(candidates, i)
 	if !s.reportedAt.IsZero() {
 		chosen.reportedLoadAge = now.Sub(s.reportedAt)
 	}
 	return chosen, true
 }
 
+// lead returns how much longer the best of the other candidates is expected to take than the
+// candidate with an index, negative if there are no others.
+func lead(candidates []score.Candidate, index int) time.Duration {
+	others := slices.Delete(slices.Clone(candidates), index, index+1)
+	next := score.Best(others, func() float64 { return 0 })
+	if next < 0 {
+		return -1
+	}
+	return max(0, time.Duration((others[next].CostMs()-candidates[index].CostMs())*float64(time.Millisecond)))
+}
+
 // leftToOthers returns for each instance whether it is left to prompts of another length
 // than the request's, nil if none is; the caller holds the lock. Adapters are placed
 // accordingly by the planner.
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/pace"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/fake"
 	"foxtailcroft/test/memnet"
@@ -45,6 +46,7 @@
 	watchMu     sync.Mutex
 	broken      []brokenAttempt
 	underWay    []int
+	schedule    pace.Schedule
 	log         *bytes.Buffer
 	group       conc.WaitGroup
 }
@@ -63,6 +65,15 @@
 	return peers.InstanceReply{Reason: "nowhere", ReadyIn: 2 * time.Second}, nil
 }
 
+// Reserve keeps one schedule for all instances, as if this front were their issuer.
+func (r *harness) Reserve(_ context.Context, _ site.InstanceKey, perSecond float64, maxWait time.Duration) (time.Duration, bool) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	schedule, wait, ok := r.schedule.Reserve(time.Now(), perSecond, maxWait)
+	r.schedule = schedule
+	return wait, ok
+}
+
 func (r *harness) RecordBroken(in site.Instance, prompt []site.PromptPart, started bool) {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
@@ -113,7 +124,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, r, r, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r}, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -66,6 +66,19 @@
 	Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool)
 }
 
+// Pacer reserves requests to instances that limit the requests of all fronts.
+type Pacer interface {
+	// Reserve returns the wait until the request may be sent; ok is false if it is longer than maxWait.
+	Reserve(ctx context.Context, k site.InstanceKey, perSecond float64, maxWait time.Duration) (wait time.Duration, ok bool)
+}
+
+// Helpers decide together with other fronts.
+type Helpers struct {
+	Finder  InstanceFinder
+	Crashes CrashWatch
+	Pacer   Pacer
+}
+
 // StateSource returns the newest known state of the deployment.
 type StateSource interface {
 	State() *follow.State
@@ -79,6 +92,7 @@
 	dialect     Dialect
 	finder      InstanceFinder
 	crashes     CrashWatch
+	pacer       Pacer
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
@@ -92,9 +106,9 @@
 }
 
 // New returns a server without statistics of instances and with full retry budgets.
-func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, finder InstanceFinder, crashes CrashWatch, meters *metrics.Set, log *zap.SugaredLogger) *Server {
+func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, helpers Helpers, meters *metrics.Set, log *zap.SugaredLogger) *Server {
 	return &Server{
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: finder, crashes: crashes, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, tracker: newInstanceTracker(),
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
@@ -115,10 +129,13 @@
 	})
 }
 
-// RecordStatus records what the planner knows from all fronts: the loads and longest
+// RecordStatus records what the planner knows from all fronts: the loads, limits and longest
 // pauses of instances, and how they are divided between long and short prompts.
 func (s *Server) RecordStatus(status peers.PlannerStatus) {
 	s.tracker.setLongShare(status.LongShare)
+	for _, l := range status.Limits {
+		s.tracker.recordRemoteLimit(l.Instance, l.PerSecond, time.Now().Add(-l.Age))
+	}
 	for _, l := range status.Loads {
 		s.tracker.recordLoad(l.Instance, l.Requests, time.Now().Add(-l.Age))
 		if l.Pause > 0 {
@@ -132,7 +149,7 @@
 
 // ServeHTTP serves one caller's request to its end and logs it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{server: s, w: w, r: r, arrivedAt: time.Now(), state: s.stateSource.State(), request: s.dialect.DecodeRequest(r.Header), tried: map[site.InstanceKey]bool{}}
+	c := &call{server: s, w: w, r: r, arrivedAt: time.Now(), state: s.stateSource.State(), request: s.dialect.DecodeRequest(r.Header), tried: map[site.InstanceKey]bool{}, overLimit: map[site.InstanceKey]time.Duration{}}
 	defer c.logRequest()
 	doc := c.state.Document
 	if doc == nil {
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -58,6 +58,11 @@
 	reportedAt       time.Time
 	// limit is the number of requests a second that the instance takes from all fronts, 0 if it names none.
 	limit float64
+	// limitAt is when limit was named, and limitIsNew is set until it was reported.
+	limitAt    time.Time
+	limitIsNew bool
+	// limitFreeAt is when the instance is expected to take the next request within its limit.
+	limitFreeAt time.Time
 	// failureShare is the moving average of failures at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -182,7 +187,26 @@
 func (t *instanceTracker) recordLimit(k site.InstanceKey, perSecond float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.statsOf(k).limit = perSecond
+	s := t.statsOf(k)
+	s.limitIsNew = s.limitIsNew || perSecond > 0 || s.limit > 0
+	s.limit, s.limitAt = perSecond, time.Now()
+}
+
+// recordRemoteLimit records the limit that an instance named to another front at a time,
+// unless a newer answer is known.
+func (t *instanceTracker) recordRemoteLimit(k site.InstanceKey, perSecond float64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.statsOf(k); at.After(s.limitAt) {
+		s.limit, s.limitAt = perSecond, at
+	}
+}
+
+// recordLimitWait records the wait after which an instance with a limit takes the next request.
+func (t *instanceTracker) recordLimitWait(k site.InstanceKey, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statsOf(k).limitFreeAt = time.Now().Add(wait)
 }
 
 // recordPause records a pause between two events of this front's streams from an instance.
@@ -351,6 +375,10 @@
 		clear(s.newRequests)
 		clear(s.newPrefill)
 		clear(s.newStreams)
+		if s.limitIsNew || allRecent && s.limit > 0 {
+			usage.Limits = append(usage.Limits, peers.InstanceLimit{Instance: k, PerSecond: s.limit, Age: time.Since(s.limitAt)})
+			s.limitIsNew = false
+		}
 		if s.newLongestPause > 0 {
 			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause})
 			s.newLongestPause = 0
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -35,6 +35,10 @@
 	reportedAt time.Time
 	// pausePeak is the longest pause between two events of a stream, decaying over time.
 	pausePeak decay.Peak
+	// limit is the number of requests a second that the server takes from all fronts, 0 for any, as
+	// it said at limitAt.
+	limit   float64
+	limitAt time.Time
 	// loadingModel is the model that the swap in progress loads, empty if none, and
 	// readyAt when it is expected to be ready.
 	loadingModel string
@@ -70,6 +74,21 @@
 	return &server{inst: in, orderSlot: make(chan struct{}, 1), changed: make(chan struct{}), models: map[string]*loadedItem{}, adapters: map[site.Target]*loadedItem{}}
 }
 
+// applyLimit updates the limit that the server named at a time, unless a newer one is known.
+func (s *server) applyLimit(perSecond float64, at time.Time) {
+	if at.After(s.limitAt) {
+		s.limit, s.limitAt = perSecond, at
+	}
+}
+
+// currentLimit returns the number of requests a second that the server takes, 0 for any.
+func (s *server) currentLimit(now time.Time) float64 {
+	if now.Sub(s.limitAt) > limitTTL {
+		return 0
+	}
+	return s.limit
+}
+
 // applyReport updates the server from a report, and returns false if the report is
 // older than the last accepted order or comes from another incarnation. Reports
 // lag: one with the same sequence number may be older than an announcement that was
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -107,7 +107,7 @@
 func (p *Planner) policyView(s *server, now time.Time) swap.Server {
 	v := swap.Server{
 		ID: s.inst.ID, Busy: !s.available(), FreeIn: s.availableIn(now), Loading: s.loadingModel, OnDisk: s.onDisk, InMemory: s.inMemory,
-		PauseRisk: score.PauseRisk(s.pausePeak.Value(now), p.strictestMaxGap(s.inst.Service)),
+		PauseRisk: score.PauseRisk(s.pausePeak.Value(now), p.strictestMaxGap(s.inst.Service)), MaxRate: s.currentLimit(now),
 	}
 	for _, name := range s.modelNames() {
 		if slices.Contains(s.evicting, name) {
@@ -205,7 +205,8 @@
 func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target) {
 	engine := engineOf(p.state(), service)
 	holders := p.serversWithModel(service, t.Model)
-	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil })
+	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil && !p.isOverLimit(s, t) })
+	holders = slices.DeleteFunc(holders, func(s *server) bool { return s.adapters[t] != nil })
 	if p.adaptersLoading[t] || present || engine == nil || engine.Model(t.Model) == nil {
 		return
 	}
@@ -232,6 +233,20 @@
 	p.group.Go(func() { p.loadAdapter(ctx, best.server, t, best.victim) })
 }
 
+// isOverLimit reports whether a server limits its requests and all requests that wait for a
+// target can't use it. The caller must hold p.mu.
+func (p *Planner) isOverLimit(s *server, t site.Target) bool {
+	if s.currentLimit(time.Now()) == 0 || len(p.wants[t].waiters) == 0 {
+		return false
+	}
+	for w := range p.wants[t].waiters {
+		if !slices.Contains(w.request.Avoid, s.inst.InstanceKey) {
+			return false
+		}
+	}
+	return true
+}
+
 // findPlace returns a place for one more adapter at a server, and false if there is none.
 func (p *Planner) findPlace(s *server, e *site.Engine, m *site.Model) (adapterPlace, bool) {
 	if !s.available() {
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -61,10 +61,15 @@
 			s.pausePeak = s.pausePeak.Add(x.Longest, now)
 		}
 	}
+	for _, x := range u.Limits {
+		if s := p.servers[x.Instance]; s != nil {
+			s.applyLimit(x.PerSecond, now.Add(-x.Age))
+		}
+	}
 	for _, a := range u.Asked {
 		p.demand.add(a.Target, a.Requests, now)
 	}
-	return peers.PlannerStatus{StoreLoads: p.storeConcurrency.Limit(), Loads: p.busiestServers(now), Pending: p.pendingLoads(now), PauseFactor: p.pauses.Factor(), LongShare: p.longShare()}
+	return peers.PlannerStatus{StoreLoads: p.storeConcurrency.Limit(), Loads: p.busiestServers(now), Limits: p.recentLimits(now), Pending: p.pendingLoads(now), PauseFactor: p.pauses.Factor(), LongShare: p.longShare()}
 }
 
 // addPrompts adds to the decayed mix of prompts. The caller must hold p.mu.
@@ -119,6 +124,22 @@
 	return p.cachedLoads
 }
 
+// limitTTL is how long a limit counts that no answer has confirmed. A server within its limit
+// answers more often than that.
+const limitTTL = 30 * time.Second
+
+// recentLimits returns the limits that servers have named or lifted within limitTTL. The
+// caller must hold p.mu.
+func (p *Planner) recentLimits(now time.Time) []peers.InstanceLimit {
+	var out []peers.InstanceLimit
+	for k, s := range p.servers {
+		if age := now.Sub(s.limitAt); age < limitTTL {
+			out = append(out, peers.InstanceLimit{Instance: k, PerSecond: s.limit, Age: age})
+		}
+	}
+	return out
+}
+
 // pendingLoads returns the model loads in progress. The caller must hold p.mu.
 func (p *Planner) pendingLoads(now time.Time) []peers.PendingLoad {
 	var out []peers.PendingLoad
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -16,6 +16,7 @@
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
+	"foxtailcroft/internal/front/pacer"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/proxy"
 	"foxtailcroft/internal/front/sched"
@@ -96,14 +97,17 @@
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner, o.Store)
+	issuer := pacer.NewIssuer()
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner, o.Store, issuer)
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
-		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, frontPeers, crashes, o.Metrics, log.Named("Relay")),
+		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")),
+		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = newCallerServer(f.reverseProxy, follower)
 	return f, func() {
@@ -173,7 +177,7 @@
 		isNewPlanner := planner.FencingToken != reportedFence
 		usage := f.reverseProxy.TakeUsage(isNewPlanner)
 		reportedFence = planner.FencingToken
-		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 {
+		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 {
 			continue
 		}
 		status, err := f.peers.ReportUsage(ctx, usage)
--- /dev/null
+++ b/internal/policy/pace/pace.go
@@ -0,0 +1,59 @@
+package pace
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// burst is the number of requests that may follow each other at once after a pause.
+const burst = 2
+
+// Schedule is when an instance takes its next requests; the zero value has given out none.
+type Schedule struct {
+	// next is when the next request is due at an even pace.
+	next time.Time
+}
+
+// StartAt returns a schedule that allows no request before a time and no burst then.
+func StartAt(t time.Time, perSecond float64) Schedule {
+	return Schedule{next: t.Add((burst - 1) * interval(perSecond))}
+}
+
+// Reserve returns the schedule with one more request at a limit of perSecond, and the wait
+// until the request may be sent. If that is longer than maxWait, ok is false and nothing is reserved.
+func (s Schedule) Reserve(now time.Time, perSecond float64, maxWait time.Duration) (after Schedule, wait time.Duration, ok bool) {
+	if s.next.Before(now) {
+		s.next = now
+	}
+	wait = max(0, s.next.Sub(now)-(burst-1)*interval(perSecond))
+	if wait > maxWait {
+		return s, wait, false
+	}
+	return Schedule{next: s.next.Add(interval(perSecond))}, wait, true
+}
+
+// IsIdle reports whether the schedule allows as much as a new one.
+func (s Schedule) IsIdle(now time.Time) bool {
+	return !s.next.After(now)
+}
+
+// interval returns the time between two requests at an even pace.
+func interval(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
+}
+
+// minPerSecond bounds the interval of very low limits.
+const minPerSecond = 0.01
+
+// Issuer returns the front that keeps an instance's schedule for all, "" if there is no
+// front. Where fronts come or go, few instances change their issuer.
+func Issuer(instance string, fronts []string) string {
+	best, highest := "", uint64(0)
+	for _, f := range fronts {
+		if h := xxhash.Sum64String(f + "/" + instance); best == "" || h > highest || h == highest && f < best {
+			best, highest = f, h
+		}
+	}
+	return best
+}
--- a/internal/policy/score/score.go
+++ b/internal/policy/score/score.go
@@ -27,6 +27,8 @@
 	OtherPrompts bool
 	// FailureShare is the recent share of failed requests, from 0 to 1.
 	FailureShare float64
+	// LimitWait is the expected wait until the instance takes the request, 0 if it limits no requests.
+	LimitWait time.Duration
 	// TimeToAnswer is the usual time until an answer starts, 0 if not known.
 	TimeToAnswer time.Duration
 }
@@ -61,7 +63,7 @@
 // milliseconds, with penalties for load, failures and pauses.
 func (c Candidate) CostMs() float64 {
 	running := max(c.InFlight, c.Reported)
-	cost := float64((c.MissingPrefill + c.PendingPrefill).Milliseconds()) + concurrentCostMs*float64(running) + failureCostMs*c.FailureShare
+	cost := float64((c.MissingPrefill + c.PendingPrefill + c.LimitWait).Milliseconds()) + concurrentCostMs*float64(running) + failureCostMs*c.FailureShare
 	if c.Slots > 0 && running >= c.Slots {
 		cost += queuedCostMs * float64(running-c.Slots+1)
 	}
--- a/internal/policy/swap/cost.go
+++ b/internal/policy/swap/cost.go
@@ -38,10 +38,7 @@
 // queueWaitSeconds returns the total waiting time over costHorizon of a model's
 // requests when they are spread over a number of copies.
 func (d *decision) queueWaitSeconds(demand Demand, copies float64) float64 {
-	prefillSeconds := demand.PrefillTime.Seconds()
-	if prefillSeconds == 0 {
-		prefillSeconds = defaultPrefillTime.Seconds()
-	}
+	prefillSeconds := demand.prefillSeconds()
 	// Wait in a queue with random arrivals; load beyond the copies' capacity is not served.
 	utilization := demand.Rate * prefillSeconds / copies
 	servedUtilization := min(utilization, maxUtilization)
@@ -53,6 +50,18 @@
 	return demand.Rate * costHorizon.Seconds() * waitSeconds
 }
 
+// prefillSeconds returns the prefill time of a request in seconds.
+func (d Demand) prefillSeconds() float64 {
+	if d.PrefillTime == 0 {
+		return defaultPrefillTime.Seconds()
+	}
+	return d.PrefillTime.Seconds()
+}
+
+// limitPenaltySeconds is the waiting time charged per request at a server that takes none of the
+// usual rate of a copy.
+const limitPenaltySeconds = 0.3
+
 // pausePenaltySeconds is the waiting time charged per request at a server where streams pause for too long.
 const pausePenaltySeconds = 0.3
 
@@ -73,6 +82,7 @@
 	if source == FromStore {
 		lossSeconds += unservedWaitSeconds * d.blockedRate(s) * readyIn.Seconds()
 	}
+	lossSeconds += limitPenaltySeconds * (1 - d.servedShare(s, model.Name)) * d.Demand[model.Name].Rate * costHorizon.Seconds()
 	lossSeconds += pausePenaltySeconds * s.PauseRisk * d.Demand[model.Name].Rate * costHorizon.Seconds()
 	return Action{Server: s.ID, Evict: evict, Load: model.Name, Source: source, ReadyIn: readyIn}, max(1, w.Weight)*readyIn.Seconds() + lossSeconds, true
 }
@@ -217,7 +227,7 @@
 	rate := d.Demand[c.Model].Rate
 	drainSeconds := float64(c.InFlight) * drainTimePerRequest.Seconds()
 	m := d.summary(c.Model)
-	if others := m.servingCopies - s.copyWeight(); others > minCopyWeight {
+	if others := m.servingCopies - d.copyWeight(s, c.Model); others > minCopyWeight {
 		return drainSeconds + d.queueWaitSeconds(d.Demand[c.Model], others) - d.queueWaitSeconds(d.Demand[c.Model], m.servingCopies)
 	}
 	if m.pendingCopies > 0 {
--- a/internal/policy/swap/index.go
+++ b/internal/policy/swap/index.go
@@ -18,6 +18,8 @@
 	baselineRate float64
 	// blockedRates caches the results of blockedRate by server ID.
 	blockedRates map[string]float64
+	// demand is the recent demand by model.
+	demand map[string]Demand
 	// unknownServers counts the servers whose state is not known.
 	unknownServers int
 }
@@ -46,7 +48,7 @@
 const demandShiftShare = 0.5
 
 func newIndex(in *Input) index {
-	x := index{summaries: map[string]*modelSummary{}, blockedRates: map[string]float64{}, catalogue: make(map[string]*site.Model, len(in.Engine.Models))}
+	x := index{summaries: map[string]*modelSummary{}, blockedRates: map[string]float64{}, demand: in.Demand, catalogue: make(map[string]*site.Model, len(in.Engine.Models))}
 	for i := range in.Engine.Models {
 		x.catalogue[in.Engine.Models[i].Name] = &in.Engine.Models[i]
 	}
@@ -75,7 +77,7 @@
 func (x *index) addServer(s *Server) {
 	for _, c := range s.Copies {
 		m := x.summary(c.Model)
-		m.servingCopies += s.copyWeight()
+		m.servingCopies += x.copyWeight(s, c.Model)
 		m.serverCount++
 		m.minPauseRisk = min(m.minPauseRisk, s.PauseRisk)
 	}
@@ -85,7 +87,7 @@
 		if m.pendingCopies == 0 || readyIn < m.firstPendingIn {
 			m.firstPendingIn = readyIn
 		}
-		m.pendingCopies += s.copyWeight()
+		m.pendingCopies += x.copyWeight(s, s.Loading)
 		m.serverCount++
 		m.minPauseRisk = min(m.minPauseRisk, s.PauseRisk)
 	}
@@ -115,10 +117,34 @@
 	return slices.ContainsFunc(s.Copies, func(c Copy) bool { return c.Model == model })
 }
 
-// copyWeight returns the fraction of a copy that a copy on this server counts as.
-func (s *Server) copyWeight() float64 {
-	return 1 - pauseRiskDiscount*s.PauseRisk
+// copyWeight returns the fraction of a copy that a copy of a model on this server counts as.
+func (x *index) copyWeight(s *Server, model string) float64 {
+	return (1 - pauseRiskDiscount*s.PauseRisk) * x.servedShare(s, model)
 }
 
 // pauseRiskDiscount is the fraction of a copy that is lost on a server where streams pause for too long.
 const pauseRiskDiscount = 0.5
+
+// servedShare returns the fraction of a copy's usual request rate that a server takes of a
+// model: all, or the model's part of the server's limit.
+func (x *index) servedShare(s *Server, model string) float64 {
+	if s.MaxRate <= 0 {
+		return 1
+	}
+	total := 0.0
+	for _, c := range s.Copies {
+		total += x.demand[c.Model].Rate
+	}
+	own := x.demand[model].Rate
+	if !s.holds(model) {
+		total += own
+	}
+	part := 1.0
+	if total > 0 {
+		part = max(minLimitPart, own/total)
+	}
+	return min(1, s.MaxRate*part*x.demand[model].prefillSeconds())
+}
+
+// minLimitPart is the least part of a server's limit that is counted for a model that it holds.
+const minLimitPart = 0.05
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -34,6 +34,8 @@
 	InMemory []string
 	// PauseRisk is the probability, 0 to 1, that a long prompt makes streams on this server pause for too long.
 	PauseRisk float64
+	// MaxRate is the number of requests a second that the server takes, 0 for any.
+	MaxRate float64
 }
 
 // Want is a model with waiting requests.
@@ -143,7 +145,7 @@
 		d.StoreLoadsRunning++
 	}
 	for _, m := range a.Evict {
-		d.summary(m).servingCopies -= s.copyWeight()
+		d.summary(m).servingCopies -= d.copyWeight(s, m)
 	}
 	d.actions = append(d.actions, a)
 }
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -124,6 +124,18 @@
 				{ID: "b", Copies: []Copy{held("m1", 0), held("m2", 0), held("m3", 0)}, OnDisk: []string{"m0"}},
 			},
 		}, []Action{{Server: "b", Evict: []string{"m1"}, Load: "m0", Source: FromDisk, ReadyIn: 890 * time.Millisecond}}},
+		{"loads an extra copy of a model where requests aren't limited, rather than where they are", Input{
+			Demand: map[string]Demand{"m0": {Rate: 3}},
+			Servers: []Server{
+				{ID: "a", Copies: []Copy{held("m0", 0)}, MaxRate: 1},
+				{ID: "b", Copies: []Copy{held("m1", 0)}, OnDisk: []string{"m0"}, MaxRate: 1},
+				{ID: "c", Copies: []Copy{held("m2", 0)}, OnDisk: []string{"m0"}},
+			},
+		}, []Action{{Server: "c", Load: "m0", Source: FromDisk, ReadyIn: 840 * time.Millisecond}}},
+		{"no extra copy where the limit is far above the demand", Input{
+			Demand:  map[string]Demand{"m0": {Rate: 1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}, MaxRate: 50}, {ID: "c", Copies: []Copy{held("m2", 0)}, OnDisk: []string{"m0"}}},
+		}, nil},
 		{"preloads a model that no server holds into free memory", Input{
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0)}, OnDisk: []string{"m1"}}},
 		}, []Action{{Server: "a", Load: "m1", Source: FromDisk, ReadyIn: 840 * time.Millisecond}}},
