front/proxy: all requests wait as long for an instance's limit

Cause: a request waited for a limit as long as its caller's patience. Where limits leave less than is asked for, the schedules filled up with those that may wait longest, so that urgent kinds were served less often than others and all were late. Change: no request waits longer than 600 ms; then it is sent to another instance or refused with the wait as Retry-After.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -39,8 +39,6 @@
 	tried     map[site.InstanceKey]bool
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
 	overLimit map[site.InstanceKey]time.Duration
-	// outOfOptions is set once no instance without a limit can serve the request in time.
-	outOfOptions bool
 	// possibleRuns counts the attempts that an instance may have run.
 	possibleRuns int
 	// notRunAttempts counts the attempts that certainly did not run.
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -150,11 +150,7 @@
 		return true
 	}
 	if len(found.Instances) == 0 {
-		if wait, ok := c.limitRetryAfter(); ok && !c.outOfOptions {
-			c.outOfOptions = true
-			clear(c.overLimit)
-			return true
-		} else if ok {
+		if wait, ok := c.limitRetryAfter(); ok {
 			found.Reason, found.ReadyIn = "instances are at their limits", wait
 		}
 		c.endWithoutInstance("model not loaded: "+found.Reason, max(defaultRetryAfter, found.ReadyIn))
--- a/internal/front/proxy/limit.go
+++ b/internal/front/proxy/limit.go
@@ -12,17 +12,13 @@
 // going to another instance.
 const minLimitWait = 5 * time.Millisecond
 
-// goalShareForLimit is the divisor of the route's response goal that a request spends on the
-// limit of an instance before it looks for another one.
-const goalShareForLimit = 2
+// maxLimitWait bounds the wait for an instance's limit. It is the same for all requests: in an
+// overload, those that may wait longer would otherwise take all of what the instance takes.
+const maxLimitWait = 600 * time.Millisecond
 
 // limitPatience returns how long the request waits for an instance's limit.
 func (c *call) limitPatience() time.Duration {
-	left := time.Until(c.waitDeadline()) - servingReserve
-	if c.outOfOptions || !c.needsLoadedModel() || c.route.ResponseGoal <= 0 {
-		return left
-	}
-	return min(left, c.route.ResponseGoal/goalShareForLimit)
+	return min(maxLimitWait, time.Until(c.waitDeadline())-servingReserve)
 }
 
 // waitForLimit waits until an instance that limits its requests takes this one; false if
