test/soak: prompt parts that crash servers, and servers that name limits

New faults: requests with one prompt part crash model servers from then on, and a server names a limit of 1 to 10 a second. New check: later than 3 s after the last fault at most three requests with the part reach servers.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,8 +70,10 @@
 	servers       []*standinServer
 	fronts        []*frontProcess
 	documentCount int
-	group         conc.WaitGroup
-	stopFuncs     []func()
+	// partCrashes is set once requests with deadlyPart crash the model servers.
+	partCrashes atomic.Bool
+	group       conc.WaitGroup
+	stopFuncs   []func()
 }
 
 // startDeployment starts the stand-ins, and then the fronts.
@@ -168,8 +171,10 @@
 	s := &standinServer{id: id, llm: llm, proxy: p, born: time.Now().UnixMilli()}
 	s.server = fake.NewServer(fake.Spec{
 		ID: id, Born: s.born, Service: service, Address: p.address(), Zone: "a", Slots: 16, Sizes: sizes, WeightsMb: 220000, AdapterSlots: 8,
+		OnCrash:  func() { d.crashByRequest(s) },
 		LoadTime: 300 * time.Millisecond, AdapterTime: 8 * time.Millisecond, EventTime: 15 * time.Millisecond, ChecksFence: true, AdapterSizeMb: 60,
 	}, d.executionLog, func() { d.announce(s) }, loadedModels...)
+	d.setFaults(s, fake.Faults{})
 	s.http = &http.Server{Handler: s.server}
 	d.group.Go(func() { _ = s.http.Serve(lis) })
 	d.mu.Lock()
@@ -225,6 +230,34 @@
 	d.writeStore(s.server.Key(), nil)
 }
 
+// deadlyPart is the prompt part that may crash model servers.
+const deadlyPart = "dead"
+
+// setFaults replaces the faults of a server, but for crashes under requests.
+func (d *deployment) setFaults(s *standinServer, f fake.Faults) {
+	if s.llm && d.partCrashes.Load() {
+		f.CrashPart = deadlyPart
+	}
+	s.server.SetFaults(f)
+}
+
+// crashByRequest crashes a server, and starts it again without models after half a second.
+func (d *deployment) crashByRequest(s *standinServer) {
+	d.mu.Lock()
+	stopped := s.stopped
+	d.mu.Unlock()
+	if stopped || d.ctx.Err() != nil {
+		return
+	}
+	d.crashServer(s)
+	d.group.Go(func() {
+		time.Sleep(500 * time.Millisecond)
+		if d.ctx.Err() == nil {
+			d.addServer(s.id, s.llm)
+		}
+	})
+}
+
 // freePort returns a loopback port that was free at the time of the call.
 func (d *deployment) freePort() int {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -67,7 +67,7 @@
 func (c *loadGenerator) run(ctx context.Context, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	for ctx.Err() == nil {
-		c.sendOne(ctx, rnd)
+		c.sendOne(ctx, rnd, false)
 		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 	}
 }
@@ -76,8 +76,8 @@
 const eventsPerStream = 6
 
 // sendOne sends one request and checks its answer. It reports whether the answer
-// was complete with status 200.
-func (c *loadGenerator) sendOne(ctx context.Context, rnd *rand.Rand) bool {
+// was complete with status 200. A sound request has no prompt part that may crash servers.
+func (c *loadGenerator) sendOne(ctx context.Context, rnd *rand.Rand, sound bool) bool {
 	id := fmt.Sprintf("%s-%d", c.idPrefix, c.requestCount.Add(1))
 	kind := []string{"safe", "unsafe", "unsafe", "resume", "stream"}[rnd.IntN(5)]
 	timeout := time.Duration(800+rnd.IntN(4000)) * time.Millisecond
@@ -99,6 +99,13 @@
 		if rnd.IntN(3) == 0 {
 			model += fmt.Sprintf("/a%d", 1+rnd.IntN(12))
 		}
+		part := fmt.Sprintf("part%d", rnd.IntN(4))
+		if c.d.partCrashes.Load() && !sound && rnd.IntN(6) == 0 {
+			part = deadlyPart
+			id += "-" + deadlyPart
+			req.Header.Set("Request-Id", id)
+		}
+		req.Header.Set("Prompt-Prefix", fmt.Sprintf("root:10,%s:20,%s:30", part, id))
 		req.Header.Set("Model", model)
 		req.Header.Set("Token-Counts", fmt.Sprintf("100,%d", eventsPerStream*5))
 	}
@@ -156,6 +163,18 @@
 	}
 }
 
+// lateDeadlyRuns returns the number of requests with the part that crashes servers that reached
+// servers after a time.
+func (c *loadGenerator) lateDeadlyRuns(after time.Time) int {
+	n := 0
+	for _, e := range c.d.executionLog.Executions() {
+		if e.At.After(after) && strings.HasSuffix(e.ID, "-"+deadlyPart) {
+			n++
+		}
+	}
+	return n
+}
+
 // countOutcome counts a request by its kind and status.
 func (c *loadGenerator) countOutcome(outcome string) {
 	c.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,6 +68,10 @@
 	recoveryLimit = 20 * time.Second
 	// lateOrderWait covers the orders that a server carries out late, by less than 2 s.
 	lateOrderWait = 2 * time.Second
+	// blockLimit is the time within which a prompt part that crashes servers must be blocked, and
+	// maxLateDeadlyRuns the number of requests with it that servers may get later.
+	blockLimit        = 3 * time.Second
+	maxLateDeadlyRuns = 3
 )
 
 // runSeed runs one deployment under load with the faults drawn from a seed.
@@ -93,11 +97,15 @@
 		time.Sleep(time.Duration(100+rnd.IntN(700)) * time.Millisecond)
 	}
 	injector.endFaults()
+	calm := time.Now().Add(blockLimit)
 	group.Go(func() {
-		time.Sleep(lateOrderWait)
+		time.Sleep(max(lateOrderWait, 2*blockLimit))
 		stopLoad()
 	})
 	group.Wait()
+	if n := load.lateDeadlyRuns(calm); n > maxLateDeadlyRuns {
+		t.Errorf("seed %d: %d requests that crash servers were sent to them later than %s after the last fault", seed, n, blockLimit)
+	}
 	expectRecovery(t, load, rnd, "after the faults")
 	for _, b := range load.check() {
 		t.Errorf("seed %d: %s", seed, b)
@@ -115,7 +123,7 @@
 func expectRecovery(t *testing.T, c *loadGenerator, rnd *rand.Rand, when string) {
 	servedInRow := 0
 	for end := time.Now().Add(recoveryLimit); time.Now().Before(end) && servedInRow < 10; {
-		if c.sendOne(context.Background(), rnd) {
+		if c.sendOne(context.Background(), rnd, true) {
 			servedInRow++
 			continue
 		}
@@ -155,8 +163,10 @@
 		{"server answers wrongly", h.failServer},
 		{"server restarts after crash", h.restartServer},
 		{"server is replaced", h.replaceServer},
+		{"prompt part crashes servers", h.startPartCrashes},
+		{"server names a limit", func() { h.d.setFaults(h.drawServer(), fake.Faults{Limit: 1 + 9*h.rnd.Float64()}) }},
 		{"server delays orders", func() {
-			h.drawServer().server.SetFaults(fake.Faults{LateOrders: 2, LateBy: time.Duration(h.rnd.IntN(2000)) * time.Millisecond})
+			h.d.setFaults(h.drawServer(), fake.Faults{LateOrders: 2, LateBy: time.Duration(h.rnd.IntN(2000)) * time.Millisecond})
 		}},
 	}
 	fault := faults[h.rnd.IntN(len(faults))]
@@ -229,11 +239,19 @@
 
 // failServer sets a random fault on a server's answers.
 func (h *faultInjector) failServer() {
-	h.drawServer().server.SetFaults([]fake.Faults{
+	h.d.setFaults(h.drawServer(), []fake.Faults{
 		{LostResponses: 5}, {TruncatedResponses: 5, TruncateAfterEvent: h.rnd.IntN(4)}, {Extra: true}, {Unframed: true}, {Unsigned: true}, {RejectedAsFull: 20}, {FailedResponses: 8}, {Encoded: true},
 	}[h.rnd.IntN(8)])
 }
 
+// startPartCrashes lets requests with a prompt part crash model servers from now on.
+func (h *faultInjector) startPartCrashes() {
+	h.d.partCrashes.Store(true)
+	for _, s := range h.d.liveServers() {
+		h.d.setFaults(s, fake.Faults{})
+	}
+}
+
 // restartServer crashes a server and starts one with the same id that has no
 // models loaded.
 func (h *faultInjector) restartServer() {
@@ -262,7 +280,7 @@
 	h.group.Wait()
 	h.d.store.SetRejectStatus(0)
 	for _, s := range h.d.liveServers() {
-		s.server.SetFaults(fake.Faults{})
+		h.d.setFaults(s, fake.Faults{})
 		s.proxy.clearFaults()
 	}
 	for _, f := range h.d.fronts {
