front/sched: a planner with a new lease gives no orders under its old key

Cause: a front that lost its lease in an outage registers under a new one as soon as the store is back. Its view, which lags, still named it the planner, and the age of the new lease's renewal was taken for that of the lease to which the planner's key had been attached. So it gave orders until its view caught up, though a successor had claimed the key meanwhile. Change: without fence checks a planner must hold the very lease of its key. Found by TestOutagesKeepTheHandoverDelay, a new test that cuts drawn fronts off from the store:, 2.485 s between the orders of two planners to one server where 3 s are required.

--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -303,18 +303,25 @@
 // If servers don't check fencing tokens (checked is false), the lease must also
 // have been renewed within three quarters of its TTL.
 func (l *Candidate) FencingToken(checked bool) (int64, bool) {
-	p := l.site.State().Planner
+	state := l.site.State()
+	p := state.Planner
 	if p == nil || p.Run != l.Self.Run {
 		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leaving || l.suspended() || !checked && time.Since(l.renewedAt) > l.ttl*3/4 {
+	if l.leaving || l.suspended() || !checked && !l.holdsKey(state.Keys[follow.PlannerKey].Lease) {
 		return 0, false
 	}
 	return p.FencingToken, true
 }
 
+// holdsKey reports whether no other front can have claimed the planner's key, which is
+// attached to a lease. The caller must hold l.mu.
+func (l *Candidate) holdsKey(lease int64) bool {
+	return lease == l.lease && time.Since(l.renewedAt) <= l.ttl*3/4
+}
+
 // Resign gives up the registration and the planner's key by releasing the lease.
 func (l *Candidate) Resign(ctx context.Context) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/front/sched/outage_test.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/platform/fake"
+	"foxtailcroft/test/seeds"
+)
+
+// TestOutagesKeepTheHandoverDelay cuts drawn fronts off from the store, at times all of them,
+// and lets each return at a time of its own. The orders of two planners to one server that
+// doesn't check fencing tokens must be at least handoverDelay apart.
+func TestOutagesKeepTheHandoverDelay(t *testing.T) {
+	handovers := 0
+	for i := range uint64(30) {
+		seed := seeds.FromEnvironment() + i
+		runClusterWith(t, false, 2, 4, 8, func(c *cluster) {
+			draws := rand.New(rand.NewPCG(seed, 3))
+			var group conc.WaitGroup
+			for range 4 {
+				all := draws.IntN(2) == 0
+				for _, p := range c.fronts {
+					if !all && draws.IntN(2) == 0 {
+						continue
+					}
+					start, length := time.Duration(draws.Int64N(int64(time.Second))), time.Second+time.Duration(draws.Int64N(int64(5*time.Second)))
+					group.Go(func() {
+						time.Sleep(start)
+						p.store.partitioned.Store(true)
+						time.Sleep(length)
+						p.store.partitioned.Store(false)
+					})
+				}
+				for n := range 100 {
+					for _, p := range c.fronts {
+						group.Go(func() {
+							_, _ = p.planner.RequestInstances(c.ctx, peers.InstanceRequest{Service: "llm", Target: site.Target{Model: fmt.Sprintf("m%d", n%8)}, Wait: time.Second, Answer: time.Second})
+						})
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+			group.Wait()
+			last := map[string]fake.AcceptedOrder{}
+			for _, o := range c.orderLog.Orders() {
+				if before, ok := last[o.Server]; ok && before.Holder != o.Holder {
+					handovers++
+					c.g.Expect(o.At.Sub(before.At)).To(BeNumerically(">=", handoverDelay), "seed %d: %s after %s at %s", seed, o.Holder, before.Holder, o.Server)
+				}
+				last[o.Server] = o
+			}
+			c.g.Expect(c.orderLog.Breaches()).To(BeEmpty(), "seed %d", seed)
+		})
+	}
+	NewWithT(t).Expect(handovers).To(BeNumerically(">", 0))
+}
