front/sched: planners go on while no front reaches the store

Cause: the planner stopped ordering when its lease could not be renewed, since another front might have claimed its key. Change: once its lease is overdue it asks all other fronts it knows. While each finds the store unavailable and knows no other planner, it may give orders for half a second after asking. A front that has answered so, or that claims the key within a second of an outage, begins its hand-over a second later, so that the orders of two planners stay apart.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -5,8 +5,11 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/link/peer"
@@ -23,6 +26,7 @@
 	methodRenew   = "Renew"
 	methodChanges = "Changes"
 	methodPace    = "Pace"
+	methodOutage  = "Outage"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -170,6 +174,19 @@
 	KeepAlive(ctx context.Context, lease int64) (bool, error)
 }
 
+// OutageWitness tells whether this front finds the store unavailable and the planner unchanged.
+type OutageWitness interface {
+	ConfirmOutage(fence int64) bool
+}
+
+// Handlers answer the calls of other fronts.
+type Handlers struct {
+	Planner Planner
+	Leases  LeaseStore
+	Paces   PaceIssuer
+	Outages OutageWitness
+}
+
 // Client calls the other fronts.
 type Client struct {
 	self  follow.Front
@@ -180,26 +197,29 @@
 }
 
 // New returns a client for the other fronts, and registers the handlers of their calls.
-func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, local Planner, leases LeaseStore, paces PaceIssuer) *Client {
-	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: local}
+func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, h Handlers) *Client {
+	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: h.Planner}
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
 		list, _ := f.Snapshot(after)
 		return list, nil
 	})
 	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w InstanceRequest) (InstanceReply, error) {
-		return local.RequestInstances(ctx, w)
+		return h.Planner.RequestInstances(ctx, w)
 	})
 	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u UsageReport) (PlannerStatus, error) {
-		return local.ApplyUsage(u), nil
+		return h.Planner.ApplyUsage(u), nil
 	})
 	peer.OnCall(mux, methodChanges, func(ctx context.Context, _ *peer.Conn, r follow.ChangesRequest) (follow.Changes, error) {
 		return f.Changes(ctx, r), nil
 	})
 	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
-		return leases.KeepAlive(ctx, lease)
+		return h.Leases.KeepAlive(ctx, lease)
 	})
 	peer.OnCall(mux, methodPace, func(_ context.Context, _ *peer.Conn, r PaceRequest) (PaceReply, error) {
-		return paces.Reserve(r), nil
+		return h.Paces.Reserve(r), nil
+	})
+	peer.OnCall(mux, methodOutage, func(_ context.Context, _ *peer.Conn, fence int64) (bool, error) {
+		return h.Outages.ConfirmOutage(fence), nil
 	})
 	return m
 }
@@ -235,6 +255,27 @@
 	return tasks.First(ctx, calls...)
 }
 
+// ConfirmOutage asks all other fronts, and reports whether each finds the store unavailable
+// and knows no other planner than the one with the fencing token. It is false if there are none.
+func (m *Client) ConfirmOutage(ctx context.Context, fence int64) bool {
+	var group conc.WaitGroup
+	var confirmed, asked atomic.Int64
+	for _, f := range m.state().Fronts {
+		if f.Name == m.self.Name {
+			continue
+		}
+		asked.Add(1)
+		group.Go(func() {
+			var ok bool
+			if m.call(ctx, f.Address, methodOutage, callTimeout, fence, &ok) == nil && ok {
+				confirmed.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return asked.Load() > 0 && confirmed.Load() == asked.Load()
+}
+
 // errNoFronts is the error of a call for help when no other front is known.
 var errNoFronts = errors.New("no other front is known")
 
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -52,6 +52,8 @@
 	State() *follow.State
 	// ApplyWritten applies a key that this front has written, ahead of the watch.
 	ApplyWritten(kv store.KV)
+	// Unavailable reports whether the store is unavailable or recovered less than span ago.
+	Unavailable(span time.Duration) bool
 }
 
 // Candidate registers a front in the store under a lease and claims the planner's key
@@ -60,6 +62,7 @@
 	Self      follow.Front
 	store     LeaseStore
 	relay     LeaseRelay
+	witnesses Witnesses
 	site      Site
 	ttl       time.Duration
 	bootClock func() time.Duration
@@ -77,6 +80,11 @@
 	// predecessorGone is when this front saw the planner's key vanish that it then
 	// claimed, zero if it does not know.
 	predecessorGone time.Time
+	// outageConfirmedAt is when all other fronts were last asked that found the store unavailable.
+	outageConfirmedAt time.Time
+	// confirmedUntil is the time until which another planner may give orders because this front
+	// found the store unavailable.
+	confirmedUntil time.Time
 	// renewalFailing is true while renewals fail. Only Run uses it, without the lock.
 	renewalFailing bool
 }
@@ -169,6 +177,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.predecessorGone = at
+	if l.confirmedUntil.After(at) {
+		l.predecessorGone = l.confirmedUntil
+	}
+	if l.site.Unavailable(recentOutage) {
+		// Fronts that have not noticed the end of the outage may have confirmed it without this one.
+		l.predecessorGone = time.Now().Add(outageHold + orderLatency)
+	}
 }
 
 // takePredecessorGone returns when this front saw the previous planner's key vanish, or
@@ -301,7 +316,7 @@
 // FencingToken returns the fencing token if this front may give orders now, and false
 // otherwise. After a suspension of the machine the lease must be renewed first.
 // If servers don't check fencing tokens (checked is false), the lease must also
-// have been renewed within three quarters of its TTL.
+// have been renewed within three quarters of its TTL, or no front may reach the store.
 func (l *Candidate) FencingToken(checked bool) (int64, bool) {
 	state := l.site.State()
 	p := state.Planner
@@ -319,7 +334,8 @@
 // holdsKey reports whether no other front can have claimed the planner's key, which is
 // attached to a lease. The caller must hold l.mu.
 func (l *Candidate) holdsKey(lease int64) bool {
-	return lease == l.lease && time.Since(l.renewedAt) <= l.ttl*3/4
+	renewed := lease == l.lease && time.Since(l.renewedAt) <= l.ttl*3/4
+	return renewed || time.Since(l.outageConfirmedAt) <= outageHold
 }
 
 // Resign gives up the registration and the planner's key by releasing the lease.
--- a/internal/front/sched/outage_test.go
+++ b/internal/front/sched/outage_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -15,6 +16,54 @@
 	"foxtailcroft/test/seeds"
 )
 
+// clusterWitnesses asks the other fronts of a cluster that a front knows.
+type clusterWitnesses struct {
+	cluster *cluster
+	self    *testFront
+}
+
+func (w clusterWitnesses) ConfirmOutage(_ context.Context, fence int64) bool {
+	for _, p := range w.cluster.fronts {
+		_, known := w.self.follower.State().Fronts[p.candidate.Self.Name]
+		if p != w.self && known && !p.candidate.ConfirmOutage(fence) {
+			return false
+		}
+	}
+	return true
+}
+
+// startOutageChecks lets all fronts ask each other about outages.
+func (c *cluster) startOutageChecks() {
+	for _, p := range c.fronts {
+		p.candidate.SetWitnesses(clusterWitnesses{c, p})
+		c.group.Go(func() { p.candidate.RunOutageCheck(c.ctx) })
+	}
+}
+
+// TestPlannerOfServersWithoutFenceChecksGoesOnWhileTheStoreIsAway cuts all fronts off from the
+// store. Models must be loaded for requests as long as the outage lasts.
+func TestPlannerOfServersWithoutFenceChecksGoesOnWhileTheStoreIsAway(t *testing.T) {
+	runClusterWith(t, false, 2, 3, 8, func(c *cluster) {
+		c.startOutageChecks()
+		first := c.leader()
+		time.Sleep(4 * time.Second)
+		for _, p := range c.fronts {
+			p.store.partitioned.Store(true)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 12 {
+			began := time.Now()
+			found, err := first.planner.RequestInstances(c.ctx, peers.InstanceRequest{
+				Service: "llm", Target: site.Target{Model: fmt.Sprintf("m%d", i%8)}, Wait: 4 * time.Second, Answer: 4 * time.Second,
+			})
+			c.g.Expect(err).NotTo(HaveOccurred())
+			c.g.Expect(found.Instances).NotTo(BeEmpty(), found.Reason)
+			c.g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+		}
+		c.g.Expect(c.orderLog.Breaches()).To(BeEmpty())
+	})
+}
+
 // TestOutagesKeepTheHandoverDelay cuts drawn fronts off from the store, at times all of them,
 // and lets each return at a time of its own. The orders of two planners to one server that
 // doesn't check fencing tokens must be at least handoverDelay apart.
@@ -23,6 +72,7 @@
 	for i := range uint64(30) {
 		seed := seeds.FromEnvironment() + i
 		runClusterWith(t, false, 2, 4, 8, func(c *cluster) {
+			c.startOutageChecks()
 			draws := rand.New(rand.NewPCG(seed, 3))
 			var group conc.WaitGroup
 			for range 4 {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -98,10 +98,11 @@
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	issuer := pacer.NewIssuer()
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, planner, o.Store, issuer)
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate})
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
+	candidate.SetWitnesses(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
@@ -149,6 +150,9 @@
 	t.KeepRunning("Peers", f.follower.RunPeerPoll)
 	t.KeepRunning("Missing", f.follower.RunMissingCheck)
 	t.KeepRunning("Lead", f.candidate.Run)
+	if !f.settings.ChecksFence {
+		t.KeepRunning("Outages", f.candidate.RunOutageCheck)
+	}
 	t.KeepRunning("Planner", f.planner.Run)
 	t.KeepRunning("Reports", f.planner.RunReports)
 	t.KeepRunning("Crashes", f.crashes.Run)
