front/proxy, front/crash: a part blocked during a wait is not sent; files by concept

Found in reading: a request that waited for an instance's limit was sent even if its prompt part had been blocked meanwhile. It is checked after the wait now; TestPromptPartBlockedWhileARequestWaitsForALimitIsNotSent failed before.

--- a/internal/front/crash/write.go
+++ b/internal/front/crash/broken.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"foxtailcroft/internal/back/conns"
@@ -29,13 +27,6 @@
 	maxCommitTries   = 25
 	// pendingLifetime is how long further attempts are added to a record.
 	pendingLifetime = 30 * time.Second
-	// maxShareDelay bounds the random delay before a harmless part is told, as all fronts
-	// may find it at the same time.
-	maxShareDelay = 300 * time.Millisecond
-	// cleanupInterval is the pause between two searches for expired keys.
-	cleanupInterval = 5 * time.Second
-	// maxDeletes bounds the keys removed by one write.
-	maxDeletes = 16
 )
 
 // pendingRecord is a record that is being gathered or has been written.
@@ -138,87 +129,3 @@
 	w.site.ApplyWritten(store.KV{Key: t.Puts[0].Key, Value: t.Puts[0].Value, Revision: res.Revision})
 	return true
 }
-
-// RecordAnswer records that the answer to a request is under way or complete, which proves
-// all of the request's prompt parts harmless.
-func (w *Watcher) RecordAnswer(service string, prompt []site.PromptPart) {
-	b := w.blocks.Load()
-	if len(b.Watched) == 0 {
-		return
-	}
-	var parts []blame.Part
-	watched := false
-	for _, id := range sharedParts(prompt) {
-		p := blame.Part{Service: service, ID: id}
-		parts = append(parts, p)
-		watched = watched || b.Watched[p]
-	}
-	if !watched {
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	changed := false
-	for _, p := range parts {
-		if w.ownHarmless[p] >= b.newest[p] {
-			continue
-		}
-		w.ownHarmless[p], changed = b.newest[p], true
-		if !w.shareInProgress[p] {
-			w.shareInProgress[p] = true
-			w.group.Go(func() { w.shareHarmless(w.ctx, p) })
-		}
-	}
-	if changed {
-		w.judge()
-	}
-}
-
-// shareHarmless tells the other fronts that a prompt part is harmless, unless they know.
-func (w *Watcher) shareHarmless(ctx context.Context, p blame.Part) {
-	sleep.For(ctx, rand.N(maxShareDelay))
-	w.mu.Lock()
-	delete(w.shareInProgress, p)
-	upTo := w.ownHarmless[p]
-	w.mu.Unlock()
-	known := w.site.State().Keys[harmlessKey(p)]
-	var shared harmlessPart
-	if upTo == 0 || json.Unmarshal(known.Value, &shared) == nil && shared.UpTo >= upTo {
-		return
-	}
-	value, err := json.Marshal(harmlessPart{Service: p.Service, Part: p.ID, UpTo: upTo})
-	if err != nil {
-		return
-	}
-	written := w.put(ctx, store.Txn{If: []store.Compare{{Key: harmlessKey(p), Revision: known.Revision}}, Puts: []store.Put{{Key: harmlessKey(p), Value: value}}})
-	w.log.Infow("prompt part harmless", "Service", p.Service, "PromptPart", p.ID, "UpTo", upTo, "Written", written)
-}
-
-// removeExpired removes expired keys; only the planner does.
-func (w *Watcher) removeExpired(ctx context.Context) {
-	planner := w.site.State().Planner
-	if planner == nil || planner.Run != w.self.Run {
-		return
-	}
-	var t store.Txn
-	w.mu.Lock()
-	for key, seen := range w.firstSeen {
-		limit := retention
-		if strings.HasPrefix(key, harmlessPrefix) {
-			// A refutation must outlive the records that it refutes.
-			limit = 2 * retention
-		}
-		if time.Since(seen) > limit && len(t.Deletes) < maxDeletes {
-			t.If = append(t.If, store.Compare{Key: key, Revision: w.keys[key].Revision})
-			t.Deletes = append(t.Deletes, key)
-		}
-	}
-	w.mu.Unlock()
-	if len(t.Deletes) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	res, err := w.store.Commit(ctx, t)
-	w.log.Infow("expired crash records removed", "Keys", len(t.Deletes), "Succeeded", err == nil && res.Succeeded)
-}
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -57,19 +57,25 @@
 	group  *tasks.Group
 	// ctx ends the background work.
 	ctx context.Context
-	// blocks is the verdict in force, never nil.
-	blocks          atomic.Pointer[blocks]
-	crashesTotal    *metrics.Counter
-	mu              sync.Mutex
-	pending         map[site.InstanceKey]*pendingRecord
-	ownHarmless     map[blame.Part]int64
-	keys            map[string]store.KV
-	firstSeen       map[string]time.Time
-	shareInProgress map[blame.Part]bool
+	// verdict is the one in force, never nil.
+	verdict      atomic.Pointer[verdict]
+	crashesTotal *metrics.Counter
+
+	mu sync.Mutex
+	// pending are this front's records that further attempts may be added to.
+	pending map[site.InstanceKey]*pendingRecord
+	// keys are the crash records and harmless parts in the store, and firstSeen is when this
+	// front first saw each of them as it is.
+	keys      map[string]store.KV
+	firstSeen map[string]time.Time
+	// ownHarmless are the prompt parts that this front's answers have proved harmless, and up to
+	// which revision; those in sharing are about to be told to the other fronts.
+	ownHarmless map[blame.Part]int64
+	sharing     map[blame.Part]bool
 }
 
-// blocks is the verdict on all known crashes.
-type blocks struct {
+// verdict is the verdict on all known crashes.
+type verdict struct {
 	blame.Verdict
 	// until is when the blocked parts are released unless more crashes are recorded.
 	until map[blame.Part]time.Time
@@ -83,10 +89,10 @@
 	w := &Watcher{
 		self: self, site: view, store: s, prober: p, log: log, group: &tasks.Group{}, ctx: ctx,
 		crashesTotal: meters.GetOrCreateCounter("foxtailcroft_instance_crashes_total"),
-		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, shareInProgress: map[blame.Part]bool{},
+		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{},
 	}
-	w.blocks.Store(&blocks{})
-	meters.GetOrCreateGauge("foxtailcroft_blocked_prompt_parts", func() float64 { return float64(len(w.blocks.Load().Blocked)) })
+	w.verdict.Store(&verdict{})
+	meters.GetOrCreateGauge("foxtailcroft_blocked_prompt_parts", func() float64 { return float64(len(w.verdict.Load().Blocked)) })
 	return w, func() {
 		cancel()
 		w.group.Close()
@@ -112,14 +118,14 @@
 // Blocked returns the first prompt part of a request that must not be sent to instances of a
 // service, and for how long yet; ok is false if there is none.
 func (w *Watcher) Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool) {
-	b := w.blocks.Load()
-	if len(b.Blocked) == 0 {
+	v := w.verdict.Load()
+	if len(v.Blocked) == 0 {
 		return "", 0, false
 	}
 	for _, p := range prompt {
 		key := blame.Part{Service: service, ID: p.ID}
-		if _, ok := b.Blocked[key]; ok {
-			return p.ID, max(0, time.Until(b.until[key])), true
+		if _, ok := v.Blocked[key]; ok {
+			return p.ID, max(0, time.Until(v.until[key])), true
 		}
 	}
 	return "", 0, false
@@ -163,21 +169,21 @@
 		}
 		e.harmless[p] = max(e.harmless[p], upTo)
 	}
-	b := &blocks{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}}
+	v := &verdict{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}}
 	for p, kv := range e.newest {
-		b.newest[p] = kv.Revision
+		v.newest[p] = kv.Revision
 	}
-	for p := range b.Blocked {
-		b.until[p] = w.firstSeen[e.newest[p].Key].Add(retention)
+	for p := range v.Blocked {
+		v.until[p] = w.firstSeen[e.newest[p].Key].Add(retention)
 	}
-	before := w.blocks.Swap(b)
-	for p, n := range b.Blocked {
+	before := w.verdict.Swap(v)
+	for p, n := range v.Blocked {
 		if _, ok := before.Blocked[p]; !ok {
-			w.log.Warnw("prompt part blocked", "Service", p.Service, "PromptPart", p.ID, "Crashes", n, "Records", len(e.crashes), "Revision", b.newest[p])
+			w.log.Warnw("prompt part blocked", "Service", p.Service, "PromptPart", p.ID, "Crashes", n, "Records", len(e.crashes), "Revision", v.newest[p])
 		}
 	}
 	for p := range before.Blocked {
-		if _, ok := b.Blocked[p]; !ok {
+		if _, ok := v.Blocked[p]; !ok {
 			w.log.Infow("prompt part no longer blocked", "Service", p.Service, "PromptPart", p.ID, "Harmless", e.harmless[p], "Records", len(e.crashes))
 		}
 	}
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -46,12 +46,13 @@
 		list := c.untried(c.candidates())
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
-			if c.waitForLimit(ctx, chosen) {
-				return chosen.Instance, true
-			}
+			mayGo := c.waitForLimit(ctx, chosen)
 			if c.endIfExpired(ctx) || c.endIfBlocked() {
 				return site.Instance{}, false
 			}
+			if mayGo {
+				return chosen.Instance, true
+			}
 			continue
 		}
 		if !c.waitForInstance(ctx) || c.endIfBlocked() {
--- a/internal/front/proxy/limit_test.go
+++ b/internal/front/proxy/limit_test.go
@@ -42,6 +42,25 @@
 	})
 }
 
+func TestPromptPartBlockedWhileARequestWaitsForALimitIsNotSent(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		r.setFaults(fake.Faults{Limit: 2})
+		for _, id := range []string{"id-1", "id-2", "id-3"} {
+			r.sendPrompt("/resume/x", id, "a1:10,b2:20,"+id+":30")
+		}
+		r.group.Go(func() {
+			time.Sleep(100 * time.Millisecond)
+			r.watchMu.Lock()
+			defer r.watchMu.Unlock()
+			r.blockedPart = "b2"
+		})
+		w, _ := r.sendPrompt("/resume/x", "id-4", "a1:10,b2:20,c3:30")
+		r.g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		r.g.Expect(w.Body.String()).To(ContainSubstring("b2 crashes instances"))
+		r.g.Expect(r.executions.Runs("id-4")).To(BeEmpty())
+	})
+}
+
 func TestRequestBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
 	withProxy(t, 1, func(r *harness) {
 		r.setFaults(fake.Faults{Limit: 0.1})
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -21,7 +21,8 @@
 	reportedLoadAge time.Duration
 	// limit is the number of requests a second that the instance takes from all fronts, 0 for any.
 	limit float64
-	// lead is how much longer the next best instance is expected to take, negative if there is none.
+	// lead is how much longer the next best instance is expected to take, negative if there is none;
+	// it is set where limit is.
 	lead time.Duration
 }
 
@@ -59,7 +60,9 @@
 	}
 	chosen := choice{Instance: list[i], Candidate: candidates[i], candidateCount: len(list)}
 	s := t.statsOf(list[i].InstanceKey)
-	chosen.limit, chosen.lead = s.limit, lead(candidates, i)
+	if s.limit > 0 {
+		chosen.limit, chosen.lead = s.limit, lead(candidates, i)
+	}
 	if !s.reportedAt.IsZero() {
 		chosen.reportedLoadAge = now.Sub(s.reportedAt)
 	}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -87,6 +87,8 @@
 }
 
 func (r *harness) Blocked(_ string, prompt []site.PromptPart) (string, time.Duration, bool) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
 	if slices.ContainsFunc(prompt, func(p site.PromptPart) bool { return p.ID == r.blockedPart }) {
 		return r.blockedPart, time.Minute, true
 	}
