front/sched: adapters accepted just before a lagging report still count

The report after such a rejection is believed whole; its list was older than its number and lacked an adapter accepted 361 ms before, so one place too many was filled. Change: a report with another number keeps adapters accepted within the last second, and the adapters of a model whose unload has completed go with it.

--- a/internal/front/sched/execute.go
+++ b/internal/front/sched/execute.go
@@ -280,10 +280,11 @@
 	}
 }
 
-// dropUnloaded removes the models whose unload was ordered: a server that accepts
-// another order for a model has completed them.
+// dropUnloaded removes the models whose unload was ordered, with adapters that a lagging
+// report has listed again: a server that accepts another order for a model has completed them.
 func (s *server) dropUnloaded() {
 	maps.DeleteFunc(s.models, func(_ string, m *loadedItem) bool { return m.unloading })
+	maps.DeleteFunc(s.adapters, func(a site.Target, _ *loadedItem) bool { return s.models[a.Model] == nil })
 }
 
 // loadAdapter evicts the victim, if there is one, and loads an adapter.
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -118,6 +118,13 @@
 	if sameSequence {
 		keepUnlisted(models, s.models, r.Busy)
 		keepUnlisted(adapters, s.adapters, r.Busy)
+	} else {
+		// The list may be older than the sequence number.
+		for a, h := range s.adapters {
+			if adapters[a] == nil && !h.unloading && models[a.Model] != nil && now.Sub(h.loadedAt) < maxListLag {
+				adapters[a] = h
+			}
+		}
 	}
 	s.models, s.adapters = models, adapters
 	s.known, s.sequence, s.busy, s.outcomeUnknown, s.resync = true, r.Sequence, busy, false, false
@@ -128,6 +135,9 @@
 	return true
 }
 
+// maxListLag bounds how far the list of adapters in a report lags behind the server's state.
+const maxListLag = time.Second
+
 // notifyChanged wakes those that wait for a change of the server.
 func (s *server) notifyChanged() {
 	close(s.changed)
