front/pacer: shares of a limit begin at random times

Change: a share's schedule begins at a random time within its interval. TestManyFrontsThatTurnToTheirSharesKeepToTheLimit: 39 requests at once before where 13 are allowed beside the limit itself.

--- a/internal/front/pacer/pacer.go
+++ b/internal/front/pacer/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,13 +26,25 @@
 
 // Issuer keeps the schedules of instances.
 type Issuer struct {
-	mu        sync.Mutex
-	schedules map[site.InstanceKey]pace.Schedule
+	// startDelay returns the wait before the first request of a schedule.
+	startDelay func(perSecond float64) time.Duration
+	mu         sync.Mutex
+	schedules  map[site.InstanceKey]pace.Schedule
 }
 
 // NewIssuer returns an issuer without schedules.
 func NewIssuer() *Issuer {
-	return &Issuer{schedules: map[site.InstanceKey]pace.Schedule{}}
+	return &Issuer{startDelay: func(float64) time.Duration { return 0 }, schedules: map[site.InstanceKey]pace.Schedule{}}
+}
+
+// newShares returns an issuer for one front's shares of limits. Its schedules begin at random
+// times, since all fronts may turn to their shares at once.
+func newShares() *Issuer {
+	return &Issuer{
+		startDelay: func(perSecond float64) time.Duration {
+			return time.Duration(rand.Float64() * float64(pace.Interval(perSecond)))
+		}, schedules: map[site.InstanceKey]pace.Schedule{},
+	}
 }
 
 // maxSchedules is the number of schedules from which idle ones are dropped.
@@ -46,7 +59,7 @@
 	s, ok := i.schedules[r.Instance]
 	if !ok {
 		i.dropIdle(now)
-		s = pace.StartAt(now, r.PerSecond)
+		s = pace.StartAt(now.Add(i.startDelay(r.PerSecond)), r.PerSecond)
 	}
 	s, wait, ok := s.Reserve(now, r.PerSecond, r.MaxWait)
 	i.schedules[r.Instance] = s
@@ -86,7 +99,7 @@
 
 // New returns a pacer; issuer keeps the schedules of this front.
 func New(self follow.Front, state func() *follow.State, issuer *Issuer, c Caller, log *zap.SugaredLogger) *Pacer {
-	return &Pacer{self: self, state: state, issuer: issuer, caller: c, log: log, shares: NewIssuer(), silentUntil: map[string]time.Time{}}
+	return &Pacer{self: self, state: state, issuer: issuer, caller: c, log: log, shares: newShares(), silentUntil: map[string]time.Time{}}
 }
 
 // Reserve reserves one request to an instance that takes perSecond requests from all fronts, and
--- a/internal/front/pacer/pacer_test.go
+++ b/internal/front/pacer/pacer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/pace"
 )
 
 // fleet is fronts whose pacers call each other.
@@ -88,3 +91,30 @@
 		g.Expect(f.calls).To(BeNumerically("<=", 3*3*10))
 	})
 }
+
+// TestManyFrontsThatTurnToTheirSharesKeepToTheLimit lets every front lose the issuer at the
+// same time, each for its first request.
+func TestManyFrontsThatTurnToTheirSharesKeepToTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var names []string
+		for i := range 40 {
+			names = append(names, fmt.Sprint("front-", i))
+		}
+		f := newFleet(names...)
+		var pacers []*Pacer
+		for _, name := range names {
+			f.silent[name] = true
+			pacers = append(pacers, f.pacer(name))
+		}
+		k := site.InstanceKey{ID: "1"}
+		own := slices.IndexFunc(pacers, func(p *Pacer) bool { return pace.Issuer(k.ID, names) == p.self.Name })
+		n := 0
+		for i, p := range pacers {
+			if _, ok := p.Reserve(t.Context(), k, 4, 600*time.Millisecond); ok && i != own {
+				n++
+			}
+		}
+		g.Expect(n).To(BeNumerically("<=", 2*4+5), "of the first requests of all fronts, as many as four seconds allow beside the limit itself")
+	})
+}
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -17,7 +17,7 @@
 
 // StartAt returns a schedule that allows no request before a time and no burst then.
 func StartAt(t time.Time, perSecond float64) Schedule {
-	return Schedule{next: t.Add((burst - 1) * interval(perSecond))}
+	return Schedule{next: t.Add((burst - 1) * Interval(perSecond))}
 }
 
 // Reserve returns the schedule with one more request at a limit of perSecond, and the wait
@@ -26,11 +26,11 @@
 	if s.next.Before(now) {
 		s.next = now
 	}
-	wait = max(0, s.next.Sub(now)-(burst-1)*interval(perSecond))
+	wait = max(0, s.next.Sub(now)-(burst-1)*Interval(perSecond))
 	if wait > maxWait {
 		return s, wait, false
 	}
-	return Schedule{next: s.next.Add(interval(perSecond))}, wait, true
+	return Schedule{next: s.next.Add(Interval(perSecond))}, wait, true
 }
 
 // IsIdle reports whether the schedule allows as much as a new one.
@@ -38,8 +38,8 @@
 	return !s.next.After(now)
 }
 
-// interval returns the time between two requests at an even pace.
-func interval(perSecond float64) time.Duration {
+// Interval returns the time between two requests at an even pace.
+func Interval(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
 }
 
