front/sched: a later hand-over does not delay reading reports

Cause: the time until which the planner before may have given orders in an outage was kept as the time at which its key vanished. A new planner waits for that time before it reads reports, also where servers check fencing tokens; so after an outage it stood still for a second more. Change: both times are kept apart; only orders wait for the later one.

--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -80,6 +80,9 @@
 	// predecessorGone is when this front saw the planner's key vanish that it then
 	// claimed, zero if it does not know.
 	predecessorGone time.Time
+	// predecessorOrdersEnd is until when the planner before may have given orders, zero if
+	// predecessorGone is.
+	predecessorOrdersEnd time.Time
 	// outageConfirmedAt is when all other fronts were last asked that found the store unavailable.
 	outageConfirmedAt time.Time
 	// confirmedUntil is the time until which another planner may give orders because this front
@@ -176,27 +179,27 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.predecessorGone = at
+	l.predecessorGone, l.predecessorOrdersEnd = at, at
 	if l.confirmedUntil.After(at) {
-		l.predecessorGone = l.confirmedUntil
+		l.predecessorOrdersEnd = l.confirmedUntil
 	}
 	if l.site.Unavailable(recentOutage) {
 		// Fronts that have not noticed the end of the outage may have confirmed it without this one.
-		l.predecessorGone = time.Now().Add(outageHold + orderLatency)
+		l.predecessorOrdersEnd = time.Now().Add(outageHold + orderLatency)
 	}
 }
 
-// takePredecessorGone returns when this front saw the previous planner's key vanish, or
-// the current time if it does not know, and forgets it.
-func (l *Candidate) takePredecessorGone() time.Time {
+// takePredecessorGone returns when this front saw the previous planner's key vanish and until
+// when that one may have given orders, or the current time if it does not know, and forgets both.
+func (l *Candidate) takePredecessorGone() (gone, ordersEnd time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	gone := l.predecessorGone
-	l.predecessorGone = time.Time{}
+	gone, ordersEnd = l.predecessorGone, l.predecessorOrdersEnd
+	l.predecessorGone, l.predecessorOrdersEnd = time.Time{}, time.Time{}
 	if gone.IsZero() {
-		return time.Now()
+		return time.Now(), time.Now()
 	}
-	return gone
+	return gone, ordersEnd
 }
 
 func (l *Candidate) registered() bool {
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -76,10 +76,12 @@
 	deposedFence int64
 	// leadingSince is when this front became the planner.
 	leadingSince time.Time
-	// predecessorGone is when this front saw the previous planner's key vanish.
-	predecessorGone time.Time
-	servers         map[site.InstanceKey]*server
-	wants           map[site.Target]*wantedTarget
+	// predecessorGone is when this front saw the previous planner's key vanish, and
+	// predecessorOrdersEnd until when that one may have given orders.
+	predecessorGone      time.Time
+	predecessorOrdersEnd time.Time
+	servers              map[site.InstanceKey]*server
+	wants                map[site.Target]*wantedTarget
 	// adaptersLoading are the adapters for which a load has been started.
 	adaptersLoading map[site.Target]bool
 	// inheritedLoads are the loads in progress in the last state that another
@@ -205,7 +207,7 @@
 		p.log.Infow("planning", "Fence", fence)
 		p.fence = fence
 		p.leadingSince = time.Now()
-		p.predecessorGone = p.candidate.takePredecessorGone()
+		p.predecessorGone, p.predecessorOrdersEnd = p.candidate.takePredecessorGone()
 		p.servers = map[site.InstanceKey]*server{}
 		p.adaptersLoading = map[site.Target]bool{}
 		p.demand = newDemand()
@@ -226,7 +228,7 @@
 
 // handoverEndedAt is handoverEnded at a given time. The caller must hold p.mu.
 func (p *Planner) handoverEndedAt(now time.Time) bool {
-	return p.settings.ChecksFence || now.Sub(p.predecessorGone) >= p.settings.HandoverDelay
+	return p.settings.ChecksFence || now.Sub(p.predecessorOrdersEnd) >= p.settings.HandoverDelay
 }
 
 // syncInstances updates the servers from the announced instances, reads the report
