--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,31 +1,36 @@
 //go:build review
 
-// Case 2: servers that have left get requests for long, as a cut watch counts as an outage of the store.
+// Case 2: after model servers have crashed together, fronts refuse all requests that share a prompt part.
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
+	"foxtailcroft/platform/fake"
 	"foxtailcroft/review/rig"
 )
 
 const (
-	requestsPerS = 40
-	deadline     = 4 * time.Second
-	// drain is drainMs of the settings.
-	drain = 2 * time.Second
-	// calm is the time before the first server leaves, more than contactMs.
-	calm = 5 * time.Second
-	// replaceInterval is the time between two replacements.
-	replaceInterval = 4 * time.Second
-	// servesOn is how long a server serves after its entry is gone: drainMs and some seconds.
-	servesOn = 8 * time.Second
-	// cutInterval is the time between two cuts of a front's waiting watch.
-	cutInterval = 5 * time.Second
+	serverCount  = 4
+	requestsPerS = 20
+	deadline     = 15 * time.Second
+	// calm is the time before the crash.
+	calm = 12 * time.Second
+	// down is how long the crashed servers are down.
+	down = 4500 * time.Millisecond
+	// killAfter is the time from the crash until the final fault, and restartAfter that until the restart.
+	killAfter    = time.Second
+	restartAfter = time.Second
+	// recovery is recoveryS of the settings; watched is the time for which requests are judged after it.
+	recovery = 12 * time.Second
+	watched  = 15 * time.Second
 )
 
 func main() {
@@ -36,9 +41,50 @@
 	os.Exit(code)
 }
 
-type left struct {
-	server *rig.Server
-	at     time.Time
+// modelServer is one incarnation of a model server.
+type modelServer struct {
+	fake *fake.Server
+	http *http.Server
+	rig  *rig.Rig
+	mu   sync.Mutex
+	down bool
+}
+
+func start(r *rig.Rig, id string, log *fake.ExecutionLog, models ...string) (*modelServer, error) {
+	lis, err := r.Listen()
+	if err != nil {
+		return nil, err
+	}
+	s := &modelServer{rig: r}
+	s.fake = fake.NewServer(fake.Spec{
+		ID: id, Born: time.Now().UnixMilli(), Service: "prism-llm", Address: lis.Addr().String(), Zone: "sapporo-a", Slots: 64,
+		Sizes: map[string]float64{"m0": 65100}, WeightsMb: 220000, AdapterSlots: 8, LoadTime: 500 * time.Millisecond, AdapterTime: 5 * time.Millisecond,
+		EventTime: 20 * time.Millisecond, ChecksFence: true, AdapterSizeMb: 12,
+	}, log, s.announce, models...)
+	s.fake.SetFaults(fake.Faults{FirstByteDelay: 400 * time.Millisecond})
+	s.http = &http.Server{Handler: s.fake}
+	go func() { _ = s.http.Serve(lis) }()
+	s.announce()
+	r.Logf("%s: announced, holds %v", id, models)
+	return s, nil
+}
+
+// announce writes the server's entry.
+func (s *modelServer) announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		s.rig.WriteRaw(s.fake.Key(), s.fake.Announcement())
+	}
+}
+
+// crash closes the server's port and connections. Its entry lapses after three heartbeat intervals.
+func (s *modelServer) crash() {
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+	_ = s.http.Close()
+	time.AfterFunc(3600*time.Millisecond, func() { s.rig.WriteRaw(s.fake.Key(), nil) })
 }
 
 func run() (int, error) {
@@ -47,22 +93,24 @@
 		return rig.ExitNotRun, err
 	}
 	defer r.Close()
+	// WITHOUT names a part of the disruption that is left out: crash, kill or sharing.
+	without := os.Getenv("WITHOUT")
 	if err := r.WriteDocument(3, []map[string]any{
-		rig.Route("order", "unsafe", "order-desk", 4000, 1, nil),
-		rig.Route("stock", "safe", "order-desk", 4000, 2, nil),
-	}, []map[string]any{{"name": "order-desk", "health": "/health", "connectionLimit": 110}}); err != nil {
+		rig.Route("chat", "streaming", "prism-llm", 15000, 2, map[string]any{"canResume": true, "sticky": true, "gapTargetMs": 400, "responseGoalMs": 1500}),
+	}, []map[string]any{{"name": "prism-llm", "health": "/health", "connectionLimit": 370, "engine": map[string]any{
+		"slots": 64, "kvCapacityTokens": 243171, "weightsMb": 220000, "adapterSlots": 8, "loadsPerS": 2.1,
+		"models": []map[string]any{{"name": "m0", "weightsMb": 65100, "loadS": 0.5, "warmS": 0.38, "diskS": 0.4, "adapters": 0, "adapterMb": 12}},
+	}}}); err != nil {
 		return rig.ExitNotRun, err
 	}
-	var servers []*rig.Server
-	add := func(i int) error {
-		s := &rig.Server{ID: fmt.Sprintf("i-desk%d", i+1), Service: "order-desk", Zone: []string{"sapporo-a", "sapporo-b", "sapporo-c"}[i%3], Slots: 6, Queue: 24, Work: 60 * time.Millisecond}
-		servers = append(servers, s)
-		return r.AddServer(s)
-	}
-	for i := range 3 {
-		if err := add(i); err != nil {
+	log := &fake.ExecutionLog{}
+	var servers []*modelServer
+	for i := range serverCount {
+		s, err := start(r, fmt.Sprintf("i-llm%d", i+1), log, "m0")
+		if err != nil {
 			return rig.ExitNotRun, err
 		}
+		servers = append(servers, s)
 	}
 	if err := r.AddFronts(3); err != nil {
 		return rig.ExitNotRun, err
@@ -70,118 +118,114 @@
 	if err := r.StartFronts(); err != nil {
 		return rig.ExitNotRun, err
 	}
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	var mu sync.Mutex
-	var answers []rig.Answer
-	byFront := map[string]string{}
-	group.Add(1)
-	go func() {
-		defer group.Done()
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Duration(rand.ExpFloat64() / requestsPerS * float64(time.Second))):
-			}
-			f := r.Fronts[i%len(r.Fronts)]
-			group.Add(1)
-			go func() {
-				defer group.Done()
-				method, path, body := "GET", "/stock/x", ""
-				if i%2 == 0 {
-					method, path, body = "POST", "/order/x", "one crystal"
-				}
-				a := f.Send(method, path, body, deadline, nil)
-				r.LogAt(a.SentAt, "client: sends %s %s to %s", method, a.ID, f.Name)
-				r.LogAt(a.EndAt, "client: %s %s is answered %d %v", method, a.ID, a.Status, a.Err)
-				mu.Lock()
-				defer mu.Unlock()
-				answers = append(answers, a)
-				byFront[a.ID] = f.Name
-			}()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	answers := make(chan []rig.Answer, 1)
+	go func() { answers <- load(ctx, r, without != "sharing") }()
+	time.Sleep(calm)
+	began := time.Now()
+	if r.Trouble && without != "crash" {
+		r.Logf("all model servers of the zone crash")
+		for _, s := range servers {
+			s.crash()
 		}
-	}()
-	if r.Trouble {
-		for i, f := range r.Fronts {
-			group.Add(1)
-			go func() {
-				defer group.Done()
-				// The cuts of the fronts are spread evenly.
-				next := time.Now().Add(calm - time.Second + time.Duration(i)*cutInterval/time.Duration(len(r.Fronts)))
-				for {
-					select {
-					case <-stop:
-						return
-					case <-time.After(time.Until(next)):
-					}
-					next = next.Add(cutInterval)
-					f.CutWatch()
-				}
-			}()
+	}
+	time.Sleep(killAfter)
+	final := time.Now()
+	if r.Trouble && without != "kill" {
+		for _, f := range r.Fronts {
+			f.Kill()
 		}
 	}
-	time.Sleep(calm)
-	var gone []left
-	for i := range 3 {
-		// A release: the new server comes first, then the old one leaves without a word and serves on for a while.
-		if err := add(3 + i); err != nil {
-			return rig.ExitNotRun, err
+	time.Sleep(restartAfter)
+	if r.Trouble && without != "kill" {
+		for _, f := range r.Fronts {
+			if err := f.Start(); err != nil {
+				return rig.ExitNotRun, err
+			}
 		}
-		time.Sleep(replaceInterval / 2)
-		at, err := servers[i].Remove()
-		if err != nil {
-			return rig.ExitNotRun, err
+	}
+	time.Sleep(time.Until(began.Add(down)))
+	if r.Trouble && without != "crash" {
+		for i := range serverCount {
+			// The new incarnations come without models in memory.
+			if _, err := start(r, fmt.Sprintf("i-llm%d", serverCount+i+1), log); err != nil {
+				return rig.ExitNotRun, err
+			}
+		}
+	}
+	if err := r.WaitReady(10 * time.Second); err != nil {
+		return rig.ExitNotRun, err
+	}
+	back := time.Now()
+	time.Sleep(recovery + watched)
+	stop()
+	return judge(r, <-answers, final, back.Add(recovery)), nil
+}
+
+// load sends chats at random moments, on all fronts in turn, and waits for their ends.
+func load(ctx context.Context, r *rig.Rig, shared bool) []rig.Answer {
+	var mu sync.Mutex
+	var answers []rig.Answer
+	var group sync.WaitGroup
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(rand.ExpFloat64() / requestsPerS * float64(time.Second)))
+		f := r.Fronts[i%len(r.Fronts)]
+		system := "a11ce"
+		if !shared {
+			system = fmt.Sprintf("a11ce%x", i)
 		}
-		gone = append(gone, left{servers[i], at})
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			time.Sleep(servesOn)
-			servers[i].End()
+			a := f.Send("POST", "/chat/x", "how do I hang a pendalogue", deadline, map[string]string{
+				"Model": "m0", "Token-Counts": "826,100", "Prompt-Prefix": fmt.Sprintf("%s:198,%x:628", system, 0xbeef0000+i),
+			})
+			r.LogAt(a.SentAt, "client: sends chat %s to %s", a.ID, f.Name)
+			r.LogAt(a.EndAt, "client: chat %s is answered %d %v %s", a.ID, a.Status, a.Err, reason(a))
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
 		}()
-		time.Sleep(replaceInterval / 2)
 	}
-	time.Sleep(servesOn + time.Second)
-	close(stop)
 	group.Wait()
-	return judge(r, gone, answers, byFront), nil
+	return answers
 }
 
-func judge(r *rig.Rig, gone []left, answers []rig.Answer, byFront map[string]string) int {
-	status := map[string]int{}
-	ok := 0
-	for _, a := range answers {
-		status[a.ID] = a.Status
-		if a.Status == 200 {
-			ok++
-		}
+func reason(a rig.Answer) string {
+	if a.Status == http.StatusOK {
+		return ""
 	}
-	late, lost, longest := 0, 0, time.Duration(0)
-	for _, g := range gone {
-		n := 0
-		for _, e := range g.server.Arrivals() {
-			after := e.At.Sub(g.at)
-			if after <= drain {
-				continue
+	return a.Body
+}
+
+func judge(r *rig.Rig, answers []rig.Answer, final, from time.Time) int {
+	var before, servedBefore, after, servedAfter int
+	reasons := map[string]int{}
+	for _, a := range answers {
+		served := a.Status == http.StatusOK && strings.Count(a.Body, "id: ") == 20
+		switch {
+		case a.SentAt.Before(final):
+			before++
+			if served {
+				servedBefore++
 			}
-			n++
-			longest = max(longest, after)
-			r.LogAt(e.At, "DRAIN: %s %s reaches %s %.3f s after the store acknowledged that it is gone, from %s", e.Method, e.ID, e.Server, after.Seconds(), byFront[e.ID])
-			if e.Method == "POST" && status[e.ID] != 200 {
-				lost++
-				r.LogAt(e.At, "lost: order %s ran at %s and its client got %d", e.ID, e.Server, status[e.ID])
+		case a.SentAt.After(from):
+			after++
+			if served {
+				servedAfter++
+			} else {
+				reasons[fmt.Sprint(a.Status, " ", a.Body)]++
 			}
 		}
-		r.Logf("result: %s got %d requests later than drainMs after it was gone", g.server.ID, n)
-		late += n
 	}
-	r.Logf("result: %d requests, %d served; %d reached servers too late, up to %.2f s after they were gone; of these %d orders were lost", len(answers), ok, late, longest.Seconds(), lost)
-	fmt.Printf("%d requests, %d served; %d reached servers too late, up to %.2f s after they were gone; of these %d orders were lost\n", len(answers), ok, late, longest.Seconds(), lost)
+	text := fmt.Sprintf("before the final fault %d of %d requests were served; later than recoveryS after all is back %d of %d; the others got %v", servedBefore, before, servedAfter, after, reasons)
+	r.Logf("result: %s", text)
+	fmt.Println(text)
 	switch {
-	case ok < len(answers)/2:
+	case before == 0 || after == 0 || 4*servedBefore < before:
 		return rig.ExitNotRun
-	case late > 0:
+	case 4*servedAfter < after:
 		return rig.ExitBroken
 	}
 	return rig.ExitHeld
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -107,6 +107,17 @@
 	return time.Now(), err
 }
 
+// WriteRaw writes a key as a server would, or removes it if value is nil.
+func (r *Rig) WriteRaw(key string, value []byte) {
+	t := store.Txn{Puts: []store.Put{{Key: key, Value: value}}}
+	if value == nil {
+		t = store.Txn{Deletes: []string{key}}
+	}
+	if _, err := r.Memory.Commit(context.Background(), t); err != nil {
+		r.Logf("store: write of %s failed: %v", key, err)
+	}
+}
+
 // Route returns a route of the operator's document.
 func Route(name, kind, service string, timeoutMs, attempts int, more map[string]any) map[string]any {
 	out := map[string]any{
