--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -144,8 +144,12 @@
 	Name    string
 	Callers string
 	Ready   string
-	control string
-	rig     *Rig
+	// CloseEach makes the store close each connection after its answer.
+	CloseEach bool
+	// LateHead makes the store send the head of a watch's answer only with its body.
+	LateHead bool
+	control  string
+	rig      *Rig
 	// watches are the waiting watch calls of this front.
 	mu      sync.Mutex
 	watches map[chan struct{}]bool
@@ -233,6 +237,9 @@
 // storeHandler serves the store to one front, whose waiting watches can be cut.
 func (f *Front) storeHandler(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.CloseEach {
+			w.Header().Set("Connection", "close")
+		}
 		if r.URL.Path != "/api/kv-watch" {
 			inner.ServeHTTP(w, r)
 			return
@@ -248,10 +255,12 @@
 		}()
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		// The head is sent as soon as the call waits.
 		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(http.StatusOK)
-		_ = http.NewResponseController(w).Flush()
+		if !f.LateHead {
+			// The head is sent as soon as the call waits.
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+		}
 		answer := &bufferedAnswer{header: http.Header{}, status: http.StatusOK}
 		done := make(chan struct{})
 		go func() {
