front/crash: a blocked prompt part is tried again by single requests

Cause: three incarnations that crash under requests with a common part block the part, and only an answer to such a request lifts the block, but none is sent any more. Where all instances crash at one moment no running stream can lift it either.

Change: 3 s after the newest crash that names the part, one front claims a trial by a conditional write and sends one request with it, to one instance. An answer lifts the block at all fronts; each trial that breaks off makes the next one five times as late. This works whatever the cause of the wrong verdict was. Counting crashes at one moment as one was rejected: a part that does crash instances may take all of them at once.

--- a/internal/front/crash/broken.go
+++ b/internal/front/crash/broken.go
@@ -124,6 +124,9 @@
 	defer cancel()
 	res, err := w.store.Commit(ctx, t)
 	if err != nil || !res.Succeeded {
+		for _, kv := range res.Current {
+			w.site.ApplyWritten(kv)
+		}
 		return false
 	}
 	w.site.ApplyWritten(store.KV{Key: t.Puts[0].Key, Value: t.Puts[0].Value, Revision: res.Revision})
--- a/internal/front/crash/expire.go
+++ b/internal/front/crash/expire.go
@@ -25,8 +25,8 @@
 	w.mu.Lock()
 	for key, seen := range w.firstSeen {
 		limit := retention
-		if strings.HasPrefix(key, harmlessPrefix) {
-			// A refutation must outlive the records that it refutes.
+		if !strings.HasPrefix(key, recordPrefix) {
+			// Refutations and trials must outlive the records that they are about.
 			limit = 2 * retention
 		}
 		if time.Since(seen) > limit && len(t.Deletes) < maxDeletes {
--- a/internal/front/crash/record.go
+++ b/internal/front/crash/record.go
@@ -39,9 +39,14 @@
 	return recordPrefix + k.ID + "." + strconv.FormatInt(k.Born, 10) + "/" + front
 }
 
-// harmlessKey returns the key of a harmless part; the ID comes from callers, so it is hashed.
+// harmlessKey returns the key of a harmless part.
 func harmlessKey(p blame.Part) string {
-	return harmlessPrefix + p.Service + "/" + strconv.FormatUint(xxhash.Sum64String(p.ID), 16)
+	return harmlessPrefix + partKey(p)
+}
+
+// partKey returns the end of the keys of a part; its ID comes from callers, so it is hashed.
+func partKey(p blame.Part) string {
+	return p.Service + "/" + strconv.FormatUint(xxhash.Sum64String(p.ID), 16)
 }
 
 // evidence is what the keys in the store tell of crashes.
@@ -50,16 +55,24 @@
 	harmless map[blame.Part]int64
 	// newest gives for each prompt part the newest crash record that names it, and its revision.
 	newest map[blame.Part]store.KV
+	trials map[blame.Part]trialClaim
 }
 
 // readEvidence decodes the keys under the package's prefixes; undecodable ones are left out.
 func readEvidence(keys map[string]store.KV) evidence {
-	e := evidence{harmless: map[blame.Part]int64{}, newest: map[blame.Part]store.KV{}}
+	e := evidence{harmless: map[blame.Part]int64{}, newest: map[blame.Part]store.KV{}, trials: map[blame.Part]trialClaim{}}
 	for key, kv := range keys {
 		if rest, ok := strings.CutPrefix(key, recordPrefix); ok {
 			e.addRecord(rest, kv)
 			continue
 		}
+		if strings.HasPrefix(key, trialPrefix) {
+			c := trialClaim{revision: kv.Revision}
+			if json.Unmarshal(kv.Value, &c.trial) == nil {
+				e.trials[blame.Part{Service: c.Service, ID: c.Part}] = c
+			}
+			continue
+		}
 		var h harmlessPart
 		if json.Unmarshal(kv.Value, &h) == nil {
 			e.harmless[blame.Part{Service: h.Service, ID: h.Part}] = h.UpTo
--- /dev/null
+++ b/internal/front/crash/trial_test.go
@@ -0,0 +1,129 @@
+package crash
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+)
+
+// TestOneFrontAtATimeTriesABlockedPart blocks a part at three fronts and checks which of them may
+// send a trial, and when, after the first trial has ended in some way.
+func TestOneFrontAtATimeTriesABlockedPart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// end ends the trial of the first front.
+		end func(r *rig, end func(broken bool))
+		// early is a time at which no further trial may start, and late one at which it may, both
+		// from the end of the first one.
+		early, late time.Duration
+	}{
+		{"under way", func(*rig, func(bool)) {}, trialTimeout - time.Second, trialTimeout + time.Second},
+		{"broke off", func(_ *rig, end func(bool)) { end(true) }, 10 * time.Second, 15 * time.Second},
+		{"proved nothing", func(_ *rig, end func(bool)) { end(false) }, trialInterval - 100*time.Millisecond, trialInterval + 600*time.Millisecond},
+		{"its front has ended", func(r *rig, _ func(bool)) { r.setFronts("b", "c") }, 0, trialInterval + 600*time.Millisecond},
+		{"crashed an instance and its front has ended", func(r *rig, _ func(bool)) {
+			w, closeWatcher := r.watcher("a")
+			defer closeWatcher()
+			w.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: "4", Born: 7}, Service: "llm"}, prompt("root", "dead"), true)
+			time.Sleep(time.Second)
+			r.setFronts("b", "c")
+		}, 10 * time.Second, 16 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r := newRig()
+				r.setFronts("a", "b", "c")
+				var watchers []*Watcher
+				for _, name := range []string{"a", "b", "c"} {
+					w, closeWatcher := r.watcher(name)
+					defer closeWatcher()
+					watchers = append(watchers, w)
+				}
+				apply := func() {
+					for _, w := range watchers {
+						w.apply(r.State().Keys)
+					}
+				}
+				for _, id := range []string{"1", "2", "3"} {
+					watchers[0].RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root", "dead"), true)
+				}
+				time.Sleep(time.Second)
+				apply()
+				try := func(w *Watcher) (func(bool), bool) {
+					apply()
+					return w.StartTrial(t.Context(), "llm", "dead")
+				}
+				_, ok := try(watchers[0])
+				g.Expect(ok).To(BeFalse(), "before the first trial is due")
+				time.Sleep(3500 * time.Millisecond)
+				end, ok := try(watchers[0])
+				g.Expect(ok).To(BeTrue(), "first trial")
+				_, ok = try(watchers[1])
+				g.Expect(ok).To(BeFalse(), "beside the first trial")
+				c.end(r, end)
+				synctest.Wait()
+				apply()
+				time.Sleep(c.early)
+				for _, w := range watchers[1:] {
+					_, ok = try(w)
+					g.Expect(ok).To(BeFalse(), "early")
+				}
+				time.Sleep(c.late - c.early)
+				started := 0
+				for _, w := range watchers[1:] {
+					if _, ok := try(w); ok {
+						started++
+					}
+				}
+				g.Expect(started).To(Equal(1))
+			})
+		})
+	}
+}
+
+// TestTrialNeedsTheStore lets the store fail: without it, each front would try the part by itself.
+func TestTrialNeedsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig()
+		w, closeWatcher := r.watcher("a")
+		defer closeWatcher()
+		for _, id := range []string{"1", "2", "3"} {
+			w.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("dead"), true)
+		}
+		time.Sleep(time.Second)
+		w.apply(r.State().Keys)
+		time.Sleep(10 * time.Second)
+		r.failing = true
+		_, ok := w.StartTrial(t.Context(), "llm", "dead")
+		g.Expect(ok).To(BeFalse())
+		r.failing = false
+		time.Sleep(trialInterval)
+		end, ok := w.StartTrial(t.Context(), "llm", "dead")
+		g.Expect(ok).To(BeTrue())
+		w.RecordAnswer("llm", prompt("dead"))
+		end(false)
+		g.Expect(w.Blocked("llm", prompt("dead"))).To(BeEmpty())
+	})
+}
+
+func newRig() *rig {
+	return &rig{keys: map[string]store.KV{}, alive: map[string]bool{}, planner: "a"}
+}
+
+// setFronts replaces the registered fronts.
+func (r *rig) setFronts(names ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fronts = map[string]follow.Front{}
+	for _, n := range names {
+		r.fronts[n] = follow.Front{Name: n, Run: n}
+	}
+}
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -72,6 +72,10 @@
 	// which revision; those in sharing are about to be told to the other fronts.
 	ownHarmless map[blame.Part]int64
 	sharing     map[blame.Part]bool
+	// trying are the blocked parts of which this front sends a request, and lastClaim is when it last
+	// tried to claim a trial.
+	trying    map[blame.Part]bool
+	lastClaim time.Time
 }
 
 // verdict is the verdict on all known crashes.
@@ -81,6 +85,8 @@
 	until map[blame.Part]time.Time
 	// newest is the revision of the newest crash record that names a part.
 	newest map[blame.Part]int64
+	// trials tell when the blocked parts may be tried next.
+	trials map[blame.Part]trialPlan
 }
 
 // New returns a watcher, and a function that ends its background work.
@@ -89,7 +95,7 @@
 	w := &Watcher{
 		self: self, site: view, store: s, prober: p, log: log, group: &tasks.Group{}, ctx: ctx,
 		crashesTotal: meters.GetOrCreateCounter("foxtailcroft_instance_crashes_total"),
-		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{},
+		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{}, trying: map[blame.Part]bool{},
 	}
 	w.verdict.Store(&verdict{})
 	meters.GetOrCreateGauge("foxtailcroft_blocked_prompt_parts", func() float64 { return float64(len(w.verdict.Load().Blocked)) })
@@ -115,27 +121,11 @@
 	}
 }
 
-// Blocked returns the first prompt part of a request that must not be sent to instances of a
-// service, and for how long yet; ok is false if there is none.
-func (w *Watcher) Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool) {
-	v := w.verdict.Load()
-	if len(v.Blocked) == 0 {
-		return "", 0, false
-	}
-	for _, p := range prompt {
-		key := blame.Part{Service: service, ID: p.ID}
-		if _, ok := v.Blocked[key]; ok {
-			return p.ID, max(0, time.Until(v.until[key])), true
-		}
-	}
-	return "", 0, false
-}
-
 // apply judges the crash records among the keys if they have changed.
 func (w *Watcher) apply(keys map[string]store.KV) {
 	own := map[string]store.KV{}
 	for key, kv := range keys {
-		if strings.HasPrefix(key, recordPrefix) || strings.HasPrefix(key, harmlessPrefix) {
+		if strings.HasPrefix(key, recordPrefix) || strings.HasPrefix(key, harmlessPrefix) || strings.HasPrefix(key, trialPrefix) {
 			own[key] = kv
 		}
 	}
@@ -169,12 +159,12 @@
 		}
 		e.harmless[p] = max(e.harmless[p], upTo)
 	}
-	v := &verdict{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}}
+	v := &verdict{Verdict: blame.Judge(e.crashes, e.harmless), until: map[blame.Part]time.Time{}, newest: map[blame.Part]int64{}, trials: map[blame.Part]trialPlan{}}
 	for p, kv := range e.newest {
 		v.newest[p] = kv.Revision
 	}
 	for p := range v.Blocked {
-		v.until[p] = w.firstSeen[e.newest[p].Key].Add(retention)
+		v.until[p], v.trials[p] = w.firstSeen[e.newest[p].Key].Add(retention), w.planTrial(p, &e)
 	}
 	before := w.verdict.Swap(v)
 	for p, n := range v.Blocked {
--- a/internal/front/crash/watcher_test.go
+++ b/internal/front/crash/watcher_test.go
@@ -27,12 +27,13 @@
 	failing  bool
 	alive    map[string]bool
 	planner  string
+	fronts   map[string]follow.Front
 }
 
 func (r *rig) State() *follow.State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &follow.State{Keys: maps.Clone(r.keys), Revision: r.revision, Planner: &follow.Planner{Front: follow.Front{Run: r.planner}}}
+	return &follow.State{Keys: maps.Clone(r.keys), Revision: r.revision, Fronts: maps.Clone(r.fronts), Planner: &follow.Planner{Front: follow.Front{Run: r.planner}}}
 }
 
 func (r *rig) ApplyWritten(store.KV) {}
@@ -124,16 +125,14 @@
 				successor, closeSuccessor := r.watcher("c")
 				defer closeSuccessor()
 				successor.apply(r.State().Keys)
-				part, left, ok := successor.Blocked("llm", deadly)
-				g.Expect(ok).To(Equal(c.blocked))
-				if ok {
-					g.Expect(part).To(Equal("dead"))
-					g.Expect(left).To(BeNumerically(">", 0))
+				blocked := successor.Blocked("llm", deadly)
+				g.Expect(blocked).To(HaveLen(map[bool]int{true: 1}[c.blocked]))
+				for _, b := range blocked {
+					g.Expect(b.ID).To(Equal("dead"))
+					g.Expect(b.Left).To(BeNumerically(">", 0))
 				}
-				_, _, ok = successor.Blocked("llm", prompt("root", "other"))
-				g.Expect(ok).To(BeFalse())
-				_, _, ok = successor.Blocked("another service", deadly)
-				g.Expect(ok).To(BeFalse())
+				g.Expect(successor.Blocked("llm", prompt("root", "other"))).To(BeEmpty())
+				g.Expect(successor.Blocked("another service", deadly)).To(BeEmpty())
 			})
 		})
 	}
--- a/internal/front/proxy/answer.go
+++ b/internal/front/proxy/answer.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		c.server.tracker.recordOutcome(in.InstanceKey, true)
 		c.brokenStarts++
-		c.server.crashes.RecordBroken(in, c.request.PromptParts, true)
+		c.recordBroken(in, true)
 		c.reason = err.Error()
 		c.logAttempt("answer not whole", in, c.reason)
 		return c.handleFailure(true)
@@ -68,7 +68,7 @@
 	failed := res.Status >= http.StatusInternalServerError
 	c.server.tracker.recordOutcome(in.InstanceKey, failed)
 	if !failed {
-		c.server.crashes.RecordAnswer(c.service, c.request.PromptParts)
+		c.recordAnswer()
 	}
 	if failed && c.stream == nil && c.reserveResend() {
 		c.logAttempt("instance failed", in, http.StatusText(res.Status))
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -57,6 +57,8 @@
 	attemptEvents int
 	// brokenStarts counts the attempts that broke off after the head of the answer, before it was under way.
 	brokenStarts int
+	// trial is nil unless the request tries a blocked part of its prompt.
+	trial *trial
 	// lastChoice is the instance chosen for the latest attempt.
 	lastChoice choice
 	// waited is the time spent waiting for an instance or a model.
@@ -175,7 +177,7 @@
 	}
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
 	if sent {
-		c.server.crashes.RecordBroken(in, c.request.PromptParts, false)
+		c.recordBroken(in, false)
 	} else {
 		c.server.tracker.exclude(in.InstanceKey, refusedConnectionExclusion)
 	}
--- a/internal/front/proxy/crash_test.go
+++ b/internal/front/proxy/crash_test.go
@@ -63,3 +63,31 @@
 		r.g.Expect(w.Code).To(Equal(http.StatusOK))
 	})
 }
+
+// TestRequestTriesABlockedPromptPart sends a request with a blocked part as the trial of that part.
+func TestRequestTriesABlockedPromptPart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults fake.Faults
+		status int
+		runs   int
+		broken bool
+	}{
+		{"answered", fake.Faults{}, http.StatusOK, 1, false},
+		{"broke off, and is not sent again", fake.Faults{TruncatedResponses: 9}, http.StatusBadGateway, 1, true},
+		{"no answer, and is not sent again", fake.Faults{LostResponses: 9}, http.StatusBadGateway, 1, true},
+		{"rejected by all", fake.Faults{RejectedAsFull: 9}, http.StatusServiceUnavailable, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 2, func(r *harness) {
+				r.blockedPart, r.trialDue = "b2", true
+				r.setFaults(c.faults)
+				w, _ := r.sendPrompt("/resume/x", "id-1", "a1:10,b2:20,c3:30")
+				r.g.Expect(w.Code).To(Equal(c.status))
+				r.g.Expect(r.executions.Runs("id-1")).To(HaveLen(c.runs))
+				r.g.Expect(r.trials).To(Equal([]string{"b2"}))
+				r.g.Expect(r.trialsBroken).To(Equal([]bool{c.broken}))
+			})
+		})
+	}
+}
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -35,7 +35,7 @@
 
 // findInstance returns the instance to try next, waiting for one if needed; false if the request has ended.
 func (c *call) findInstance(ctx context.Context) (site.Instance, bool) {
-	if c.endIfBlocked() {
+	if c.endIfBlocked(ctx) {
 		return site.Instance{}, false
 	}
 	if c.request.Target.Model != "" && c.possibleRuns+c.notRunAttempts == 0 {
@@ -47,7 +47,7 @@
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
 			mayGo := c.waitForLimit(ctx, chosen)
-			if c.endIfExpired(ctx) || c.endIfBlocked() {
+			if c.endIfExpired(ctx) || c.endIfBlocked(ctx) {
 				return site.Instance{}, false
 			}
 			if mayGo {
@@ -55,22 +55,12 @@
 			}
 			continue
 		}
-		if !c.waitForInstance(ctx) || c.endIfBlocked() {
+		if !c.waitForInstance(ctx) || c.endIfBlocked(ctx) {
 			return site.Instance{}, false
 		}
 	}
 }
 
-// endIfBlocked ends the request if a part of its prompt crashes instances, and reports whether it did.
-func (c *call) endIfBlocked() bool {
-	part, left, ok := c.server.crashes.Blocked(c.service, c.request.PromptParts)
-	if ok {
-		c.server.meters.GetOrCreateCounter("foxtailcroft_blocked_requests_total").Inc()
-		c.endWithoutInstance("prompt part "+part+" crashes instances", left)
-	}
-	return ok
-}
-
 // candidates returns the instances that could serve the request, including those already tried.
 func (c *call) candidates() []site.Instance {
 	list := c.state.Serving(c.service)
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -21,6 +21,7 @@
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/logs"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/pace"
@@ -43,12 +44,16 @@
 	// blockedPart is a prompt part that the crash watch blocks, empty for none; broken and underWay are
 	// the attempts that it was told of.
 	blockedPart string
-	watchMu     sync.Mutex
-	broken      []brokenAttempt
-	underWay    []int
-	schedule    pace.Schedule
-	log         *bytes.Buffer
-	group       conc.WaitGroup
+	// trialDue allows trials of it; trials and trialsBroken are those asked for and how they ended.
+	trialDue     bool
+	trials       []string
+	trialsBroken []bool
+	watchMu      sync.Mutex
+	broken       []brokenAttempt
+	underWay     []int
+	schedule     pace.Schedule
+	log          *bytes.Buffer
+	group        conc.WaitGroup
 }
 
 // brokenAttempt is an attempt that broke off before its answer was under way.
@@ -86,13 +91,24 @@
 	r.underWay = append(r.underWay, len(prompt))
 }
 
-func (r *harness) Blocked(_ string, prompt []site.PromptPart) (string, time.Duration, bool) {
+func (r *harness) Blocked(_ string, prompt []site.PromptPart) []crash.BlockedPart {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
 	if slices.ContainsFunc(prompt, func(p site.PromptPart) bool { return p.ID == r.blockedPart }) {
-		return r.blockedPart, time.Minute, true
+		return []crash.BlockedPart{{ID: r.blockedPart, Left: time.Minute}}
 	}
-	return "", 0, false
+	return nil
+}
+
+func (r *harness) StartTrial(_ context.Context, _, part string) (end func(broken bool), ok bool) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	r.trials = append(r.trials, part)
+	return func(broken bool) {
+		r.watchMu.Lock()
+		defer r.watchMu.Unlock()
+		r.trialsBroken = append(r.trialsBroken, broken)
+	}, r.trialDue
 }
 
 // withProxy runs a test with a proxy in front of n servers of each service, of which those of llm
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -20,6 +20,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/retry"
@@ -61,9 +62,11 @@
 	RecordBroken(in site.Instance, prompt []site.PromptPart, started bool)
 	// RecordAnswer records that the answer to a request is under way or complete.
 	RecordAnswer(service string, prompt []site.PromptPart)
-	// Blocked returns the prompt part for which a request must not be sent, and for how long; ok is
-	// false if there is none.
-	Blocked(service string, prompt []site.PromptPart) (part string, left time.Duration, ok bool)
+	// Blocked returns the prompt parts for which a request must not be sent.
+	Blocked(service string, prompt []site.PromptPart) []crash.BlockedPart
+	// StartTrial reports whether a request with a blocked part may be sent to show whether the
+	// part still crashes instances; end ends the trial and tells whether the attempt broke off.
+	StartTrial(ctx context.Context, service, part string) (end func(broken bool), ok bool)
 }
 
 // Pacer reserves requests to instances that limit the requests of all fronts.
@@ -151,6 +154,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{server: s, w: w, r: r, arrivedAt: time.Now(), state: s.stateSource.State(), request: s.dialect.DecodeRequest(r.Header), tried: map[site.InstanceKey]bool{}, overLimit: map[site.InstanceKey]time.Duration{}}
 	defer c.logRequest()
+	defer c.endTrial()
 	doc := c.state.Document
 	if doc == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet", unconfiguredRetryAfter)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -73,7 +73,7 @@
 func (c *call) relayEvent(key site.InstanceKey, res *conns.Response, event []byte, id string) error {
 	c.answerBegan = true
 	if c.attemptEvents++; c.attemptEvents == eventsUnderWay {
-		c.server.crashes.RecordAnswer(c.service, c.request.PromptParts)
+		c.recordAnswer()
 	}
 	c.writeHead(res)
 	if id != "" {
@@ -117,7 +117,7 @@
 func (c *call) endStream(in site.Instance, res *conns.Response) nextStep {
 	c.writeHead(res)
 	c.server.tracker.recordOutcome(in.InstanceKey, false)
-	c.server.crashes.RecordAnswer(c.service, c.request.PromptParts)
+	c.recordAnswer()
 	c.outcome, c.status = outcomeAnswered, res.Status
 	return requestEnded
 }
@@ -131,7 +131,7 @@
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
 	if c.attemptEvents < eventsUnderWay {
 		c.brokenStarts++
-		c.server.crashes.RecordBroken(in, c.request.PromptParts, true)
+		c.recordBroken(in, true)
 	}
 	c.logAttempt("stream ended with an error", in, c.reason)
 	return c.handleFailure(true)
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -99,6 +99,11 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
+func (r *harness) deleteKey(key string) {
+	_, err := r.memory.Commit(r.ctx, store.Txn{Deletes: []string{key}})
+	r.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // configure writes a document with a streaming route to llm and a plain route with a path prefix.
 func (r *harness) configure(version int, route string) {
 	r.writeKey(platform.DocumentKey, fmt.Sprintf(`{"version":%d,"routes":[
