front/crash: instances that leave prove nothing about prompt parts

Cause: any attempt that broke off at an instance whose port is closed counted as a crash under that request, also where the view already showed the instance as draining or removed.

Change: such attempts are not recorded. An instance that has started again under its id still counts, as it has crashed.

TestInstancesThatLeaveProveNothing failed before for draining and removed instances.

--- a/internal/front/crash/broken.go
+++ b/internal/front/crash/broken.go
@@ -43,7 +43,7 @@
 // started is true if the head of the answer had arrived.
 func (w *Watcher) RecordBroken(in site.Instance, prompt []site.PromptPart, started bool) {
 	suspect := blame.Suspect{Parts: sharedParts(prompt), Started: started}
-	if len(suspect.Parts) == 0 {
+	if len(suspect.Parts) == 0 || w.isLeaving(in) {
 		return
 	}
 	w.mu.Lock()
@@ -68,6 +68,12 @@
 	}
 }
 
+// isLeaving reports whether an instance is draining or has been removed, so that it ends for that reason.
+func (w *Watcher) isLeaving(in site.Instance) bool {
+	known, ok := w.site.State().Instances[in.ID]
+	return !ok || known.InstanceKey == in.InstanceKey && known.Draining
+}
+
 // sharedParts returns the IDs of the parts of a prompt that other requests may share.
 func sharedParts(prompt []site.PromptPart) []string {
 	var out []string
--- a/internal/front/crash/watcher_test.go
+++ b/internal/front/crash/watcher_test.go
@@ -28,12 +28,21 @@
 	alive    map[string]bool
 	planner  string
 	fronts   map[string]follow.Front
+	// instances are those in the view; nil stands for ready ones with the IDs 1 to 4 and born at 7.
+	instances map[string]site.Instance
 }
 
 func (r *rig) State() *follow.State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &follow.State{Keys: maps.Clone(r.keys), Revision: r.revision, Fronts: maps.Clone(r.fronts), Planner: &follow.Planner{Front: follow.Front{Run: r.planner}}}
+	instances := r.instances
+	if instances == nil {
+		instances = map[string]site.Instance{}
+		for _, id := range []string{"1", "2", "3", "4"} {
+			instances[id] = site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}
+		}
+	}
+	return &follow.State{Keys: maps.Clone(r.keys), Revision: r.revision, Instances: instances, Fronts: maps.Clone(r.fronts), Planner: &follow.Planner{Front: follow.Front{Run: r.planner}}}
 }
 
 func (r *rig) ApplyWritten(store.KV) {}
@@ -137,3 +146,41 @@
 		})
 	}
 }
+
+// TestInstancesThatLeaveProveNothing ends instances under requests with a common part, all in the
+// same state in the view.
+func TestInstancesThatLeaveProveNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// view is the instance as the view shows it, nil if it has been removed.
+		view    *site.Instance
+		blocked bool
+	}{
+		{"ready", &site.Instance{InstanceKey: site.InstanceKey{Born: 7}}, true},
+		{"draining", &site.Instance{InstanceKey: site.InstanceKey{Born: 7}, Draining: true}, false},
+		{"removed", nil, false},
+		{"started again", &site.Instance{InstanceKey: site.InstanceKey{Born: 8}}, true},
+		{"started again and draining", &site.Instance{InstanceKey: site.InstanceKey{Born: 8}, Draining: true}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r := newRig()
+				r.instances = map[string]site.Instance{}
+				w, closeWatcher := r.watcher("a")
+				defer closeWatcher()
+				for _, id := range []string{"1", "2", "3"} {
+					if c.view != nil {
+						in := *c.view
+						in.ID = id
+						r.instances[id] = in
+					}
+					w.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root"), true)
+				}
+				time.Sleep(time.Second)
+				w.apply(r.State().Keys)
+				g.Expect(w.Blocked("llm", prompt("root"))).To(HaveLen(map[bool]int{true: 1}[c.blocked]))
+			})
+		})
+	}
+}
