node/front: requests late in a stop are answered or refused

Callers whose requests were complete only late in a planned stop, after slow bodies, had them passed on and cut off at the end of the grace period without an answer, orders among them. The first request on a connection was read and dropped unanswered from 2.5 s after the stop on.

Cause: requests were taken without regard to the time left, and http.Server.Shutdown drops what the server reads after it.

Change: 2.5 s after the stop a request whose deadline lies behind the stop time is refused as not run; requests in flight at 27/32 of the grace period end with an answer. The front closes its listener and idle connections itself and answers requests on open connections until none is in flight.

--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -101,27 +101,28 @@
 	meters      *metrics.Set
 	// answerMemory is the memory that is left for long answers.
 	answerMemory *semaphore.Weighted
-	// stopTime is when the process ends; nil unless it is stopping.
+	// stopTime is when the requests in flight are ended; nil unless the process is stopping.
 	stopTime atomic.Pointer[time.Time]
-	mu       sync.Mutex
+	// refusesLong is set once requests that may outlast stopTime are refused.
+	refusesLong atomic.Bool
+	// stopped ends with stopTime, by endAll.
+	stopped context.Context
+	endAll  context.CancelFunc
+	mu      sync.Mutex
 	// retryBudgets are this front's shares of the retry budgets, by service.
 	retryBudgets map[string]retry.BudgetShare
 }
 
 // New returns a server without statistics of instances and with full retry budgets.
 func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, helpers Helpers, meters *metrics.Set, log *zap.SugaredLogger) *Server {
+	stopped, endAll := context.WithCancel(context.Background())
 	return &Server{
+		stopped: stopped, endAll: endAll,
 		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, tracker: newInstanceTracker(),
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
 
-// SetStopTime sets when the process ends; requests that would have to wait for a
-// model until then are refused earlier.
-func (s *Server) SetStopTime(t time.Time) {
-	s.stopTime.Store(&t)
-}
-
 // TakeUsage returns the usage of models since the last call; with allRecent, meant for
 // a new planner, the request counts are the decayed weights of all past requests.
 func (s *Server) TakeUsage(allRecent bool) peers.UsageReport {
@@ -172,11 +173,12 @@
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
-	if !c.readBody(doc.Limits.BodyBytes) {
+	if !c.readBody(doc.Limits.BodyBytes) || c.refuseIfTooLong() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.stopped, cancel)()
 	s.creditFirstSend(c.service)
 	c.tryInstances(ctx)
 }
--- a/internal/node/front/callers.go
+++ b/internal/node/front/callers.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"foxtailcroft/internal/plat/follow"
 )
 
@@ -45,7 +43,9 @@
 	follower *follow.Follower
 	mu       sync.Mutex
 	// idleSince is when the idle connections became idle.
-	idleSince      map[net.Conn]time.Time
+	idleSince map[net.Conn]time.Time
+	// listener is the one that serve accepts connections from, nil before that.
+	listener       net.Listener
 	phase          stopPhase
 	activeRequests int
 	// drained is closed when the last request has ended after drain was called.
@@ -146,15 +146,25 @@
 	}
 }
 
-// connStateChanged records when connections become idle.
+// connStateChanged records when connections become idle. While the server finishes, it closes
+// those whose requests came before, as their answers didn't ask the callers to close.
 func (c *callerServer) connStateChanged(conn net.Conn, state http.ConnState) {
+	if c.recordState(conn, state) >= finishingRequests && state == http.StateIdle {
+		// Callers expect that idle connections may be closed.
+		_ = conn.Close()
+	}
+}
+
+// recordState records the time of a change to idle, and returns the current phase.
+func (c *callerServer) recordState(conn net.Conn, state http.ConnState) stopPhase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateIdle {
 		c.idleSince[conn] = time.Now()
-		return
+	} else {
+		delete(c.idleSince, conn)
 	}
-	delete(c.idleSince, conn)
+	return c.phase
 }
 
 // closeIdle closes connections that have been idle for longer than the current configuration allows.
@@ -169,22 +179,31 @@
 	}
 }
 
-// connsIdleBefore returns the connections that became idle before a time.
+// connsIdleBefore returns the connections that became idle at a time or before.
 func (c *callerServer) connsIdleBefore(t time.Time) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []net.Conn
 	for conn, since := range c.idleSince {
-		if since.Before(t) {
+		if !since.After(t) {
 			out = append(out, conn)
 		}
 	}
 	return out
 }
 
-// serve accepts connections until the server is closed.
+// serve accepts connections until the server is closed or drained.
 func (c *callerServer) serve(l net.Listener) error {
-	return ignoreServerClosed(c.server.Serve(callerListener{l, c}))
+	c.mu.Lock()
+	c.listener = l
+	c.mu.Unlock()
+	err := c.server.Serve(callerListener{l, c})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase >= finishingRequests {
+		return nil
+	}
+	return ignoreServerClosed(err)
 }
 
 // closeAfterAnswers makes each connection close after its next answer.
@@ -196,26 +215,30 @@
 
 // drain accepts no new connections and waits until no request is in flight, after
 // which requests are no longer accepted; it returns an error only if ctx ends first.
+// Until then requests of open connections are answered: http.Server.Shutdown would close
+// a connection whose first request it has read, without an answer.
 func (c *callerServer) drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.phase = max(c.phase, finishingRequests)
+	listener := c.listener
 	c.stopIfIdle()
 	c.mu.Unlock()
-	flushCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	flushed := make(chan error, 1)
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() { flushed <- c.server.Shutdown(flushCtx) })
+	if listener != nil {
+		// The process is about to exit, which closes a listener that fails to close here.
+		_ = listener.Close()
+	}
+	for _, conn := range c.connsIdleBefore(time.Now()) {
+		_ = conn.Close()
+	}
 	select {
 	case <-c.drained:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	// Shutdown still waits for answers being written, and for connections that never carried a request.
-	timer := time.AfterFunc(flushTimeout, cancel)
-	defer timer.Stop()
-	if err := <-flushed; err != nil && ctx.Err() != nil {
+	// Shutdown waits for answers being written, and for connections that never carried a request.
+	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if err := c.server.Shutdown(flushCtx); err != nil && ctx.Err() != nil {
 		return err
 	}
 	return nil
--- a/internal/node/front/ready.go
+++ b/internal/node/front/ready.go
@@ -42,19 +42,24 @@
 	unreadyNoticeTime = 2500 * time.Millisecond
 	// exitGraceDivisor is the divisor of the grace period that gives the part reserved for the exit of the process.
 	exitGraceDivisor = 8
+	// answerGraceDivisor is the divisor of the grace period that gives the part before that in which
+	// requests that have not ended are answered.
+	answerGraceDivisor = 32
 )
 
 // Drain makes the front unready, gives up its registration, and waits until the load
 // balancer has noticed and the requests in flight have ended, at most for the grace period.
 func (f *Front) Drain(ctx context.Context) {
-	deadline := time.Now().Add(f.settings.Bounds.Grace - f.settings.Bounds.Grace/exitGraceDivisor)
+	grace := f.settings.Bounds.Grace
+	deadline := time.Now().Add(grace - grace/exitGraceDivisor)
 	f.lifecycleState.draining.Store(true)
-	f.reverseProxy.SetStopTime(deadline)
+	f.reverseProxy.SetStopTime(deadline.Add(-grace / answerGraceDivisor))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	f.candidate.Resign(ctx)
 	f.callerServer.closeAfterAnswers()
 	sleep.For(ctx, min(unreadyNoticeTime, time.Until(deadline)/2))
+	f.reverseProxy.RefuseLong()
 	if err := f.callerServer.drain(ctx); err != nil {
 		f.log.Warnw("requests were cut off", "Error", err.Error())
 	}
