plat/follow, platform: odd entries among those of the servers

A front that started while the store was away never became ready if another writer had left a long entry among those of the servers, and entries with ports or numbers out of range counted as servers to use.

Cause: entries that can't be decoded were kept whole in the view, which other fronts are sent in messages of 512 KB at most; they were also decoded again with every change. Ports and ranges were not checked, and a number over the range of integers became another one on each kind of processor.

Change: such an entry keeps its revision, not its value.

--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -82,7 +82,8 @@
 	Prefixes []string
 }
 
-// deriveState returns the state for keys, reusing what is unchanged from old.
+// deriveState returns the state for keys, reusing what is unchanged from old. It removes the
+// values of announcements that can't be decoded from keys.
 func (f *Follower) deriveState(old *State, keys map[string]store.KV, revision int64) *State {
 	s := &State{Revision: revision, Keys: keys, Document: old.Document, PlannerChangedAt: old.PlannerChangedAt, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})}
 	f.decodeDocument(old, s)
@@ -132,11 +133,15 @@
 		s.Instances[id] = before
 		return
 	}
+	if len(kv.Value) == 0 && old.Keys[kv.Key].Revision == kv.Revision {
+		return
+	}
 	in, err := f.decoder.Instance(kv.Key, kv.Value, kv.Revision)
 	if err != nil {
-		if old.Keys[kv.Key].Revision != kv.Revision {
-			f.log.Errorw("announcement rejected", "Key", kv.Key, "Revision", kv.Revision, "Error", err.Error())
-		}
+		f.log.Errorw("announcement rejected", "Key", kv.Key, "Revision", kv.Revision, "Error", err.Error())
+		// The value is of no use, and may be too long for a message to other fronts.
+		kv.Value = nil
+		s.Keys[kv.Key] = kv
 		return
 	}
 	s.Instances[id] = in
