back/plain: answers that are being read share a bound on memory

An agent before a plain service whose answers don't end could run out of memory, and the calls of all its callers with it.

--- a/internal/back/plain/plain.go
+++ b/internal/back/plain/plain.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/url"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Call is one request to a plain service.
@@ -66,14 +68,23 @@
 	return l.Err
 }
 
-// maxAnswerBytes limits the body of a response.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes limits the body of a response.
+	maxAnswerBytes = 16 << 20
+	// maxBufferedBytes bounds the memory of all bodies that are being read; a faulty service may
+	// send them without end.
+	maxBufferedBytes = 32 << 20
+	// bodyBlockBytes is the unit in which that memory is reserved, after the first block of a body.
+	bodyBlockBytes = 64 << 10
+)
 
 // Client calls a plain service over HTTP.
 type Client struct {
 	base   *url.URL
 	pooled *http.Client
 	fresh  *http.Client
+	// bodyMemory is the memory that is left for bodies that are being read.
+	bodyMemory *semaphore.Weighted
 }
 
 // NewClient returns a client of the service at the base URL. Idempotent calls use
@@ -85,9 +96,10 @@
 	}
 	stop := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		base:   u,
-		pooled: &http.Client{Transport: pooled, CheckRedirect: stop},
-		fresh:  &http.Client{Transport: fresh, CheckRedirect: stop},
+		base:       u,
+		pooled:     &http.Client{Transport: pooled, CheckRedirect: stop},
+		fresh:      &http.Client{Transport: fresh, CheckRedirect: stop},
+		bodyMemory: semaphore.NewWeighted(maxBufferedBytes),
 	}, nil
 }
 
@@ -120,14 +132,32 @@
 		return Answer{}, &LostResponse{err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := c.readBody(resp.Body)
 	if err != nil {
 		return Answer{}, &LostResponse{err}
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, &LostResponse{fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)}
-	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// readBody reads a body to its end within the bounds on its memory.
+func (c *Client) readBody(body io.Reader) ([]byte, error) {
+	reserved := int64(0)
+	defer func() { c.bodyMemory.Release(reserved) }()
+	var buffer bytes.Buffer
+	for {
+		n, err := io.CopyN(&buffer, body, bodyBlockBytes)
+		switch {
+		case errors.Is(err, io.EOF) && buffer.Len() <= maxAnswerBytes:
+			return buffer.Bytes(), nil
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, err
+		case buffer.Len() > maxAnswerBytes:
+			return nil, fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+		case !c.bodyMemory.TryAcquire(n):
+			return nil, fmt.Errorf("answers being read take over %d bytes of memory", maxBufferedBytes)
+		}
+		reserved += n
+	}
+}
+
 var _ Service = (*Client)(nil)
