back/conns, front/proxy: one attempt of a request per connection

Cause: after a rejection the request could go to the same server again on the connection that the rejection came on. All attempts of a request share an ID, by which responses are told apart, so the copy was taken for the answer to the new attempt.

Change: a request avoids connections that have carried one of its attempts. Others still reuse them.

--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -12,6 +12,7 @@
 // conn is one connection to an instance; while idle, it may be reused before reuseDeadline.
 type conn struct {
 	net.Conn
+	id            ConnID
 	reader        *bufio.Reader
 	head          *headReader
 	reuseDeadline time.Time
@@ -46,9 +47,9 @@
 // readBufferBytes is large enough for one event of a stream; longer bodies are read in several pieces.
 const readBufferBytes = 4 << 10
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, id ConnID) *conn {
 	head := &headReader{Reader: raw, left: -1}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+	return &conn{Conn: raw, id: id, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
 // isIdle reports whether the connection is open and no bytes have arrived since the last response.
--- a/internal/back/conns/conns_test.go
+++ b/internal/back/conns/conns_test.go
@@ -185,7 +185,7 @@
 	f.Add(answer("z", "Content-Length: 4\r\n", "mine") + answer("a", "", ""))
 	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		c := newConn(&fakeConn{Reader: strings.NewReader(text)})
+		c := newConn(&fakeConn{Reader: strings.NewReader(text)}, 1)
 		res, err := c.readOwnResponse(request("a"))
 		if err != nil {
 			return
--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -27,6 +27,9 @@
 	Body   []byte
 	// IsOwn reports whether a response belongs to this request rather than to an earlier one; nil accepts any.
 	IsOwn func(http.Header) bool
+	// AvoidConns are the connections that must not be used. IsOwn can't tell the responses to two attempts
+	// of one request apart, and an instance may send the first one a second time.
+	AvoidConns []ConnID
 	// NewConnection requires a new connection.
 	NewConnection bool
 }
@@ -62,6 +65,14 @@
 	closeRequested   bool
 }
 
+// ConnID identifies a connection of a pool.
+type ConnID uint64
+
+// Conn returns the connection that the response came on.
+func (r *Response) Conn() ConnID {
+	return r.conn.id
+}
+
 // Do sends a request once and returns its response with the body unread; errors
 // are *Failure. When ctx is done, the connection is closed, also while the body
 // is being read.
@@ -90,7 +101,7 @@
 	if r.NewConnection {
 		return nil
 	}
-	c := p.takeIdle(t)
+	c := p.takeIdle(t, r.AvoidConns)
 	if c != nil {
 		p.reused.Inc()
 	}
--- a/internal/back/conns/pool.go
+++ b/internal/back/conns/pool.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -41,6 +42,8 @@
 	mu     sync.Mutex
 	idle   map[Target][]*conn
 	closed bool
+	// lastID is the ID of the newest connection.
+	lastID atomic.Uint64
 	dials  *metrics.Counter
 	reused *metrics.Counter
 }
@@ -55,22 +58,24 @@
 	return p, p.close
 }
 
-// takeIdle removes and returns an idle connection that the instance should not close soon, or nil.
-func (p *Pool) takeIdle(t Target) *conn {
+// takeIdle removes and returns the newest idle connection that the instance should not close soon, or nil.
+func (p *Pool) takeIdle(t Target, avoid []ConnID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		list := p.idle[t]
-		if len(list) == 0 {
-			return nil
+	list := p.idle[t]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if slices.Contains(avoid, c.id) {
+			continue
 		}
-		c := list[len(list)-1]
-		p.idle[t] = list[:len(list)-1]
+		list = slices.Delete(list, i, i+1)
+		p.idle[t] = list
 		if p.now().Before(c.reuseDeadline) && c.isIdle() {
 			return c
 		}
 		c.close()
 	}
+	return nil
 }
 
 // HasIdle reports whether the pool has a reusable idle connection to a target.
@@ -90,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, ConnID(p.lastID.Add(1))), nil
 }
 
 // Probe opens a connection to a target and keeps it for reuse; the error is that of dialing.
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -37,6 +37,8 @@
 	service   string
 	body      []byte
 	tried     map[site.InstanceKey]bool
+	// usedConns are the connections that have carried attempts of the request.
+	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
 	overLimit map[site.InstanceKey]time.Duration
 	// possibleRuns counts the attempts that an instance may have run.
@@ -140,11 +142,12 @@
 	c.server.dialect.SetRequestHeaders(header, in.ID, time.Until(c.deadline), min(9, c.route.Priority), lastEvent)
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) },
+		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
 	})
 	if err != nil {
 		return c.handleNoAnswer(ctx, in, err)
 	}
+	c.usedConns = append(c.usedConns, res.Conn())
 	answered()
 	if load, ok := c.server.dialect.DecodeLoad(res.Header); ok {
 		t.recordLoad(in.InstanceKey, load.Running+load.Waiting, time.Now())
