front/sched: copies of other answers are not taken for orders' or reports'

A planner could take a late second copy of an answer to a caller's request, or of a report, for the answer to an order: 200 reads as "holds already", so that a model counts as loaded, or its memory as free, until a later order fails. A copied acceptance kept a server reserved for a minute.

Cause: reports and orders carry no ID, and accepted whatever came next on a connection that they shared with all other requests.

Change: an answer that names a request is skipped, a report in the place of an order's answer leaves the outcome unknown until a report has been read, and two reports in a row that still have a lower sequence number 2 s after an acceptance refute it. Between orders the precondition on the sequence number keeps a copy from an overfull server, as before.

--- a/internal/front/sched/client.go
+++ b/internal/front/sched/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,8 +28,16 @@
 	Report(data []byte) (site.ServerReport, error)
 	OrderRequest(address, instance string, o site.Order) (*http.Request, error)
 	Outcome(status int) site.OrderOutcome
+	// IsReport reports whether a response's body is a report.
+	IsReport(data []byte) bool
+	// NamesRequest reports whether a response names the request that it belongs to, as those to
+	// callers' requests do.
+	NamesRequest(h http.Header) bool
 }
 
+// errCopiedReport reports a second copy of an earlier report in the place of the answer to an order.
+var errCopiedReport = errors.New("the server sent a report instead of an answer to the order")
+
 // serverClient sends report and order requests to model servers.
 type serverClient struct {
 	pool    *conns.Pool
@@ -61,10 +70,13 @@
 	if err != nil {
 		return site.Unknown, err
 	}
-	status, _, err := w.send(ctx, in, req)
+	status, data, err := w.send(ctx, in, req)
 	if err != nil {
 		return site.Unknown, err
 	}
+	if w.dialect.IsReport(data) {
+		return site.Unknown, errCopiedReport
+	}
 	return w.dialect.Outcome(status), nil
 }
 
@@ -78,6 +90,7 @@
 	}
 	res, err := w.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
 		Method: req.Method, URI: req.URL.RequestURI(), Host: in.Address, Header: req.Header, Body: body,
+		IsOwn: func(h http.Header) bool { return !w.dialect.NamesRequest(h) },
 	})
 	if err != nil {
 		return 0, nil, err
--- a/internal/front/sched/execute.go
+++ b/internal/front/sched/execute.go
@@ -37,9 +37,10 @@
 	began := time.Now()
 	p.mu.Lock()
 	s.readyAt = began.Add(a.ReadyIn)
-	concurrent := p.activeStoreLoads()
+	concurrent, sequence := p.activeStoreLoads(), s.sequence
 	p.mu.Unlock()
-	if p.awaitAnnouncement(ctx, s, a.Load, a.ReadyIn) || p.pollUntil(ctx, s, maxOverrun, func() bool { return s.models[a.Load] != nil }) {
+	// A lower sequence number shows that the server has not accepted the load.
+	if p.awaitAnnouncement(ctx, s, a.Load, a.ReadyIn) || p.pollUntil(ctx, s, maxOverrun, func() bool { return s.models[a.Load] != nil || s.sequence < sequence }) {
 		p.recordStoreLoad(s, a, concurrent, time.Since(began))
 	}
 }
@@ -226,7 +227,7 @@
 	switch outcome {
 	case site.Accepted, site.AlreadyDone:
 		if outcome == site.Accepted || o.Unload {
-			s.sequence = o.Sequence + 1
+			s.sequence, s.sequenceAt = o.Sequence+1, now
 		}
 		s.applyOrder(o, outcome == site.AlreadyDone, now)
 	case site.Fenced:
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -21,6 +21,10 @@
 	known bool
 	// sequence is the number of orders that the server has accepted.
 	sequence int64
+	// sequenceAt is when sequence last grew by an accepted order.
+	sequenceAt time.Time
+	// lowerReports counts the reports in a row with a lower sequence number than they may have.
+	lowerReports int
 	// busy is set while the server loads or unloads a model.
 	busy     bool
 	models   map[string]*loadedItem
@@ -95,9 +99,10 @@
 // already applied. It therefore only adds loaded items, and removes only those
 // whose unload was ordered.
 func (s *server) applyReport(r site.ServerReport, now time.Time) bool {
-	if s.replaced(r) || s.known && !s.resync && r.Sequence < s.sequence {
+	if s.replaced(r) || s.isOutdated(r, now) {
 		return false
 	}
+	s.lowerReports = 0
 	// A report that confirms the sequence number may still list less than was accepted, also
 	// after a rejected order: the server was then busy with another one.
 	sameSequence := s.known && r.Sequence == s.sequence
@@ -135,6 +140,26 @@
 	return true
 }
 
+const (
+	// maxSequenceLag bounds how far the sequence number of a report lags behind accepted orders.
+	maxSequenceLag = 2 * time.Second
+	// refutingReports is the number of reports in a row with a lower sequence number after that
+	// time which show that the server has not accepted the order: a second copy of an earlier
+	// acceptance was taken for the answer to it. A single one may itself be a copy.
+	refutingReports = 2
+)
+
+// isOutdated reports whether a report is older than the last accepted order.
+func (s *server) isOutdated(r site.ServerReport, now time.Time) bool {
+	if !s.known || s.resync || r.Sequence >= s.sequence {
+		return false
+	}
+	if now.Sub(s.sequenceAt) >= maxSequenceLag {
+		s.lowerReports++
+	}
+	return s.lowerReports < refutingReports
+}
+
 // maxListLag bounds how far the list of adapters in a report lags behind the server's state.
 const maxListLag = time.Second
 
--- a/internal/front/sched/server_test.go
+++ b/internal/front/sched/server_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// TestReportsRefuteACopiedAcceptance takes a copy of an earlier acceptance for the answer to an
+// order, so that all reports have a lower sequence number than the planner expects.
+func TestReportsRefuteACopiedAcceptance(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Now()
+	s := newServer(site.Instance{InstanceKey: site.InstanceKey{ID: "i-1", Born: 7}})
+	s.known, s.sequence, s.sequenceAt, s.busy = true, 9, began, true
+	report := site.ServerReport{Born: 7, Sequence: 8, Models: []string{"m"}}
+	for _, c := range []struct {
+		after   time.Duration
+		applied bool
+	}{{100 * time.Millisecond, false}, {maxSequenceLag - time.Millisecond, false}, {maxSequenceLag, false}, {maxSequenceLag + time.Second, true}} {
+		g.Expect(s.applyReport(report, began.Add(c.after))).To(Equal(c.applied), "after %s", c.after)
+	}
+	g.Expect(s.sequence).To(Equal(int64(8)))
+	g.Expect(s.busy).To(BeFalse())
+}
+
 // TestLaggingReportDoesNotReviveAdaptersOfUnloadedModels lists a model and its adapter once
 // more after the unload of the model was accepted.
 func TestLaggingReportDoesNotReviveAdaptersOfUnloadedModels(t *testing.T) {
