plat/follow: a cut watch is no outage, and kept entries are not passed on

Cause: one watch that ended counted as an outage of the store, so that a removed entry was kept; and a front in such an outage took the view of another front with the entries which that one had kept, and never dropped them.

Change: after a watch has failed, a read decides whether the store answers. Views and changes for other fronts leave out kept entries, and a view of a front that has reached the store all the while removes instances at once.

The stand-in of the planner's tests said that its calls go to an unavailable store while it is partitioned, but let Get and Range through, which hid what a read decides now: it is stricter.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -14,7 +14,6 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
-	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/policy/split"
 )
 
@@ -199,9 +198,9 @@
 // New returns a client for the other fronts, and registers the handlers of their calls.
 func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, h Handlers) *Client {
 	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: h.Planner}
-	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (store.List, error) {
-		list, _ := f.Snapshot(after)
-		return list, nil
+	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (follow.View, error) {
+		view, _ := f.Snapshot(after)
+		return view, nil
 	})
 	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w InstanceRequest) (InstanceReply, error) {
 		return h.Planner.RequestInstances(ctx, w)
@@ -281,14 +280,14 @@
 
 // FetchNewer asks up to sampleSize other fronts, chosen at random, for cluster state newer
 // than a revision; false if none has it.
-func (m *Client) FetchNewer(ctx context.Context, revision int64) (store.List, bool) {
+func (m *Client) FetchNewer(ctx context.Context, revision int64) (follow.View, bool) {
 	for _, address := range m.sampleFronts() {
-		var list store.List
-		if m.call(ctx, address, methodNewer, callTimeout, revision, &list) == nil && list.Revision > revision {
-			return list, true
+		var view follow.View
+		if m.call(ctx, address, methodNewer, callTimeout, revision, &view) == nil && view.Revision > revision {
+			return view, true
 		}
 	}
-	return store.List{}, false
+	return follow.View{}, false
 }
 
 // RequestPace asks the front that keeps an instance's schedule to reserve a request.
--- a/internal/front/sched/planner_test.go
+++ b/internal/front/sched/planner_test.go
@@ -95,6 +95,14 @@
 	return c.current().Grant(ctx, d)
 }
 
+func (c *partitionableStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
+	return c.current().Get(ctx, key)
+}
+
+func (c *partitionableStore) Range(ctx context.Context, prefix string) (store.List, error) {
+	return c.current().Range(ctx, prefix)
+}
+
 func (c *partitionableStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -31,10 +31,18 @@
 	rereadInterval = 5 * time.Second
 )
 
+// View is what a front knows of the store's keys, complete up to its revision.
+type View struct {
+	store.List
+	// Stable is true if the front has reached the store for Delays.ReturnGrace or longer, so that
+	// instances that the view lacks are gone.
+	Stable bool
+}
+
 // Peers fetches views from other fronts.
 type Peers interface {
 	// FetchNewer returns a view newer than the revision; false if no front has one.
-	FetchNewer(ctx context.Context, revision int64) (store.List, bool)
+	FetchNewer(ctx context.Context, revision int64) (View, bool)
 }
 
 // Follower holds the newest state received from the store or from another front.
@@ -69,8 +77,9 @@
 	changeNumber int64
 	// confirmedAt is when the store last answered, in Unix nanoseconds.
 	confirmedAt atomic.Int64
-	// missing holds the keys of instances whose announcements lapsed around an outage and that may return.
-	missing map[string]bool
+	// missing holds the announcements, by key, that lapsed around an outage and may return, with
+	// their revisions.
+	missing map[string]int64
 }
 
 // Delays holds the delays that a deployment configures.
@@ -83,7 +92,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]bool{}, epoch: uuid.NewString()}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, epoch: uuid.NewString()}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
 }
@@ -119,7 +128,7 @@
 			continue
 		}
 		f.markAvailable()
-		f.replaceView(list)
+		f.replaceView(list, true)
 		f.watch(ctx)
 	}
 }
@@ -140,15 +149,21 @@
 	return all, nil
 }
 
-// watch applies changes until the store has compacted the history; after other errors it resumes at the same revision.
+// maxWatchFailures is the number of watches in a row that may end without a response before all keys are read anew.
+const maxWatchFailures = 3
+
+// watch applies changes until the store has compacted the history, or its watches fail while it
+// answers other calls; after other errors it resumes at the same revision.
 func (f *Follower) watch(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil && failures < maxWatchFailures; {
 		f.followParents(ctx)
 		if !f.probeStore(ctx) {
 			sleep.For(ctx, storeRetryInterval)
 			continue
 		}
+		began := time.Now()
 		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
+			failures = 0
 			f.markAvailable()
 			f.applyBatch(b)
 			if _, ok := f.parent(); ok {
@@ -167,13 +182,34 @@
 			f.log.Infow("history lost, reading all again", "Revision", compacted.Revision)
 			return
 		}
-		if ctx.Err() == nil {
-			f.markUnavailable(err)
-			sleep.For(ctx, storeRetryInterval)
+		if ctx.Err() != nil {
+			return
 		}
+		failures++
+		if f.answersAfter(ctx, err) {
+			sleep.For(ctx, storeRetryInterval-time.Since(began))
+			continue
+		}
+		sleep.For(ctx, storeRetryInterval)
 	}
 }
 
+// answersAfter reports whether the store answers a read after a watch has ended with an error.
+// A waiting watch may be cut at any time, so only an unanswered call begins an outage.
+func (f *Follower) answersAfter(ctx context.Context, watchErr error) bool {
+	if errors.Is(watchErr, context.DeadlineExceeded) {
+		f.markUnavailable(watchErr)
+		return false
+	}
+	if _, _, err := f.store.Get(ctx, f.layout.DocumentKey); err != nil {
+		f.markUnavailable(err)
+		return false
+	}
+	f.markAvailable()
+	f.log.Debugw("watch ended, but the store answers", "Error", watchErr.Error())
+	return true
+}
+
 // probeStore reports whether the store is available. During an outage it reads
 // one key, because a watch would show the recovery only with the next change.
 func (f *Follower) probeStore(ctx context.Context) bool {
@@ -237,9 +273,9 @@
 		if f.peers == nil || !f.Unavailable(0) && f.State().Document != nil {
 			continue
 		}
-		if list, ok := f.peers.FetchNewer(ctx, f.State().Revision); ok {
-			f.log.Infow("applying a newer view from another front", "Revision", list.Revision)
-			f.replaceView(list)
+		if view, ok := f.peers.FetchNewer(ctx, f.State().Revision); ok {
+			f.log.Infow("applying a newer view from another front", "Revision", view.Revision, "Stable", view.Stable)
+			f.replaceView(view.List, !view.Stable)
 		}
 	}
 }
@@ -252,8 +288,10 @@
 		}
 		f.update(func(old *State) *State {
 			keys := old.Keys
-			for key := range f.missing {
-				keys = applyEvents(keys, []store.Event{{KV: store.KV{Key: key, Revision: old.Revision + 1}, Deleted: true}})
+			for key, revision := range f.missing {
+				if keys[key].Revision == revision {
+					keys = applyEvents(keys, []store.Event{{KV: store.KV{Key: key, Revision: revision + 1}, Deleted: true}})
+				}
 				delete(f.missing, key)
 			}
 			if len(keys) == len(old.Keys) {
@@ -264,17 +302,29 @@
 	}
 }
 
-// Snapshot returns all keys; false if the state is not newer than the revision.
-func (f *Follower) Snapshot(after int64) (store.List, bool) {
+// Snapshot returns the keys that the store had at the state's revision; false if the state is not
+// newer than the given one.
+func (f *Follower) Snapshot(after int64) (View, bool) {
+	f.updateMu.Lock()
+	defer f.updateMu.Unlock()
 	s := f.State()
 	if s.Revision <= after {
-		return store.List{}, false
+		return View{}, false
 	}
-	list := store.List{Revision: s.Revision}
-	for _, kv := range s.Keys {
-		list.KVs = append(list.KVs, kv)
+	view := View{List: store.List{Revision: s.Revision}, Stable: !f.Unavailable(f.delays.ReturnGrace)}
+	for key, kv := range s.Keys {
+		if !f.isMissing(key, kv.Revision) {
+			view.KVs = append(view.KVs, kv)
+		}
 	}
-	return list, true
+	return view, true
+}
+
+// isMissing reports whether the state has kept an announcement that is no longer in the store;
+// the caller holds updateMu.
+func (f *Follower) isMissing(key string, revision int64) bool {
+	kept, ok := f.missing[key]
+	return ok && kept == revision
 }
 
 func (f *Follower) markUnavailable(err error) {
@@ -302,8 +352,9 @@
 	}
 }
 
-// replaceView replaces all keys by those of list, unless list is older.
-func (f *Follower) replaceView(list store.List) {
+// replaceView replaces all keys by those of list, unless list is older. With retain, instances that
+// disappear around an outage are kept for a while.
+func (f *Follower) replaceView(list store.List, retain bool) {
 	f.update(func(old *State) *State {
 		if list.Revision < old.Revision {
 			return old
@@ -321,7 +372,7 @@
 				keys[key] = kv
 			}
 		}
-		f.retainMissing(old, keys)
+		f.retainMissing(old, keys, retain)
 		s := f.deriveState(old, keys, list.Revision)
 		s.PlannerChangedAt = time.Now()
 		return s
@@ -341,7 +392,7 @@
 			return &s
 		}
 		keys := applyEvents(old.Keys, b.Events)
-		f.retainMissing(old, keys)
+		f.retainMissing(old, keys, true)
 		s := f.deriveState(old, keys, max(old.Revision, b.Revision))
 		if slices.ContainsFunc(b.Events, func(e store.Event) bool { return e.Key == PlannerKey }) {
 			s.PlannerChangedAt = time.Now()
@@ -350,27 +401,24 @@
 	})
 }
 
-// retainMissing restores in keys a document that is missing there, and the
-// instances that disappeared during an outage or within Delays.ReturnGrace after
-// it, unless they were draining.
-func (f *Follower) retainMissing(old *State, keys map[string]store.KV) {
+// retainMissing restores in keys a document that is missing there and, if instances is set, the
+// instances that disappeared during an outage or within Delays.ReturnGrace after it, unless they
+// were draining.
+func (f *Follower) retainMissing(old *State, keys map[string]store.KV, instances bool) {
 	if kv, ok := old.Keys[f.layout.DocumentKey]; ok && keys[f.layout.DocumentKey].Revision == 0 {
 		keys[f.layout.DocumentKey] = kv
 	}
+	if !instances || !f.Unavailable(f.delays.ReturnGrace) {
+		return
+	}
 	for _, in := range old.Instances {
 		key := f.layout.InstancePrefix + in.ID
-		if _, ok := keys[key]; ok {
-			if keys[key].Revision != old.Keys[key].Revision {
-				delete(f.missing, key)
-			}
-			continue
-		}
-		if in.Draining || !f.Unavailable(f.delays.ReturnGrace) {
+		if _, ok := keys[key]; ok || in.Draining {
 			continue
 		}
 		keys[key] = old.Keys[key]
-		if !f.missing[key] {
-			f.missing[key] = true
+		if !f.isMissing(key, keys[key].Revision) {
+			f.missing[key] = keys[key].Revision
 			f.log.Infow("announcement lapsed around an outage, kept for now", "Instance", in.ID)
 		}
 	}
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -255,14 +255,17 @@
 }
 
 // fakePeer returns a fixed view.
-type fakePeer struct{ list atomic.Pointer[store.List] }
+type fakePeer struct {
+	list   atomic.Pointer[store.List]
+	stable atomic.Bool
+}
 
-func (m *fakePeer) FetchNewer(_ context.Context, revision int64) (store.List, bool) {
+func (m *fakePeer) FetchNewer(_ context.Context, revision int64) (View, bool) {
 	list := m.list.Load()
 	if list == nil {
-		return store.List{}, false
+		return View{}, false
 	}
-	return *list, list.Revision > revision
+	return View{List: *list, Stable: m.stable.Load()}, list.Revision > revision
 }
 
 func TestViewsOfOtherFrontsAreAppliedWhileTheStoreIsUnavailable(t *testing.T) {
@@ -280,3 +283,57 @@
 		w.g.Expect(w.documentVersion()).To(Equal(int64(9)), "an older view is not applied")
 	})
 }
+
+// TestStableViewRemovesInstances applies views of another front without an instance while the
+// store is away: only one that has reached the store all the while proves that the instance is gone.
+func TestStableViewRemovesInstances(t *testing.T) {
+	for _, stable := range []bool{true, false} {
+		m := &fakePeer{}
+		m.stable.Store(stable)
+		runFollower(t, m, func(w *followerTest) {
+			w.put("op/doc", "v1")
+			w.put("srv/a", "at 1")
+			w.put("srv/b", "at 2")
+			time.Sleep(time.Second)
+			w.SetFaults(kvsim.Faults{Away: true})
+			time.Sleep(3 * time.Second)
+			state := w.follower.State()
+			m.list.Store(&store.List{Revision: state.Revision + 10, KVs: []store.KV{state.Keys["op/doc"], state.Keys["srv/b"]}})
+			time.Sleep(2 * peerPollInterval)
+			w.g.Expect(w.hasInstance("a")).To(Equal(!stable))
+			w.g.Expect(w.hasInstance("b")).To(BeTrue())
+		})
+	}
+}
+
+// TestKeptAnnouncementIsNotPassedOn keeps an announcement that lapsed around an outage: other
+// fronts that have learned of its removal must not get it back.
+func TestKeptAnnouncementIsNotPassedOn(t *testing.T) {
+	runFollower(t, nil, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		w.put("srv/a", "at 1")
+		w.put("srv/b", "at 2")
+		time.Sleep(time.Second)
+		w.SetFaults(kvsim.Faults{Away: true})
+		time.Sleep(3 * time.Second)
+		w.remove("srv/a")
+		w.SetFaults(kvsim.Faults{})
+		time.Sleep(600 * time.Millisecond)
+		w.g.Expect(w.hasInstance("a")).To(BeTrue(), "kept while it may return")
+		view, ok := w.follower.Snapshot(0)
+		w.g.Expect(ok).To(BeTrue())
+		w.g.Expect(view.Stable).To(BeFalse())
+		var keys []string
+		for _, kv := range view.KVs {
+			keys = append(keys, kv.Key)
+		}
+		w.g.Expect(keys).To(ConsistOf("op/doc", "srv/b"))
+		w.g.Expect(w.follower.Changes(w.ctx, ChangesRequest{}).Keys).To(And(HaveKey("srv/b"), Not(HaveKey("srv/a"))))
+		w.put("srv/a", "at 3")
+		time.Sleep(2 * testReturnGrace)
+		w.g.Expect(w.hasInstance("a")).To(BeTrue(), "announced again")
+		view, _ = w.follower.Snapshot(0)
+		w.g.Expect(view.Stable).To(BeTrue())
+		w.g.Expect(view.KVs).To(HaveLen(3))
+	})
+}
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -186,7 +186,7 @@
 		if !ok {
 			return errStaleParent
 		}
-		f.replaceView(list)
+		f.replaceView(list, true)
 	} else {
 		f.applyBatch(store.Batch{Revision: changes.Revision, Events: changes.Events})
 	}
@@ -278,6 +278,9 @@
 	}
 	out.Keys = make(map[string]int64, len(s.Keys))
 	for key, kv := range s.Keys {
+		if f.isMissing(key, kv.Revision) {
+			continue
+		}
 		out.Keys[key] = kv.Revision
 		if kv.Revision > r.Revision {
 			out.Events = append(out.Events, store.Event{KV: kv})
