plat/follow, front/proxy: instances that say they leave get no more requests

Callers' requests went to a server that stated in all its answers that it leaves until its entry told so, up to seconds later, or not at all where its entry stays (DRAIN).

Cause: the statement in answers was not read; the view knew of leaving instances from their entries only.

Change: an instance that says so is draining in the view from then on, for its incarnation. Fronts tell the planner with their usage reports, and its replies tell all others.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -84,6 +84,8 @@
 	Limits []InstanceLimit
 	// Prompts counts the requests sent since the last report to streams whose pauses are limited.
 	Prompts split.Mix
+	// Leaving are the instances that have said in answers that they leave.
+	Leaving []site.InstanceKey
 }
 
 // InstanceLimit is the number of requests a second that an instance takes from all fronts, 0 for any.
@@ -131,6 +133,8 @@
 	PauseFactor float64
 	// LongShare is the share of a model's servers that get long prompts (policy/split).
 	LongShare float64
+	// Leaving are the instances that have said in answers that they leave.
+	Leaving []site.InstanceKey
 }
 
 // PendingLoad is a model that an instance is loading; In is the expected time until it
@@ -206,7 +210,12 @@
 		return h.Planner.RequestInstances(ctx, w)
 	})
 	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u UsageReport) (PlannerStatus, error) {
-		return h.Planner.ApplyUsage(u), nil
+		for _, k := range u.Leaving {
+			f.MarkDraining(k)
+		}
+		status := h.Planner.ApplyUsage(u)
+		status.Leaving = f.MarkedDraining()
+		return status, nil
 	})
 	peer.OnCall(mux, methodChanges, func(ctx context.Context, _ *peer.Conn, r follow.ChangesRequest) (follow.Changes, error) {
 		return f.Changes(ctx, r), nil
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -155,6 +155,9 @@
 	if limit := c.server.dialect.DecodeLimit(res.Header); limit > 0 || c.server.dialect.IsSigned(res.Header) {
 		t.recordLimit(in.InstanceKey, limit)
 	}
+	if c.server.dialect.SaysLeaving(res.Header) {
+		c.server.stateSource.MarkDraining(in.InstanceKey)
+	}
 	if c.server.dialect.ReportsNotRun(res.Status, res.Header) {
 		return c.handleNotRun(in, res)
 	}
--- /dev/null
+++ b/internal/front/proxy/leaving_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/platform/fake"
+)
+
+// TestServerThatSaysItLeavesGetsNoMoreRequests lets a server state in its first answer that it
+// leaves, while the store still shows it as ready beside another one.
+func TestServerThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	for _, c := range []struct {
+		name, path, server string
+		index              int
+		faults             fake.Faults
+	}{
+		{"in an answer", "/unsafe/x", "plain-1", 0, fake.Faults{SaysLeaving: true}},
+		{"in a stream", "/stream/x", "llm-1", 1, fake.Faults{SaysLeaving: true}},
+		{"in a failure", "/safe/x", "plain-1", 0, fake.Faults{SaysLeaving: true, FailedResponses: 1}},
+		{"in a rejection", "/unsafe/x", "plain-1", 0, fake.Faults{SaysLeaving: true, RejectedAsFull: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 1, func(r *harness) {
+				r.servers[c.index].SetFaults(c.faults)
+				r.send(r.t.Context(), c.path, "first")
+				r.addServer("plain", 1)
+				r.addServer("llm", 1)
+				for n := range 20 {
+					id := fmt.Sprint("id-", n)
+					w, _ := r.send(r.t.Context(), c.path, id)
+					r.g.Expect(w.Code).To(Equal(http.StatusOK))
+					runs := r.executions.Runs(id)
+					r.g.Expect(runs).To(HaveLen(1))
+					r.g.Expect(runs[0].Server).NotTo(Equal(c.server))
+				}
+			})
+		})
+	}
+}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -63,7 +63,22 @@
 	started  bool
 }
 
-func (r *harness) State() *follow.State { return r.state }
+func (r *harness) State() *follow.State {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	return r.state
+}
+
+func (r *harness) MarkDraining(k site.InstanceKey) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	s := *r.state
+	s.Instances = maps.Clone(s.Instances)
+	in := s.Instances[k.ID]
+	in.Draining = true
+	s.Instances[k.ID] = in
+	r.state = &s
+}
 
 func (r *harness) RequestInstances(context.Context, peers.InstanceRequest) (peers.InstanceReply, error) {
 	r.plannerCalls++
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -41,6 +41,10 @@
 	IsSigned(h http.Header) bool
 	// ReportsNotRun reports whether the instance states that it did not run the request.
 	ReportsNotRun(status int, h http.Header) bool
+	// SaysLeaving reports whether the instance states that it leaves.
+	SaysLeaving(h http.Header) bool
+	// DecodeRetryAfter decodes for how long the instance wants no requests from this front; 0 if it names no time.
+	DecodeRetryAfter(h http.Header) time.Duration
 	// DecodeLoad decodes the instance's load; false if the answer has none.
 	DecodeLoad(h http.Header) (site.ServerLoad, bool)
 	// DecodeLimit decodes the requests a second that the instance takes from all fronts together; 0 if it names no limit.
@@ -85,6 +89,8 @@
 // StateSource returns the newest known state of the deployment.
 type StateSource interface {
 	State() *follow.State
+	// MarkDraining marks an instance as draining because it has said so in an answer.
+	MarkDraining(k site.InstanceKey)
 }
 
 // Server is the handler of callers' requests.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -180,8 +180,9 @@
 		}
 		isNewPlanner := planner.FencingToken != reportedFence
 		usage := f.reverseProxy.TakeUsage(isNewPlanner)
+		usage.Leaving = f.follower.MarkedDraining()
 		reportedFence = planner.FencingToken
-		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 {
+		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 && len(usage.Leaving) == 0 {
 			continue
 		}
 		status, err := f.peers.ReportUsage(ctx, usage)
@@ -192,6 +193,9 @@
 			}
 			continue
 		}
+		for _, k := range status.Leaving {
+			f.follower.MarkDraining(k)
+		}
 		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
 	}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -80,6 +80,8 @@
 	// missing holds the announcements, by key, that lapsed around an outage and may return, with
 	// their revisions.
 	missing map[string]int64
+	// leaving holds the instances that have told callers that they leave; updateMu guards it.
+	leaving map[site.InstanceKey]bool
 }
 
 // Delays holds the delays that a deployment configures.
@@ -92,7 +94,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, epoch: uuid.NewString()}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, epoch: uuid.NewString()}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
 }
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -130,6 +130,7 @@
 	id := strings.TrimPrefix(kv.Key, f.layout.InstancePrefix)
 	before, known := old.Instances[id]
 	if known && before.Revision == kv.Revision {
+		before.Draining = before.Draining || f.leaving[before.InstanceKey]
 		s.Instances[id] = before
 		return
 	}
@@ -144,6 +145,7 @@
 		s.Keys[kv.Key] = kv
 		return
 	}
+	in.Draining = in.Draining || f.leaving[in.InstanceKey]
 	s.Instances[id] = in
 	if !known || before.Draining != in.Draining || before.InstanceKey != in.InstanceKey || before.Address != in.Address {
 		f.log.Infow("instance", "Instance", in.ID, "Born", in.Born, "Service", in.Service, "Address", in.Address, "Leaving", in.Draining, "Models", in.Models, "Revision", kv.Revision)
