front/proxy: instances that name a time get no requests until then

Cause: the time in rejections was not read.

Change: the instance is excluded at this front until then; a shorter exclusion no longer replaces a longer one. If all instances are excluded for longer than a request waits, it is refused at once with the time of the first.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -158,6 +158,9 @@
 	if c.server.dialect.SaysLeaving(res.Header) {
 		c.server.stateSource.MarkDraining(in.InstanceKey)
 	}
+	if wait := c.server.dialect.DecodeRetryAfter(res.Header); wait > 0 && res.Status == http.StatusServiceUnavailable {
+		t.exclude(in.InstanceKey, wait)
+	}
 	if c.server.dialect.ReportsNotRun(res.Status, res.Header) {
 		return c.handleNotRun(in, res)
 	}
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -92,8 +92,9 @@
 		c.endWithoutInstance("instances are at their limits", max(defaultRetryAfter, wait))
 		return false
 	}
-	if c.waited > plainServiceMaxWait {
-		c.endWithoutInstance("no instance to try", defaultRetryAfter)
+	next := c.server.tracker.untilNext(c.candidates())
+	if c.waited > plainServiceMaxWait || next > plainServiceMaxWait {
+		c.endWithoutInstance("no instance to try", max(defaultRetryAfter, next))
 		return false
 	}
 	// All instances have rejected the request or a connection; they may have capacity again after a short delay.
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -246,12 +246,28 @@
 	fullInstanceExclusion = 60 * time.Millisecond
 )
 
-// exclude stops requests to an instance for a duration.
+// exclude stops requests to an instance for a duration, or for longer if it is excluded already.
 func (t *instanceTracker) exclude(k site.InstanceKey, duration time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
-	s.excludedUntil = time.Now().Add(duration)
+	if until := time.Now().Add(duration); until.After(s.excludedUntil) {
+		s.excludedUntil = until
+	}
+}
+
+// untilNext returns the time until the first instance of the list is no longer excluded; 0 if one
+// is not, or if the list is empty.
+func (t *instanceTracker) untilNext(list []site.Instance) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var next time.Time
+	for _, in := range list {
+		if s := t.statsOf(in.InstanceKey); next.IsZero() || s.excludedUntil.Before(next) {
+			next = s.excludedUntil
+		}
+	}
+	return max(0, time.Until(next))
 }
 
 // unusable returns the instances of the list that are excluded for now, or reported recently that they lack the target.
