front/crash: fronts share evidence of crashes while the store is away

Cause: crash records and harmless parts went through the store only, so that no front saw enough of them to block the part.

Change: while the store is away the planner collects what the store has not taken, numbers it and tells it in its replies to usage reports. Fronts judge it as newer than all that the store has; what was learned from the numbers ends with the outage, and records are written when the store is back. A front with new evidence reports at once, and one without any usage each second: an idle front didn't learn of leaving instances either, as it never reported (TestServerThatSaysItLeavesIsLeftByAllFronts failed once under load for that reason).

Instances that come back under other ids stay unknown until the store is back, which binds the rest.

--- a/internal/front/crash/broken.go
+++ b/internal/front/crash/broken.go
@@ -20,11 +20,11 @@
 	gatherTime = 50 * time.Millisecond
 	// probeTimeout bounds the connection that tells a crash from a broken connection.
 	probeTimeout = 500 * time.Millisecond
-	// commitTimeout bounds one write, commitRetryDelay is the pause after a failed one, and
-	// maxCommitTries their number.
-	commitTimeout    = time.Second
-	commitRetryDelay = 200 * time.Millisecond
-	maxCommitTries   = 25
+	// commitTimeout bounds one write. The pause after a failed one begins with commitRetryDelay and
+	// grows by as much with each, up to maxCommitRetryDelay.
+	commitTimeout       = time.Second
+	commitRetryDelay    = 200 * time.Millisecond
+	maxCommitRetryDelay = 2 * time.Second
 	// pendingLifetime is how long further attempts are added to a record.
 	pendingLifetime = 30 * time.Second
 )
@@ -103,11 +103,19 @@
 	w.crashesTotal.Inc()
 	w.log.Warnw("instance crashed under requests", "Instance", p.instance.ID, "Born", p.instance.Born, "Service", p.record.Service, "Suspects", suspects)
 	key := recordKey(p.instance.InstanceKey, w.self.Name)
-	for range maxCommitTries {
+	defer w.setUnwritten(key, nil)
+	for tries := 1; time.Since(p.began) < retention; tries++ {
+		w.mu.Lock()
+		// Further attempts may have been added.
+		if newest, err := json.Marshal(p.record); err == nil {
+			value = newest
+		}
+		w.mu.Unlock()
+		w.setUnwritten(key, value)
 		if w.put(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: value}}}) {
 			return
 		}
-		if !sleep.For(ctx, commitRetryDelay) {
+		if !sleep.For(ctx, min(time.Duration(tries)*commitRetryDelay, maxCommitRetryDelay)) {
 			return
 		}
 	}
--- a/internal/front/crash/expire.go
+++ b/internal/front/crash/expire.go
@@ -29,7 +29,7 @@
 			// Refutations and trials must outlive the records that they are about.
 			limit = 2 * retention
 		}
-		if time.Since(seen) > limit && len(t.Deletes) < maxDeletes {
+		if time.Since(seen) > limit && len(t.Deletes) < maxDeletes && w.keys[key].Revision < collectedRevisions {
 			t.If = append(t.If, store.Compare{Key: key, Revision: w.keys[key].Revision})
 			t.Deletes = append(t.Deletes, key)
 		}
--- a/internal/front/crash/harmless.go
+++ b/internal/front/crash/harmless.go
@@ -67,6 +67,10 @@
 	if err != nil {
 		return
 	}
+	if upTo > collectedRevisions {
+		w.setUnwritten(harmlessKey(p), value)
+		return
+	}
 	written := w.put(ctx, store.Txn{If: []store.Compare{{Key: harmlessKey(p), Revision: known.Revision}}, Puts: []store.Put{{Key: harmlessKey(p), Value: value}}})
 	w.log.Infow("prompt part harmless", "Service", p.Service, "PromptPart", p.ID, "UpTo", upTo, "Written", written)
 }
--- a/internal/front/crash/record.go
+++ b/internal/front/crash/record.go
@@ -75,7 +75,8 @@
 		}
 		var h harmlessPart
 		if json.Unmarshal(kv.Value, &h) == nil {
-			e.harmless[blame.Part{Service: h.Service, ID: h.Part}] = h.UpTo
+			p := blame.Part{Service: h.Service, ID: h.Part}
+			e.harmless[p] = max(e.harmless[p], h.UpTo)
 		}
 	}
 	return e
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -64,8 +64,17 @@
 	mu sync.Mutex
 	// pending are this front's records that further attempts may be added to.
 	pending map[site.InstanceKey]*pendingRecord
-	// keys are the crash records and harmless parts in the store, and firstSeen is when this
-	// front first saw each of them as it is.
+	// stored are the package's keys in the store, and collected is the evidence that the planner has
+	// collected beyond them, under epoch.
+	stored    map[string]store.KV
+	collected map[string]store.KV
+	epoch     string
+	// unwritten is this front's evidence that the store has not taken.
+	unwritten map[string][]byte
+	// newEvidence holds one element while unwritten has changed.
+	newEvidence chan struct{}
+	// keys are the stored and the collected ones, and firstSeen is when this front first saw each
+	// of them as it is.
 	keys      map[string]store.KV
 	firstSeen map[string]time.Time
 	// ownHarmless are the prompt parts that this front's answers have proved harmless, and up to
@@ -96,6 +105,7 @@
 		self: self, site: view, store: s, prober: p, log: log, group: &tasks.Group{}, ctx: ctx,
 		crashesTotal: meters.GetOrCreateCounter("foxtailcroft_instance_crashes_total"),
 		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{}, trying: map[blame.Part]bool{},
+		collected: map[string]store.KV{}, unwritten: map[string][]byte{}, newEvidence: make(chan struct{}, 1),
 	}
 	w.verdict.Store(&verdict{})
 	meters.GetOrCreateGauge("foxtailcroft_blocked_prompt_parts", func() float64 { return float64(len(w.verdict.Load().Blocked)) })
@@ -131,21 +141,28 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if maps.EqualFunc(own, w.keys, func(a, b store.KV) bool { return a.Revision == b.Revision }) {
+	w.stored = own
+	w.update()
+}
+
+// update judges the evidence if it has changed; the caller holds the lock.
+func (w *Watcher) update() {
+	all := w.merged()
+	if maps.EqualFunc(all, w.keys, func(a, b store.KV) bool { return a.Revision == b.Revision }) {
 		return
 	}
 	now := time.Now()
 	for key := range w.firstSeen {
-		if _, ok := own[key]; !ok {
+		if _, ok := all[key]; !ok {
 			delete(w.firstSeen, key)
 		}
 	}
-	for key, kv := range own {
+	for key, kv := range all {
 		if kv.Revision != w.keys[key].Revision {
 			w.firstSeen[key] = now
 		}
 	}
-	w.keys = own
+	w.keys = all
 	w.judge()
 }
 
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -85,7 +85,38 @@
 	// Prompts counts the requests sent since the last report to streams whose pauses are limited.
 	Prompts split.Mix
 	// Leaving are the instances that have said in answers that they leave.
-	Leaving []site.InstanceKey
+	Leaving  []site.InstanceKey
+	Evidence EvidenceReport
+}
+
+// Evidence is a crash record or a harmless prompt part that the store has not taken, under the
+// key that it would have there.
+type Evidence struct {
+	Key   string
+	Value []byte
+	// Number orders the evidence that the planner has collected; 0 before that.
+	Number int64
+}
+
+// EvidenceReport is what a front knows of crashes beyond the store.
+type EvidenceReport struct {
+	// New is what the store has not taken from this front.
+	New []Evidence
+	// Epoch and Last name the newest collected evidence that the front has.
+	Epoch string
+	Last  int64
+}
+
+// EvidenceReply is the evidence that the planner has collected and the front lacks; Epoch names
+// the collection, and is empty while the store answers.
+type EvidenceReply struct {
+	Epoch     string
+	Collected []Evidence
+}
+
+// EvidenceCollector collects the evidence of all fronts while the store is away.
+type EvidenceCollector interface {
+	Exchange(r EvidenceReport, storeAway bool) EvidenceReply
 }
 
 // InstanceLimit is the number of requests a second that an instance takes from all fronts, 0 for any.
@@ -134,7 +165,8 @@
 	// LongShare is the share of a model's servers that get long prompts (policy/split).
 	LongShare float64
 	// Leaving are the instances that have said in answers that they leave.
-	Leaving []site.InstanceKey
+	Leaving  []site.InstanceKey
+	Evidence EvidenceReply
 }
 
 // PendingLoad is a model that an instance is loading; In is the expected time until it
@@ -188,6 +220,8 @@
 	Leases  LeaseStore
 	Paces   PaceIssuer
 	Outages OutageWitness
+	// Evidence collects evidence where this front is the planner.
+	Evidence EvidenceCollector
 }
 
 // Client calls the other fronts.
@@ -197,11 +231,26 @@
 	state func() *follow.State
 	seeds []string
 	local Planner
+	// applyUsage applies a usage report where this front is the planner.
+	applyUsage func(UsageReport) PlannerStatus
 }
 
+// evidenceHold is how long after an outage of the store evidence is still collected, until the
+// store has it.
+const evidenceHold = 5 * time.Second
+
 // New returns a client for the other fronts, and registers the handlers of their calls.
 func New(self follow.Front, pool *peer.Pool, mux *peer.Mux, f *follow.Follower, seeds []string, h Handlers) *Client {
 	m := &Client{self: self, pool: pool, state: f.State, seeds: seeds, local: h.Planner}
+	m.applyUsage = func(u UsageReport) PlannerStatus {
+		for _, k := range u.Leaving {
+			f.MarkDraining(k)
+		}
+		status := h.Planner.ApplyUsage(u)
+		status.Leaving = f.MarkedDraining()
+		status.Evidence = h.Evidence.Exchange(u.Evidence, f.Unavailable(evidenceHold))
+		return status
+	}
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (follow.View, error) {
 		view, _ := f.Snapshot(after)
 		return view, nil
@@ -210,12 +259,7 @@
 		return h.Planner.RequestInstances(ctx, w)
 	})
 	peer.OnCall(mux, methodUse, func(_ context.Context, _ *peer.Conn, u UsageReport) (PlannerStatus, error) {
-		for _, k := range u.Leaving {
-			f.MarkDraining(k)
-		}
-		status := h.Planner.ApplyUsage(u)
-		status.Leaving = f.MarkedDraining()
-		return status, nil
+		return m.applyUsage(u), nil
 	})
 	peer.OnCall(mux, methodChanges, func(ctx context.Context, _ *peer.Conn, r follow.ChangesRequest) (follow.Changes, error) {
 		return f.Changes(ctx, r), nil
@@ -336,7 +380,7 @@
 		return PlannerStatus{}, &NoPlannerError{}
 	}
 	if planner.Run == m.self.Run {
-		return m.local.ApplyUsage(u), nil
+		return m.applyUsage(u), nil
 	}
 	var status PlannerStatus
 	err := m.call(ctx, planner.Address, methodUse, callTimeout, u, &status)
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -98,7 +98,7 @@
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	issuer := pacer.NewIssuer()
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate})
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector()})
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
@@ -128,6 +128,8 @@
 	maxParentAgePercent = 65
 	// minUsageInterval is the shortest interval of a front's usage reports to the planner.
 	minUsageInterval = 500 * time.Millisecond
+	// idleReportInterval is the time after which a front without usage reports, to learn what others know.
+	idleReportInterval = time.Second
 	// usageIntervalPerFront is the shortest mean time between two reports that the planner receives from all fronts.
 	usageIntervalPerFront = 30 * time.Millisecond
 	// idleSweepInterval is the time between two searches for idle connections to close.
@@ -173,18 +175,21 @@
 // reportUsage periodically reports this front's usage to the planner; without a planner it waits.
 func (f *Front) reportUsage(ctx context.Context) {
 	var reportedFence int64
-	for sleep.For(ctx, f.usageInterval()) {
+	var reportedAt time.Time
+	for f.awaitReport(ctx) {
 		planner := f.follower.State().Planner
 		if planner == nil {
 			continue
 		}
 		isNewPlanner := planner.FencingToken != reportedFence
 		usage := f.reverseProxy.TakeUsage(isNewPlanner)
-		usage.Leaving = f.follower.MarkedDraining()
+		usage.Leaving, usage.Evidence = f.follower.MarkedDraining(), f.crashes.Evidence()
 		reportedFence = planner.FencingToken
-		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 && len(usage.Leaving) == 0 {
+		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 && len(usage.Leaving) == 0 &&
+			usage.Evidence.Epoch == "" && !f.follower.Unavailable(0) && time.Since(reportedAt) < idleReportInterval {
 			continue
 		}
+		reportedAt = time.Now()
 		status, err := f.peers.ReportUsage(ctx, usage)
 		if err != nil {
 			f.log.Debugw("usage report to the planner failed; sending the next one after the usual interval", "Error", err.Error())
@@ -196,11 +201,25 @@
 		for _, k := range status.Leaving {
 			f.follower.MarkDraining(k)
 		}
+		f.crashes.ApplyEvidence(status.Evidence)
 		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
 	}
 }
 
+// awaitReport waits until the next usage report is due, at once if there is new evidence of
+// crashes; false if the context ends.
+func (f *Front) awaitReport(ctx context.Context) bool {
+	timer := time.NewTimer(f.usageInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.crashes.NewEvidence():
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // usageInterval returns the time between two usage reports. It grows with the number
 // of fronts, so that the planner's load does not.
 func (f *Front) usageInterval() time.Duration {
