front/crash: collected evidence is not reported again

A front reported its evidence with each usage report for as long as the store was away, up to 64 pieces twice a second, and a request with a blocked part waited for a second for a store that was known to be away before it was refused.

Change: evidence that the planner has collected is left out of reports, and no trial is claimed while the store is away. New evidence alone makes a report. Found by reading; the tests of both check it.

--- a/internal/front/crash/collect.go
+++ b/internal/front/crash/collect.go
@@ -76,14 +76,14 @@
 	return json.Unmarshal(e.Value, &after) == nil && (json.Unmarshal(before.Value, &old) != nil || after.UpTo > old.UpTo)
 }
 
-// Evidence returns what the store has not taken from this front, and what this front has of the
-// collected evidence.
+// Evidence returns what neither the store nor the planner has taken from this front, and what
+// this front has of the collected evidence.
 func (w *Watcher) Evidence() peers.EvidenceReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := peers.EvidenceReport{Epoch: w.epoch}
 	for key, value := range w.unwritten {
-		if len(r.New) < maxCollected {
+		if len(r.New) < maxCollected && !bytes.Equal(w.collected[key].Value, value) {
 			r.New = append(r.New, peers.Evidence{Key: key, Value: value})
 		}
 	}
--- a/internal/front/crash/collect_test.go
+++ b/internal/front/crash/collect_test.go
@@ -111,6 +111,9 @@
 		setFailing(true)
 		crash(1)
 		expectBlocked(true, "crashes during the outage")
+		for _, w := range watchers {
+			g.Expect(w.Evidence().New).To(BeEmpty(), "nothing is reported again once it is collected")
+		}
 		watchers[1].RecordAnswer("llm", prompt("root", "dead"))
 		time.Sleep(time.Second)
 		exchange()
--- a/internal/front/crash/trial.go
+++ b/internal/front/crash/trial.go
@@ -116,8 +116,12 @@
 	}, true
 }
 
-// beginTrial marks a part as being tried by this front; ok is false if a trial is not due or under way.
+// beginTrial marks a part as being tried by this front; ok is false if a trial is not due or under
+// way, or can't be claimed because the store is away.
 func (w *Watcher) beginTrial(p blame.Part) (plan trialPlan, ok bool) {
+	if w.site.Unavailable(0) {
+		return plan, false
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	plan, ok = w.verdict.Load().trials[p]
--- a/internal/front/crash/trial_test.go
+++ b/internal/front/crash/trial_test.go
@@ -104,8 +104,11 @@
 		r.failing = true
 		_, ok := w.StartTrial(t.Context(), "llm", "dead")
 		g.Expect(ok).To(BeFalse())
-		r.failing = false
+		r.failing, r.unavailable = false, true
 		time.Sleep(trialInterval)
+		_, ok = w.StartTrial(t.Context(), "llm", "dead")
+		g.Expect(ok).To(BeFalse())
+		r.unavailable = false
 		end, ok := w.StartTrial(t.Context(), "llm", "dead")
 		g.Expect(ok).To(BeTrue())
 		w.RecordAnswer("llm", prompt("dead"))
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -35,6 +35,8 @@
 	State() *follow.State
 	// ApplyWritten applies a key that this front has written, ahead of the watch.
 	ApplyWritten(kv store.KV)
+	// Unavailable reports whether the store is unavailable or recovered less than span ago.
+	Unavailable(span time.Duration) bool
 }
 
 // Committer writes to the store.
--- a/internal/front/crash/watcher_test.go
+++ b/internal/front/crash/watcher_test.go
@@ -25,9 +25,11 @@
 	keys     map[string]store.KV
 	revision int64
 	failing  bool
-	alive    map[string]bool
-	planner  string
-	fronts   map[string]follow.Front
+	// unavailable tells that the view has noticed that the store fails.
+	unavailable bool
+	alive       map[string]bool
+	planner     string
+	fronts      map[string]follow.Front
 	// instances are those in the view; nil stands for ready ones with the IDs 1 to 4 and born at 7.
 	instances map[string]site.Instance
 }
@@ -47,6 +49,12 @@
 
 func (r *rig) ApplyWritten(store.KV) {}
 
+func (r *rig) Unavailable(time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unavailable
+}
+
 func (r *rig) Probe(_ context.Context, t conns.Target) error {
 	if r.alive[t.ID] {
 		return nil
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -186,7 +186,7 @@
 		usage.Leaving, usage.Evidence = f.follower.MarkedDraining(), f.crashes.Evidence()
 		reportedFence = planner.FencingToken
 		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 && len(usage.Leaving) == 0 &&
-			usage.Evidence.Epoch == "" && !f.follower.Unavailable(0) && time.Since(reportedAt) < idleReportInterval {
+			len(usage.Evidence.New) == 0 && usage.Evidence.Epoch == "" && !f.follower.Unavailable(0) && time.Since(reportedAt) < idleReportInterval {
 			continue
 		}
 		reportedAt = time.Now()
