front, plat/follow: tests for guards that none missed

Five guards could be taken away with all tests green: that orders are never sent again whatever a route's attempts say, the least time left for a second send, the revision guards of the periodic read of the document and of whole views, and the fencing number that an order was planned under.

The read of the document has two guards behind each other, its own and that of applied events; without both, TestOlderReadOfTheDocumentIsNotApplied turns red. No product code is changed.

--- a/internal/front/proxy/crash_test.go
+++ b/internal/front/proxy/crash_test.go
@@ -91,3 +91,14 @@
 		})
 	}
 }
+
+// TestRequestWithTwoBlockedPartsIsNoTrial sends a request whose failure would tell nothing of either part.
+func TestRequestWithTwoBlockedPartsIsNoTrial(t *testing.T) {
+	withProxy(t, 2, func(r *harness) {
+		r.blockedPart, r.alsoBlocked, r.trialDue = "b2", "a1", true
+		w, _ := r.sendPrompt("/resume/x", "id-1", "a1:10,b2:20,c3:30")
+		r.g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		r.g.Expect(r.executions.Runs("id-1")).To(BeEmpty())
+		r.g.Expect(r.trials).To(BeEmpty())
+	})
+}
--- a/internal/front/proxy/history_test.go
+++ b/internal/front/proxy/history_test.go
@@ -163,6 +163,8 @@
 			}
 			for i := range r.state.Document.Routes {
 				if route := &r.state.Document.Routes[i]; strings.HasSuffix(route.Prefix, "safe/") {
+					// A document may allow more attempts for orders than may be made.
+					route.MaxAttempts = 1 + int(seed%3)
 					route.Timeout, route.Split = time.Second, []site.WeightedService{{Service: "ledger", Weight: 1}}
 				}
 			}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,6 +43,8 @@
 	// blockedPart is a prompt part that the crash watch blocks, empty for none; broken and underWay are
 	// the attempts that it was told of.
 	blockedPart string
+	// alsoBlocked is another one.
+	alsoBlocked string
 	// trialDue allows trials of it; trials and trialsBroken are those asked for and how they ended.
 	trialDue     bool
 	trials       []string
@@ -109,10 +110,13 @@
 func (r *harness) Blocked(_ string, prompt []site.PromptPart) []crash.BlockedPart {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
-	if slices.ContainsFunc(prompt, func(p site.PromptPart) bool { return p.ID == r.blockedPart }) {
-		return []crash.BlockedPart{{ID: r.blockedPart, Left: time.Minute}}
+	var out []crash.BlockedPart
+	for _, p := range prompt {
+		if p.ID != "" && (p.ID == r.blockedPart || p.ID == r.alsoBlocked) {
+			out = append(out, crash.BlockedPart{ID: p.ID, Left: time.Minute})
+		}
 	}
-	return nil
+	return out
 }
 
 func (r *harness) StartTrial(_ context.Context, _, part string) (end func(broken bool), ok bool) {
--- a/internal/front/sched/handover_test.go
+++ b/internal/front/sched/handover_test.go
@@ -171,3 +171,32 @@
 		})
 	}
 }
+
+// TestOrderPlannedUnderAnotherFencingNumberIsNotSent plans an order under an earlier number than
+// the one that the front holds now: servers must not see it under the new one.
+func TestOrderPlannedUnderAnotherFencingNumberIsNotSent(t *testing.T) {
+	runCluster(t, 2, 1, 6, func(c *cluster) {
+		first := c.leader()
+		time.Sleep(4 * time.Second)
+		p := first.planner
+		servers := p.serverList()
+		c.g.Expect(servers).NotTo(BeEmpty())
+		send := func(shift int64) site.OrderOutcome {
+			p.mu.Lock()
+			fence := p.fence
+			p.fence += shift
+			p.mu.Unlock()
+			defer func() {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.fence = fence
+			}()
+			return p.dispatch(c.ctx, servers[0], site.Order{Target: site.Target{Model: "m5"}}, func(*site.Engine) bool { return true })
+		}
+		before := len(c.orderLog.Orders())
+		c.g.Expect(send(-1)).To(Equal(site.Unknown))
+		c.g.Expect(c.orderLog.Orders()).To(HaveLen(before))
+		c.g.Expect(send(0)).To(Equal(site.Accepted))
+		c.g.Expect(c.orderLog.Orders()).To(HaveLen(before + 1))
+	})
+}
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -45,15 +46,35 @@
 	*kvsim.MemoryStore
 	follower *Follower
 	ctx      context.Context
+	faults   storeFaults
 }
 
 // windowedStore ends each watch after a second, as the real store ends long polls.
 type windowedStore struct {
 	*kvsim.MemoryStore
+	faults *storeFaults
+}
+
+// storeFaults are faults of a windowedStore.
+type storeFaults struct {
+	// stale is what reads of single keys return, nil for what the store holds.
+	stale atomic.Pointer[store.KV]
+	// cutWatches ends each watch with an error before its first response.
+	cutWatches atomic.Bool
+}
+
+func (w windowedStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
+	if kv := w.faults.stale.Load(); kv != nil {
+		return *kv, true, nil
+	}
+	return w.MemoryStore.Get(ctx, key)
 }
 
 func (w windowedStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
 	for ctx.Err() == nil {
+		if w.faults.cutWatches.Load() {
+			return errors.New("watch cut")
+		}
 		window, cancel := context.WithTimeout(ctx, time.Second)
 		err := w.MemoryStore.Watch(window, prefix, after, func(b store.Batch) error {
 			after = max(after, b.Revision)
@@ -76,7 +97,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &followerTest{g: NewWithT(t), MemoryStore: kvsim.NewMemoryStore(1), ctx: ctx}
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", SystemPrefix}}
-		w.follower = New("me", windowedStore{w.MemoryStore}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
+		w.follower = New("me", windowedStore{w.MemoryStore, &w.faults}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
 		w.follower.SetPeers(peers)
 		var group conc.WaitGroup
 		for _, run := range []func(context.Context){w.follower.Run, w.follower.RunReread, w.follower.RunPeerPoll, w.follower.RunMissingCheck} {
@@ -337,3 +358,79 @@
 		w.g.Expect(view.KVs).To(HaveLen(3))
 	})
 }
+
+// TestOlderReadOfTheDocumentIsNotApplied lets the periodic read of the document return an earlier
+// revision of it: neither the document nor its key may go back.
+func TestOlderReadOfTheDocumentIsNotApplied(t *testing.T) {
+	runFollower(t, nil, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		time.Sleep(time.Second)
+		older := w.follower.State().Keys["op/doc"]
+		// The version is higher, so that only the revision tells that it is older.
+		older.Value = []byte("v8")
+		w.put("op/doc", "v2")
+		time.Sleep(time.Second)
+		newer := w.follower.State().Keys["op/doc"]
+		w.faults.stale.Store(&older)
+		time.Sleep(2 * rereadInterval)
+		w.g.Expect(w.follower.State().Keys["op/doc"].Revision).To(Equal(newer.Revision))
+		w.g.Expect(w.documentVersion()).To(Equal(int64(2)))
+	})
+}
+
+// forgetfulPeer returns its view whether it is newer or not.
+type forgetfulPeer struct{ list atomic.Pointer[store.List] }
+
+func (m *forgetfulPeer) FetchNewer(context.Context, int64) (View, bool) {
+	list := m.list.Load()
+	if list == nil {
+		return View{}, false
+	}
+	return View{List: *list, Stable: true}, true
+}
+
+// TestOlderViewIsNotApplied gives a front a whole view from before what it knows, while the store
+// is away: what it has learned since must stay.
+func TestOlderViewIsNotApplied(t *testing.T) {
+	m := &forgetfulPeer{}
+	runFollower(t, m, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		w.put("srv/a", "at 1")
+		time.Sleep(time.Second)
+		before := w.follower.State()
+		w.remove("srv/a")
+		w.put("srv/b", "at 2")
+		w.put("op/doc", "v2")
+		time.Sleep(time.Second)
+		known := w.follower.State().Revision
+		w.SetFaults(kvsim.Faults{Away: true})
+		list := store.List{Revision: before.Revision}
+		for _, kv := range before.Keys {
+			list.KVs = append(list.KVs, kv)
+		}
+		m.list.Store(&list)
+		time.Sleep(3 * time.Second)
+		w.g.Expect(w.follower.State().Revision).To(Equal(known))
+		w.g.Expect(w.documentVersion()).To(Equal(int64(2)))
+		w.g.Expect(w.hasInstance("a")).To(BeFalse())
+		w.g.Expect(w.hasInstance("b")).To(BeTrue())
+	})
+}
+
+// TestChangesArriveThoughAllWatchesAreCut lets the store answer reads and end each watch before
+// its first response.
+func TestChangesArriveThoughAllWatchesAreCut(t *testing.T) {
+	runFollower(t, nil, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		w.put("srv/a", "at 1")
+		time.Sleep(time.Second)
+		w.faults.cutWatches.Store(true)
+		time.Sleep(2500 * time.Millisecond)
+		w.put("srv/b", "at 2")
+		w.remove("srv/a")
+		time.Sleep(2 * time.Second)
+		w.g.Expect(w.follower.Unavailable(testReturnGrace)).To(BeFalse(), "the store answers")
+		w.g.Expect(w.hasInstance("b")).To(BeTrue())
+		w.g.Expect(w.hasInstance("a")).To(BeFalse())
+	})
+}
--- a/internal/plat/follow/relay_test.go
+++ b/internal/plat/follow/relay_test.go
@@ -140,7 +140,7 @@
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", SystemPrefix}}
 		for i := range fronts {
 			r := &relayFront{domain: d, name: fmt.Sprintf("n-%02d", i)}
-			r.Follower = New(r.name, frontStore{windowedStore{d.memory}, r}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
+			r.Follower = New(r.name, frontStore{windowedStore{d.memory, &storeFaults{}}, r}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
 			r.SetRelay(r, "a", maxTestParentAge)
 			d.fronts = append(d.fronts, r)
 			value, err := json.Marshal(Front{Name: r.name, Address: r.name, Run: r.name, Domain: "a"})
