front/proxy, policy/proof, oper/cause: logs tell what a statement on a run rests on

Cause: logs and metrics could not tell the hypotheses on REFUSED and STARVED apart: neither the status of an instance's response nor the reason why a request counts as not run was logged, and nothing listed what is never served.

--- a/cmd/foxtailcroft/causes.go
+++ b/cmd/foxtailcroft/causes.go
@@ -13,34 +13,45 @@
 
 func causesCommand() *cobra.Command {
 	var output string
+	var starved bool
 	cmd := &cobra.Command{
 		Use:   "causes [LOG...]",
 		Short: "Count request outcomes in front logs by route and cause",
 		Long:  "Reads front logs from files, or from standard input, and counts how requests ended, by route and cause, with latencies and an example request ID for each.",
 		RunE: func(cmd *cobra.Command, files []string) error {
 			var t cause.Table
-			if err := readLogs(cmd.InOrStdin(), files, &t); err != nil {
+			var subjects cause.StarvedSubjects
+			add := t.Add
+			if starved {
+				add = subjects.Add
+			}
+			if err := readLogs(cmd.InOrStdin(), files, add); err != nil {
 				return err
 			}
+			if starved {
+				rows := subjects.Rows()
+				return print.Render(cmd.OutOrStdout(), output, rows, func(w io.Writer) error { return cause.WriteStarved(w, rows) })
+			}
 			rows := t.Rows()
 			return print.Render(cmd.OutOrStdout(), output, rows, func(w io.Writer) error { return cause.Write(w, rows) })
 		},
 	}
 	cmd.Flags().StringVarP(&output, "output", "o", print.Table, "table, json or yaml")
+	cmd.Flags().BoolVar(&starved, "starved", false, "list models, adapters and prompt parts that were asked for repeatedly and never served")
 	return cmd
 }
 
-// readLogs adds the requests of the named log files, or of standard input if there are none, to t.
-func readLogs(in io.Reader, files []string, t *cause.Table) error {
+// readLogs calls add with the requests of the named log files, or of standard input if there are none.
+func readLogs(in io.Reader, files []string, add func(cause.RequestLine)) error {
 	if len(files) == 0 {
-		return cause.Read(in, t.Add)
+		return cause.Read(in, add)
 	}
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		err = cause.Read(f, t.Add)
+		err = cause.Read(f, add)
 		if closeErr := f.Close(); err == nil {
 			err = closeErr
 		}
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -10,6 +10,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/proof"
 )
 
 const (
@@ -41,10 +42,8 @@
 	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
 	overLimit map[site.InstanceKey]time.Duration
-	// possibleRuns counts the attempts that an instance may have run.
-	possibleRuns int
-	// notRunAttempts counts the attempts that certainly did not run.
-	notRunAttempts int
+	// attempts is what the attempts so far prove about whether the request has run.
+	attempts proof.Request
 	// stream is nil until the header of a streamed answer was sent to the caller.
 	stream *stream
 
@@ -52,6 +51,8 @@
 	reason     string
 	status     int
 	instanceID string
+	// instanceStatus is the status of the latest attempt's response, 0 if there is none.
+	instanceStatus int
 	// answerBegan is true once the instance of the latest attempt has sent a part of its answer: the
 	// first whole event of a stream, or the head of another answer.
 	answerBegan bool
@@ -110,7 +111,7 @@
 		c.endCallerLeft()
 		return true
 	}
-	if c.possibleRuns > 0 {
+	if !c.attempts.IsNotRun() {
 		c.fail(http.StatusGatewayTimeout, "time is over, the outcome is unknown")
 		return true
 	}
@@ -133,7 +134,7 @@
 	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
-	c.instanceID, c.answerBegan, c.attemptEvents = in.ID, false, 0
+	c.instanceID, c.instanceStatus, c.answerBegan, c.attemptEvents = in.ID, 0, false, 0
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
 	lastEvent := ""
 	if c.stream != nil {
@@ -161,10 +162,12 @@
 	if wait := c.server.dialect.DecodeRetryAfter(res.Header); wait > 0 && res.Status == http.StatusServiceUnavailable {
 		t.exclude(in.InstanceKey, wait)
 	}
-	if c.server.dialect.ReportsNotRun(res.Status, res.Header) {
+	c.instanceStatus = res.Status
+	rejected := c.server.dialect.ReportsNotRun(res.Status, res.Header)
+	c.attempts = c.attempts.With(proof.Attempt{Written: true, Responded: true, SaysNotRun: rejected})
+	if rejected {
 		return c.handleNotRun(in, res)
 	}
-	c.possibleRuns++
 	if res.Status == http.StatusOK && c.route.Kind == site.Streaming {
 		return c.relayStream(ctx, in, res)
 	}
@@ -176,11 +179,7 @@
 	var f *conns.Failure
 	sent := !errors.As(err, &f) || f.Sent
 	c.reason = err.Error()
-	if sent {
-		c.possibleRuns++
-	} else {
-		c.notRunAttempts++
-	}
+	c.attempts = c.attempts.With(proof.Attempt{Written: sent})
 	if ctx.Err() != nil {
 		return tryAnother
 	}
@@ -198,11 +197,11 @@
 // attempt failed, and ends it if not; sent is false if the attempt certainly did not run.
 func (c *call) handleFailure(sent bool) nextStep {
 	switch {
-	case !sent && c.notRunAttempts < maxNotRunAttempts:
+	case !sent && c.attempts.NotRunAttempts() < maxNotRunAttempts:
 		return tryAnother
 	case sent && c.brokenStarts < maxBrokenStarts && c.reserveResend():
 		return tryAnother
-	case c.possibleRuns == 0:
+	case c.attempts.IsNotRun():
 		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
 	default:
 		c.fail(http.StatusBadGateway, c.reason)
@@ -212,7 +211,7 @@
 
 // reserveResend reports whether the request may be sent to one more instance, and charges the retry budget for it.
 func (c *call) reserveResend() bool {
-	return c.route.Retryable() && c.possibleRuns < c.route.MaxAttempts && time.Until(c.deadline) > minResendTime && c.server.takeResend(c.service)
+	return c.route.Retryable() && c.attempts.PossibleRuns() < c.route.MaxAttempts && time.Until(c.deadline) > minResendTime && c.server.takeResend(c.service)
 }
 
 // minResendTime is the time before the deadline below which a resend is pointless.
@@ -221,7 +220,6 @@
 // handleNotRun decides what follows when an instance reports that it did not run the request.
 func (c *call) handleNotRun(in site.Instance, res *conns.Response) nextStep {
 	res.Discard()
-	c.notRunAttempts++
 	c.reason = "instance did not run it: " + http.StatusText(res.Status)
 	load, hasLoad := c.server.dialect.DecodeLoad(res.Header)
 	switch {
@@ -232,8 +230,8 @@
 		c.server.tracker.exclude(in.InstanceKey, fullInstanceExclusion)
 	}
 	c.logAttempt("not run", in, c.reason)
-	if c.notRunAttempts >= maxNotRunAttempts || !c.server.takeResend(c.service) {
-		if c.possibleRuns > 0 {
+	if c.attempts.NotRunAttempts() >= maxNotRunAttempts || !c.server.takeResend(c.service) {
+		if !c.attempts.IsNotRun() {
 			c.fail(http.StatusBadGateway, c.reason)
 			return requestEnded
 		}
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -10,6 +10,7 @@
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/policy/proof"
 )
 
 const (
@@ -38,7 +39,7 @@
 	if c.endIfBlocked(ctx) {
 		return site.Instance{}, false
 	}
-	if c.request.Target.Model != "" && c.possibleRuns+c.notRunAttempts == 0 {
+	if c.request.Target.Model != "" && c.attempts == (proof.Request{}) {
 		c.server.tracker.countRequest(c.request.Target)
 	}
 	for {
@@ -105,7 +106,7 @@
 
 // endWithoutInstance ends a request for which no instance was found.
 func (c *call) endWithoutInstance(reason string, retryAfter time.Duration) {
-	if c.possibleRuns > 0 {
+	if !c.attempts.IsNotRun() {
 		c.fail(http.StatusBadGateway, reason)
 		return
 	}
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -10,7 +10,7 @@
 // logAttempt logs an attempt that did not succeed at an instance, and why.
 func (c *call) logAttempt(event string, in site.Instance, reason string) {
 	c.server.log.Infow(event, "Request", c.request.ID, "Instance", in.ID, "Born", in.Born, "Announced", in.Revision,
-		"Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "AnswerBegan", c.answerBegan, "Parts", c.loggedParts(), "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
+		"Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Status", c.instanceStatus, "Basis", string(c.attempts.Last()), "AnswerBegan", c.answerBegan, "Parts", c.loggedParts(), "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
 }
 
 // maxLoggedParts bounds the prompt parts in one log line.
@@ -41,13 +41,16 @@
 	}
 	took := time.Since(c.arrivedAt)
 	c.server.meters.GetOrCreateCounter(`foxtailcroft_requests_total{outcome="` + c.outcome + `"}`).Inc()
+	if c.server.dialect.PromisesNotRun(c.status) {
+		c.server.meters.GetOrCreateCounter(`foxtailcroft_promises_not_run_total{basis="` + string(c.attempts.Last()) + `"}`).Inc()
+	}
 	c.server.meters.GetOrCreateHistogram("foxtailcroft_request_seconds").Update(took.Seconds())
 	log := c.server.log.Infow
 	if c.outcome != outcomeAnswered && c.status != http.StatusNotFound {
 		log = c.server.log.Warnw
 	}
 	log("request", "Request", c.request.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
-		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.possibleRuns, "Unsent", c.notRunAttempts, "Outcome", c.outcome, "Status", c.status,
+		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Basis", string(c.attempts.Last()), "InstanceStatus", c.instanceStatus, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
 		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "InFlight", c.lastChoice.InFlight, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount, "Limit", c.lastChoice.limit,
 		"GoalMs", route.ResponseGoal.Milliseconds(), "MaxGapMs", route.MaxTokenGap.Milliseconds(),
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -41,6 +41,8 @@
 	IsSigned(h http.Header) bool
 	// ReportsNotRun reports whether the instance states that it did not run the request.
 	ReportsNotRun(status int, h http.Header) bool
+	// PromisesNotRun reports whether a status tells callers that their request has not run and never will.
+	PromisesNotRun(status int) bool
 	// SaysLeaving reports whether the instance states that it leaves.
 	SaysLeaving(h http.Header) bool
 	// DecodeRetryAfter decodes for how long the instance wants no requests from this front; 0 if it names no time.
--- a/internal/front/proxy/trial.go
+++ b/internal/front/proxy/trial.go
@@ -13,7 +13,7 @@
 	if len(blocked) == 0 {
 		return false
 	}
-	if len(blocked) == 1 && c.possibleRuns == 0 && c.isTrial(ctx, blocked[0].ID) {
+	if len(blocked) == 1 && c.attempts.IsNotRun() && c.isTrial(ctx, blocked[0].ID) {
 		return false
 	}
 	c.server.meters.GetOrCreateCounter("foxtailcroft_blocked_requests_total").Inc()
--- a/internal/oper/cause/line.go
+++ b/internal/oper/cause/line.go
@@ -11,15 +11,19 @@
 
 // RequestLine is the log line that a front writes at the end of a request.
 type RequestLine struct {
+	Time     time.Time
 	Message  string
 	Node     string
 	Request  string
 	Route    string
 	Model    string
+	Adapter  string
 	Instance string
-	Outcome  string
-	Status   int
-	Reason   string
+	// Parts are the IDs of the first parts of the request's prompt.
+	Parts   []string
+	Outcome string
+	Status  int
+	Reason  string
 	// Sends counts the attempts that an instance may have run, and Unsent those that certainly did not run.
 	Sends  int
 	Unsent int
