front/proxy: a status of a run is no promise that it did not run

A request that an instance ran was answered 503, 429 or 408, which tells callers that it has not run and never will. An instance's answer was passed on with its status whatever that was; that only a response with the not-run statement, or nothing written, proves that a request did not run was respected for the front's own refusals alone, in three places. Change: such an answer without the statement counts as a failure of the instance: sent again where the route allows, else 502 without the seal. All refusals go through call.refuse, which promises nothing once an attempt may have run (policy/proof).

--- a/internal/front/proxy/answer.go
+++ b/internal/front/proxy/answer.go
@@ -65,7 +65,8 @@
 		c.logAttempt("answer not whole", in, c.reason)
 		return c.handleFailure(true)
 	}
-	failed := res.Status >= http.StatusInternalServerError
+	promisesNotRun := c.server.dialect.PromisesNotRun(res.Status)
+	failed := promisesNotRun || res.Status >= http.StatusInternalServerError
 	c.server.tracker.recordOutcome(in.InstanceKey, failed)
 	if !failed {
 		c.recordAnswer()
@@ -78,6 +79,11 @@
 		c.reason = "resumed stream refused: " + http.StatusText(res.Status)
 		return c.handleFailure(true)
 	}
+	if promisesNotRun {
+		// Callers would take the status for a promise that the instance has not made.
+		c.fail(http.StatusBadGateway, "instance answered "+http.StatusText(res.Status)+" and did not say that it did not run the request")
+		return requestEnded
+	}
 	c.copyHeader(c.w.Header(), res.Header)
 	c.w.WriteHeader(res.Status)
 	c.outcome, c.status = outcomeAnswered, res.Status
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -201,10 +201,8 @@
 		return tryAnother
 	case sent && c.brokenStarts < maxBrokenStarts && c.reserveResend():
 		return tryAnother
-	case c.attempts.IsNotRun():
-		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
 	default:
-		c.fail(http.StatusBadGateway, c.reason)
+		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
 	}
 	return requestEnded
 }
@@ -231,18 +229,19 @@
 	}
 	c.logAttempt("not run", in, c.reason)
 	if c.attempts.NotRunAttempts() >= maxNotRunAttempts || !c.server.takeResend(c.service) {
-		if !c.attempts.IsNotRun() {
-			c.fail(http.StatusBadGateway, c.reason)
-			return requestEnded
-		}
 		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
 		return requestEnded
 	}
 	return tryAnother
 }
 
-// refuse answers that the request was not run or is not allowed; a zero retryAfter sends no Retry-After.
+// refuse answers that the request was not run or is not allowed, or that it failed if it may have
+// run; a zero retryAfter sends no Retry-After.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
+	if c.server.dialect.PromisesNotRun(status) && !c.attempts.IsNotRun() {
+		c.fail(http.StatusBadGateway, reason)
+		return
+	}
 	c.endWithError("refused", status, reason, retryAfter)
 }
 
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -90,12 +90,12 @@
 		return c.waitForModel(ctx)
 	}
 	if wait, ok := c.limitRetryAfter(); ok {
-		c.endWithoutInstance("instances are at their limits", max(defaultRetryAfter, wait))
+		c.refuse(http.StatusServiceUnavailable, "instances are at their limits", max(defaultRetryAfter, wait))
 		return false
 	}
 	next := c.server.tracker.untilNext(c.candidates())
 	if c.waited > plainServiceMaxWait || next > plainServiceMaxWait {
-		c.endWithoutInstance("no instance to try", max(defaultRetryAfter, next))
+		c.refuse(http.StatusServiceUnavailable, "no instance to try", max(defaultRetryAfter, next))
 		return false
 	}
 	// All instances have rejected the request or a connection; they may have capacity again after a short delay.
@@ -104,20 +104,11 @@
 	return !c.endIfExpired(ctx)
 }
 
-// endWithoutInstance ends a request for which no instance was found.
-func (c *call) endWithoutInstance(reason string, retryAfter time.Duration) {
-	if !c.attempts.IsNotRun() {
-		c.fail(http.StatusBadGateway, reason)
-		return
-	}
-	c.refuse(http.StatusServiceUnavailable, reason, retryAfter)
-}
-
 // waitForModel asks the planner for instances with the model loaded; false if the request has ended.
 func (c *call) waitForModel(ctx context.Context) bool {
 	remaining := time.Until(c.waitDeadline()) - servingReserve
 	if remaining <= 0 {
-		c.endWithoutInstance("no instance has the model in time", defaultRetryAfter)
+		c.refuse(http.StatusServiceUnavailable, "no instance has the model in time", defaultRetryAfter)
 		return false
 	}
 	askedAt := time.Now()
@@ -129,7 +120,7 @@
 	if err != nil {
 		c.plannerlessTime += time.Since(askedAt)
 		if c.plannerlessTime > maxPlannerlessTime {
-			c.endWithoutInstance("no planner: "+err.Error(), defaultRetryAfter)
+			c.refuse(http.StatusServiceUnavailable, "no planner: "+err.Error(), defaultRetryAfter)
 			return false
 		}
 		if !errors.As(err, &noPlanner) {
@@ -146,7 +137,7 @@
 		if wait, ok := c.limitRetryAfter(); ok {
 			found.Reason, found.ReadyIn = "instances are at their limits", wait
 		}
-		c.endWithoutInstance("model not loaded: "+found.Reason, max(defaultRetryAfter, found.ReadyIn))
+		c.refuse(http.StatusServiceUnavailable, "model not loaded: "+found.Reason, max(defaultRetryAfter, found.ReadyIn))
 		return false
 	}
 	c.server.tracker.setHolders(c.request.Target, append(found.Instances, c.overLimitHolders()...))
--- a/internal/front/proxy/trial.go
+++ b/internal/front/proxy/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"foxtailcroft/internal/core/site"
 )
@@ -17,7 +18,7 @@
 		return false
 	}
 	c.server.meters.GetOrCreateCounter("foxtailcroft_blocked_requests_total").Inc()
-	c.endWithoutInstance("prompt part "+blocked[0].ID+" crashes instances", blocked[0].Left)
+	c.refuse(http.StatusServiceUnavailable, "prompt part "+blocked[0].ID+" crashes instances", blocked[0].Left)
 	return true
 }
 
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"foxtailcroft/platform"
 	"foxtailcroft/platform/fake"
 )
 
@@ -24,18 +25,36 @@
 	requestCount atomic.Int64
 	idPrefix     string
 	mu           sync.Mutex
-	// refusedIDs lists the requests that got status 429 or 503, and atMostOnceIDs those that no server may run
+	// refusedIDs lists the requests that got a status which promises that they did not run, and atMostOnceIDs those that no server may run
 	// more than once.
 	refusedIDs    []string
 	atMostOnceIDs []string
 	violations    []string
 	// outcomes counts the requests by kind and status.
 	outcomes map[string]int
+	// subjects are the models, adapters and prompt parts that were asked for.
+	subjects map[string]*subject
 }
 
+// subject is a model, an adapter or a prompt part.
+type subject struct {
+	asked       int
+	served      bool
+	first, last time.Time
+}
+
+// A subject that is asked for minAsked times over minAskedSpan must be served at least once, but
+// for a few of them.
+const (
+	minAsked        = 4
+	minAskedSpan    = 8 * time.Second
+	starvedSlack    = 1
+	starvedPerSlack = 10
+)
+
 func newLoadGenerator(d *deployment, idPrefix string) *loadGenerator {
 	return &loadGenerator{
-		d: d, idPrefix: idPrefix, outcomes: map[string]int{},
+		d: d, idPrefix: idPrefix, outcomes: map[string]int{}, subjects: map[string]*subject{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
 }
@@ -114,7 +133,50 @@
 		c.atMostOnceIDs = append(c.atMostOnceIDs, id)
 		c.mu.Unlock()
 	}
-	return c.checkAnswer(req, kind, id)
+	served := c.checkAnswer(req, kind, id)
+	c.countSubjects(req.Header, served)
+	return served
+}
+
+// countSubjects counts a request for its model, its adapter and the last prompt part that it shares.
+func (c *loadGenerator) countSubjects(h http.Header, served bool) {
+	info := (platform.Dialect{}).DecodeRequest(h)
+	if info.Target.Model == "" || strings.Contains(info.ID, deadlyPart) {
+		return
+	}
+	names := []string{"model " + info.Target.Model, "part " + info.PromptParts[len(info.PromptParts)-2].ID}
+	if info.Target.Name != "" {
+		names = append(names, "adapter "+info.Target.Model+"/"+info.Target.Name)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, name := range names {
+		one := c.subjects[name]
+		if one == nil {
+			one = &subject{first: now}
+			c.subjects[name] = one
+		}
+		one.asked, one.served, one.last = one.asked+1, one.served || served, now
+	}
+}
+
+// checkSubjects returns a violation if too many subjects were never served; the caller holds the lock.
+func (c *loadGenerator) checkSubjects() []string {
+	asked, starved := 0, []string{}
+	for name, one := range c.subjects {
+		if one.asked < minAsked || one.last.Sub(one.first) < minAskedSpan {
+			continue
+		}
+		asked++
+		if !one.served {
+			starved = append(starved, fmt.Sprintf("%s (%d)", name, one.asked))
+		}
+	}
+	if len(starved) > starvedSlack+asked/starvedPerSlack {
+		return []string{fmt.Sprintf("%d of %d models, adapters and prompt parts were never served: %v", len(starved), asked, starved)}
+	}
+	return nil
 }
 
 // checkAnswer sends the request, counts its outcome and checks the answer.
@@ -128,7 +190,7 @@
 	_ = res.Body.Close()
 	c.countOutcome(fmt.Sprintf("%s %d", kind, res.StatusCode))
 	switch {
-	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests:
+	case (platform.Dialect{}).PromisesNotRun(res.StatusCode):
 		c.mu.Lock()
 		c.refusedIDs = append(c.refusedIDs, id)
 		c.mu.Unlock()
@@ -189,6 +251,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := append(append([]string{}, c.violations...), c.d.executionLog.Breaches()...)
+	found = append(found, c.checkSubjects()...)
 	for _, id := range c.atMostOnceIDs {
 		if runs := c.d.executionLog.Runs(id); len(runs) > 1 {
 			found = append(found, fmt.Sprintf("%s ran %d times: %+v", id, len(runs), runs))
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -25,7 +25,9 @@
 	delay     time.Duration
 	// silentToCaller drops only the bytes to the caller.
 	silentToCaller bool
-	group          conc.WaitGroup
+	// repeats sends a connection's last response once more, before the one to its next request.
+	repeats bool
+	group   conc.WaitGroup
 }
 
 // newProxy starts a proxy on a free loopback port.
@@ -63,23 +65,58 @@
 		p.mu.Lock()
 		p.openConns[in], p.openConns[out] = true, true
 		p.mu.Unlock()
-		p.group.Go(func() { p.copy(out, in, false) })
-		p.group.Go(func() { p.copy(in, out, true) })
+		last := &lastResponse{}
+		p.group.Go(func() { p.copy(out, in, last, false) })
+		p.group.Go(func() { p.copy(in, out, last, true) })
 	}
 }
 
+// lastResponse holds the bytes that went to the caller of a connection since its last request.
+type lastResponse struct {
+	mu    sync.Mutex
+	bytes []byte
+}
+
+// maxRepeatedBytes bounds a response that is sent once more.
+const maxRepeatedBytes = 4 << 10
+
+func (l *lastResponse) add(data []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.bytes)+len(data) <= maxRepeatedBytes {
+		l.bytes = append(l.bytes, data...)
+	}
+}
+
+func (l *lastResponse) take() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.bytes
+	l.bytes = nil
+	return out
+}
+
 // copy forwards the bytes of one direction until an end closes.
-func (p *proxy) copy(dst, src net.Conn, toCaller bool) {
+func (p *proxy) copy(dst, src net.Conn, last *lastResponse, toCaller bool) {
 	defer p.closeConns(dst, src)
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
 		p.mu.Lock()
-		drop, delay := p.silent || p.silentToCaller && toCaller, p.delay
+		drop, delay, repeats := p.silent || p.silentToCaller && toCaller, p.delay, p.repeats
 		p.mu.Unlock()
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		if n > 0 && toCaller {
+			last.add(buf[:n])
+		}
+		if n > 0 && !toCaller {
+			if response := last.take(); repeats && len(response) > 0 {
+				// The caller may have closed the connection.
+				_, _ = src.Write(response)
+			}
+		}
 		if n > 0 && !drop {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
@@ -134,7 +171,9 @@
 
 // clearFaults ends all faults of the proxy.
 func (p *proxy) clearFaults() {
-	p.update(func(p *proxy) { p.silent, p.refuseNew, p.silentToCaller, p.delay = false, false, false, 0 })
+	p.update(func(p *proxy) {
+		p.silent, p.refuseNew, p.silentToCaller, p.repeats, p.delay = false, false, false, false, 0
+	})
 }
 
 func (p *proxy) close() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,9 +29,13 @@
 	seedCount  = flag.Int("seeds", 2, "number of seeds to run")
 	firstSeed  = flag.Uint64("first", 1, "first seed")
 	faultTime  = flag.Duration("faults", 8*time.Second, "duration of the fault phase of each run")
+	frontBuild = flag.String("front", "", "front program to run, such as an earlier build; empty builds this tree")
 	frontCount = flag.Int("fronts", 3, "number of front processes in each run")
 )
 
+// regressionKinds is the number of kinds of faults that the seeds in regressions draw from.
+const regressionKinds = 16
+
 // regressions holds seeds that failed before, each with the cause. They always run.
 var regressions = []struct {
 	seed  uint64
@@ -44,23 +48,25 @@
 
 // TestSoak runs the regression seeds and the requested ones in parallel.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "foxtailcroft")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/foxtailcroft").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	var all []uint64
-	for _, r := range regressions {
-		all = append(all, r.seed)
-	}
-	for i := range *seedCount {
-		all = append(all, *firstSeed+uint64(i))
+	binary := *frontBuild
+	if binary == "" {
+		binary = filepath.Join(t.TempDir(), "foxtailcroft")
+		if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/foxtailcroft").CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, out)
+		}
 	}
-	for _, seed := range all {
+	run := func(seed uint64, kinds int) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed)
+			runSeed(t, binary, seed, kinds)
 		})
 	}
+	for _, r := range regressions {
+		run(r.seed, regressionKinds)
+	}
+	for i := range *seedCount {
+		run(*firstSeed+uint64(i), 0)
+	}
 }
 
 const (
@@ -75,8 +81,8 @@
 	maxLateDeadlyRuns = 3
 )
 
-// runSeed runs one deployment under load with the faults drawn from a seed.
-func runSeed(t *testing.T, binary string, seed uint64) {
+// runSeed runs one deployment under load with the faults drawn from a seed, of all kinds if kinds is 0.
+func runSeed(t *testing.T, binary string, seed uint64, kinds int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	dir := t.TempDir()
 	d := startDeployment(ctx, t, binary, dir, *frontCount)
@@ -91,7 +97,7 @@
 	for i := range callerCount {
 		group.Go(func() { load.run(loadCtx, seed*100+uint64(i)) })
 	}
-	injector := &faultInjector{d: d, rnd: rnd}
+	injector := &faultInjector{d: d, rnd: rnd, kinds: kinds}
 	end := time.Now().Add(*faultTime)
 	for time.Now().Before(end) {
 		injector.injectOne()
@@ -141,9 +147,11 @@
 
 // faultInjector draws random faults and injects them.
 type faultInjector struct {
-	d          *deployment
-	rnd        *rand.Rand
-	injected   []string
+	d        *deployment
+	rnd      *rand.Rand
+	injected []string
+	// kinds limits the faults to the first kinds, 0 for all.
+	kinds      int
 	group      conc.WaitGroup
 	newServers int
 }
@@ -172,6 +180,11 @@
 		{"server delays orders", func() {
 			h.d.setFaults(h.drawServer(), fake.Faults{LateOrders: 2, LateBy: time.Duration(h.rnd.IntN(2000)) * time.Millisecond})
 		}},
+		{"servers repeat their last responses", h.repeatResponses},
+		{"servers run requests and answer with the status of a rejection", h.misleadCallers},
+	}
+	if h.kinds > 0 {
+		faults = faults[:h.kinds]
 	}
 	fault := faults[h.rnd.IntN(len(faults))]
 	h.injected = append(h.injected, fault.name)
@@ -248,6 +261,27 @@
 	}[h.rnd.IntN(8)])
 }
 
+// repeatResponses lets half of the servers reject some requests, and send each connection's last
+// response once more.
+func (h *faultInjector) repeatResponses() {
+	for _, s := range h.d.liveServers() {
+		if h.rnd.IntN(2) == 0 {
+			h.d.setFaults(s, fake.Faults{RejectedAsFull: 10})
+			s.proxy.update(func(p *proxy) { p.repeats = true })
+		}
+	}
+}
+
+// misleadCallers lets half of the servers answer some of the requests that they run with a status
+// that promises the contrary.
+func (h *faultInjector) misleadCallers() {
+	for _, s := range h.d.liveServers() {
+		if h.rnd.IntN(2) == 0 {
+			h.d.setFaults(s, fake.Faults{MisleadingResponses: 10, MisleadingStatus: []int{408, 429, 503}[h.rnd.IntN(3)]})
+		}
+	}
+}
+
 // startPartCrashes lets requests with a prompt part crash model servers from now on.
 func (h *faultInjector) startPartCrashes() {
 	h.d.partCrashes.Store(true)
