front/proxy: only events follow the events of a stream

After a stream had broken off, an error's text stood in the middle of it, at times a whole head, or events came twice, and the stream ended as if it were complete. Cause: class 'bytes taken for what is expected there'. Change: a line that can't be a field of an event, data without an id after events with ids, and, in a resumed stream, an event that is not after the one to resume after, end the attempt as broken off.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -56,6 +56,8 @@
 	// answerBegan is true once the instance of the latest attempt has sent a part of its answer: the
 	// first whole event of a stream, or the head of another answer.
 	answerBegan bool
+	// resumedAfter is the ID of the event that the latest attempt resumes after, empty if it resumes none.
+	resumedAfter string
 	// attemptEvents counts the events of the latest attempt.
 	attemptEvents int
 	// brokenStarts counts the attempts that broke off after the head of the answer, before it was under way.
@@ -136,11 +138,14 @@
 	defer ended()
 	c.instanceID, c.instanceStatus, c.answerBegan, c.attemptEvents = in.ID, 0, false, 0
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
-	lastEvent := ""
-	if c.stream != nil {
-		lastEvent = c.stream.lastEventID
+	c.resumedAfter = ""
+	switch {
+	case c.stream != nil:
+		c.resumedAfter = c.stream.lastEventID
+	case c.route.Resumable:
+		c.resumedAfter = c.request.LastEventID
 	}
-	c.server.dialect.SetRequestHeaders(header, in.ID, time.Until(c.deadline), min(9, c.route.Priority), lastEvent)
+	c.server.dialect.SetRequestHeaders(header, in.ID, time.Until(c.deadline), min(9, c.route.Priority), c.resumedAfter)
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
 		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +60,9 @@
 			res.Finish(true)
 			return c.endStream(in, res)
 		}
+		if err == nil {
+			err = c.checkEvent(event, id)
+		}
 		if err != nil {
 			res.Finish(false)
 			return c.handleBrokenStream(ctx, in, err)
@@ -137,6 +142,53 @@
 	return c.handleFailure(true)
 }
 
+// checkEvent returns an error unless an event may be passed on: a response without a length may go
+// on with bytes that are no events, and an instance may ignore what it should resume after.
+func (c *call) checkEvent(event []byte, id string) error {
+	idsExpected := c.stream != nil && c.stream.lastEventID != ""
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.ContainsFunc(field, isNotInFieldName) || string(field) == "data" && id == "" && idsExpected {
+			return &malformedEventError{Line: string(line[:min(maxLoggedLineBytes, len(line))])}
+		}
+	}
+	last, lastErr := strconv.ParseUint(c.resumedAfter, 10, 64)
+	if n, err := strconv.ParseUint(id, 10, 64); err == nil && lastErr == nil && n <= last {
+		return &eventOrderError{ID: id, ResumedAfter: c.resumedAfter}
+	}
+	return nil
+}
+
+// isNotInFieldName reports whether a character can't be in the name of an event's field.
+func isNotInFieldName(r rune) bool {
+	return r != '-' && (r < 'a' || r > 'z')
+}
+
+// maxLoggedLineBytes bounds the part of a malformed line that an error shows.
+const maxLoggedLineBytes = 40
+
+// malformedEventError reports a line that can't be part of an event.
+type malformedEventError struct {
+	Line string
+}
+
+// Error returns a message with the beginning of the line.
+func (e *malformedEventError) Error() string {
+	return fmt.Sprintf("malformed event: %q", e.Line)
+}
+
+// eventOrderError reports an event of a resumed stream that doesn't come after the one to resume after.
+type eventOrderError struct {
+	ID           string
+	ResumedAfter string
+}
+
+// Error returns a message with both IDs.
+func (e *eventOrderError) Error() string {
+	return fmt.Sprintf("event %s in a stream resumed after event %s", e.ID, e.ResumedAfter)
+}
+
 // readEvent reads one event including its closing blank line, and its id, which is
 // empty if it has none. Bytes after the last complete event come with an error.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
