back/engine, back/plain: each call to a back end has a connection of its own

Seen by callers: an answer that belongs to another call; a refusal that says not run for a completion that the engine ran. Reported by operators of similar systems: a faulty server wrote an earlier response once more on a kept connection. Cause: class 'answers told apart by their order'. The agent's calls to engines, and those to plain services that may be repeated, shared net/http's pooled connections, and responses there name no call. Change: every call asks for its connection to be closed; one transport is left in place of two, and the transport no longer sends a call again by itself. What a connection a call costs on the path was not measured here; back ends are on the agent's machine.

--- a/cmd/foxtailcroft/agent.go
+++ b/cmd/foxtailcroft/agent.go
@@ -41,7 +41,7 @@
 		backs.Engine = engine.NewClient(settings.Engine.URL, transport())
 	} else {
 		node.Service = settings.Service.Name
-		client, err := plain.NewClient(settings.Service.URL, transport(), singleUseTransport())
+		client, err := plain.NewClient(settings.Service.URL, transport())
 		if err != nil {
 			return eris.Wrap(err, "service client")
 		}
--- a/cmd/foxtailcroft/transport.go
+++ b/cmd/foxtailcroft/transport.go
@@ -20,10 +20,3 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 }
-
-// singleUseTransport returns a transport that opens a new connection for each request.
-func singleUseTransport() *http.Transport {
-	t := transport()
-	t.DisableKeepAlives = true
-	return t
-}
--- a/internal/agent/worker/plain.go
+++ b/internal/agent/worker/plain.go
@@ -40,7 +40,7 @@
 	}
 	p := a.Run.Plain
 	answer, err := w.Plain.Do(ctx, plain.Call{
-		Method: p.Method, Path: p.Path, Query: p.Query, Header: p.Header, Body: a.Body, Idempotent: p.Idempotent,
+		Method: p.Method, Path: p.Path, Query: p.Query, Header: p.Header, Body: a.Body,
 	})
 	var notSent *plain.NotSent
 	switch {
--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -15,7 +15,8 @@
 	"foxtailcroft/internal/core/fault"
 )
 
-// Client is an HTTP client of one engine.
+// Client is an HTTP client of one engine. Each call has a connection of its own: an engine may
+// send a response a second time, and responses name no call.
 type Client struct {
 	base string
 	http *http.Client
@@ -131,6 +132,7 @@
 	if err != nil {
 		return Report{}, err
 	}
+	req.Close = true
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Report{}, &fault.Unavailable{Service: "engine", Err: err}
@@ -160,6 +162,7 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Close = true
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, &fault.Unavailable{Service: "engine", Err: err, MayHaveApplied: true}
--- a/internal/back/plain/plain.go
+++ b/internal/back/plain/plain.go
@@ -20,9 +20,6 @@
 	Query  string
 	Header http.Header
 	Body   []byte
-	// Idempotent allows a reused connection, on which the transport may
-	// resend the call.
-	Idempotent bool
 }
 
 // Answer is the complete response to a call.
@@ -78,18 +75,17 @@
 	bodyBlockBytes = 64 << 10
 )
 
-// Client calls a plain service over HTTP.
+// Client calls a plain service over HTTP. Each call has a connection of its own: the transport may
+// resend a call on a reused one, and a service may send a response a second time.
 type Client struct {
-	base   *url.URL
-	pooled *http.Client
-	fresh  *http.Client
+	base *url.URL
+	http *http.Client
 	// bodyMemory is the memory that is left for bodies that are being read.
 	bodyMemory *semaphore.Weighted
 }
 
-// NewClient returns a client of the service at the base URL. Idempotent calls use
-// pooled; others use fresh, which must not reuse connections.
-func NewClient(base string, pooled, fresh http.RoundTripper) (*Client, error) {
+// NewClient returns a client of the service at the base URL.
+func NewClient(base string, transport http.RoundTripper) (*Client, error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, err
@@ -97,8 +93,7 @@
 	stop := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:       u,
-		pooled:     &http.Client{Transport: pooled, CheckRedirect: stop},
-		fresh:      &http.Client{Transport: fresh, CheckRedirect: stop},
+		http:       &http.Client{Transport: transport, CheckRedirect: stop},
 		bodyMemory: semaphore.NewWeighted(maxBufferedBytes),
 	}, nil
 }
@@ -115,15 +110,12 @@
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
-	client := c.fresh
-	if call.Idempotent {
-		client = c.pooled
-	}
+	req.Close = true
 	if len(call.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.ContentLength = int64(len(call.Body))
 	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
--- a/internal/back/plain/plain_test.go
+++ b/internal/back/plain/plain_test.go
@@ -36,7 +36,7 @@
 			<-ended
 		}))
 		transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) }}
-		client, err := NewClient("http://10.0.0.1:80", transport, transport)
+		client, err := NewClient("http://10.0.0.1:80", transport)
 		g.Expect(err).NotTo(HaveOccurred())
 		var group conc.WaitGroup
 		var failed atomic.Int32
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -179,13 +179,10 @@
 		URL: url, MemoryBytes: d.settings.Engine.MemoryBytes, ChecksFence: d.settings.Engine.CheckFence,
 		ReportLag: kinds.Duration(d.settings.Engine.MaxReportAge), OrderTimeout: kinds.Duration(time.Minute),
 	}
-	d.runAgent(settings, o, agent.BackEnds{Engine: engine.NewClient(url, &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns})})
+	d.runAgent(settings, o, agent.BackEnds{Engine: engine.NewClient(url, &http.Transport{})})
 	return nil
 }
 
-// maxIdleEngineConns is the maximum number of idle connections from an agent to its engine.
-const maxIdleEngineConns = 64
-
 func (d *Deployment) startService(name string, i int) error {
 	url, err := d.serveHTTP("StandinService", svcsim.New(name, d.RunLogs[name]).Handler())
 	if err != nil {
@@ -197,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := plain.NewClient(url, &http.Transport{}, &http.Transport{DisableKeepAlives: true})
+	client, err := plain.NewClient(url, &http.Transport{})
 	if err != nil {
 		return err
 	}
--- a/test/contract/back_test.go
+++ b/test/contract/back_test.go
@@ -182,7 +182,7 @@
 	}
 
 	It("returns NotSent when the connection fails before the call is sent", func() {
-		c, err := plain.NewClient("http://127.0.0.1:1", &http.Transport{}, &http.Transport{DisableKeepAlives: true})
+		c, err := plain.NewClient("http://127.0.0.1:1", &http.Transport{})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = c.Do(context.Background(), plain.Call{Method: http.MethodPost, Path: "/"})
 		var notSent *plain.NotSent
--- a/test/contract/contract_test.go
+++ b/test/contract/contract_test.go
@@ -79,7 +79,7 @@
 	return map[string]func(*svcsim.Endpoint) plain.Service{
 		"stand-in in process": func(s *svcsim.Endpoint) plain.Service { return s },
 		"HTTP client": func(s *svcsim.Endpoint) plain.Service {
-			c, err := plain.NewClient(serve(s.Handler()), &http.Transport{}, &http.Transport{DisableKeepAlives: true})
+			c, err := plain.NewClient(serve(s.Handler()), &http.Transport{})
 			Expect(err).NotTo(HaveOccurred())
 			return c
 		},
--- a/test/proofs/silent_test.go
+++ b/test/proofs/silent_test.go
@@ -116,9 +116,7 @@
 		s := svcsim.New("desk", runLog)
 		s.SetFaults(svcsim.Faults{Delay: 500 * time.Millisecond})
 		withFaultyNetwork(t, s.Handler(), func(g *WithT, f *faultyNetwork, transport func() *http.Transport) {
-			noReuse := transport()
-			noReuse.DisableKeepAlives = true
-			c, err := plain.NewClient("http://standin", transport(), noReuse)
+			c, err := plain.NewClient("http://standin", transport())
 			g.Expect(err).NotTo(HaveOccurred())
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
