entry/caller: services can't state that a call did not run

Seen by callers: X-Not-Run: true on the answer to a call that had run. Cause: as in, a statement that is the system's to make was taken over: a service's headers were passed on, X-Not-Run among them. Change: headers of answers that only the entry may set are dropped. Evidence: TestServiceCannotStateThatACallDidNotRun failed before.

--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -27,6 +27,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
+// ownHeaders are the headers of answers that only the entry may set.
+var ownHeaders = []string{headerNotRun, headerReplayed, headerColdStart, headerEndpoint}
+
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 	began := time.Now()
 	req, err := s.parseService(w, r, ps.ByName("name"), ps.ByName("path"))
@@ -116,7 +119,9 @@
 func (a *serviceAnswer) write(w http.ResponseWriter, id string, res calls.Result) {
 	h := w.Header()
 	for k, v := range endToEndHeaders(a.head.Header) {
-		h[k] = v
+		if !slices.Contains(ownHeaders, k) {
+			h[k] = v
+		}
 	}
 	h.Set(headerRequestID, id)
 	h.Set(headerEndpoint, res.Endpoint)
