front/ident, plat/follow: servers that restart while the store is away are found

Models and adapters were refused for as long as the store was away: 'instance did not run it: Misdirected Request', 'model not loaded'. A model server that crashes comes back empty under a new id at its address. Fronts name the instance they know in each request, so it rejects all of them, and the planner drops reports with another birth, so it loads nothing there; only the store tells who the new one is. Change: while the store is away, an instance that rejects a request for another one, or reports another birth, is asked who it is. If its report can only come from the same service, it takes the old one's place, at all fronts with their next usage reports, until the store has been back for the time in which servers announce themselves. An instance in whose place another one answers gets no requests for 2 s.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -87,6 +87,10 @@
 	// Leaving are the instances that have said in answers that they leave.
 	Leaving  []site.InstanceKey
 	Evidence EvidenceReport
+	// Successors are those that the front has learned of since its last report, and SuccessorsAfter
+	// names the newest that it has from the planner.
+	Successors      []follow.Successor
+	SuccessorsAfter follow.Cursor
 }
 
 // Evidence is a crash record or a harmless prompt part that the store has not taken, under the
@@ -167,6 +171,9 @@
 	// Leaving are the instances that have said in answers that they leave.
 	Leaving  []site.InstanceKey
 	Evidence EvidenceReply
+	// Successors are those that the planner has learned of after the cursor in the report.
+	Successors     []follow.Successor
+	SuccessorsNext follow.Cursor
 }
 
 // PendingLoad is a model that an instance is loading; In is the expected time until it
@@ -246,7 +253,11 @@
 		for _, k := range u.Leaving {
 			f.MarkDraining(k)
 		}
+		for _, x := range u.Successors {
+			f.AddSuccessor(x)
+		}
 		status := h.Planner.ApplyUsage(u)
+		status.Successors, status.SuccessorsNext = f.SuccessorsAfter(u.SuccessorsAfter)
 		status.Leaving = f.MarkedDraining()
 		status.Evidence = h.Evidence.Exchange(u.Evidence, f.Unavailable(evidenceHold))
 		return status
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -225,7 +225,11 @@
 	res.Discard()
 	c.reason = "instance did not run it: " + http.StatusText(res.Status)
 	load, hasLoad := c.server.dialect.DecodeLoad(res.Header)
+	sender := c.server.dialect.DecodeInstance(res.Header)
 	switch {
+	case res.Status == http.StatusMisdirectedRequest && sender != "" && sender != in.ID:
+		c.server.tracker.exclude(in.InstanceKey, replacedInstanceExclusion)
+		c.server.identities.Suspect(in)
 	case res.Status == http.StatusMisdirectedRequest, c.needsLoadedModel() && hasLoad && load.Running < load.ConcurrentRequests:
 		// The model is absent or being unloaded: the instance says so, or rejects the request although it has free slots.
 		c.server.tracker.recordAbsence(in.InstanceKey, c.request.Target)
--- a/internal/front/proxy/leaving_test.go
+++ b/internal/front/proxy/leaving_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -41,3 +42,24 @@
 		})
 	}
 }
+
+// TestInstanceReplacedByAnotherGetsNoMoreRequests lets another instance answer at a known address.
+func TestInstanceReplacedByAnotherGetsNoMoreRequests(t *testing.T) {
+	withProxy(t, 2, func(r *harness) {
+		r.stopServer["10.0.0.1:80"]()
+		arrivals := 0
+		r.net.Serve("10.0.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			arrivals++
+			w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+			w.Header().Set("Instance-Id", "other-1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}))
+		for i := range 20 {
+			w, _ := r.send(r.t.Context(), "/unsafe/x", fmt.Sprint("id-", i))
+			r.g.Expect(w.Code).To(Equal(http.StatusOK))
+			time.Sleep(50 * time.Millisecond)
+		}
+		r.g.Expect(arrivals).To(Equal(1), "within %s", replacedInstanceExclusion)
+		r.g.Expect(r.suspected).To(Equal([]string{"plain-1"}))
+	})
+}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -49,12 +49,14 @@
 	trialDue     bool
 	trials       []string
 	trialsBroken []bool
-	watchMu      sync.Mutex
-	broken       []brokenAttempt
-	underWay     []int
-	schedule     pace.Schedule
-	log          *bytes.Buffer
-	group        conc.WaitGroup
+	// suspected are the instances in whose place others answered.
+	suspected []string
+	watchMu   sync.Mutex
+	broken    []brokenAttempt
+	underWay  []int
+	schedule  pace.Schedule
+	log       *bytes.Buffer
+	group     conc.WaitGroup
 }
 
 // brokenAttempt is an attempt that broke off before its answer was under way.
@@ -95,6 +97,12 @@
 	return wait, ok
 }
 
+func (r *harness) Suspect(in site.Instance) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	r.suspected = append(r.suspected, in.ID)
+}
+
 func (r *harness) RecordBroken(in site.Instance, prompt []site.PromptPart, started bool) {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
@@ -161,7 +169,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r}, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r}, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -43,6 +43,8 @@
 	ReportsNotRun(status int, h http.Header) bool
 	// PromisesNotRun reports whether a status tells callers that their request has not run and never will.
 	PromisesNotRun(status int) bool
+	// DecodeInstance decodes the instance that an answer names as its sender; empty if it names none.
+	DecodeInstance(h http.Header) string
 	// SaysLeaving reports whether the instance states that it leaves.
 	SaysLeaving(h http.Header) bool
 	// DecodeRetryAfter decodes for how long the instance wants no requests from this front; 0 if it names no time.
@@ -81,11 +83,17 @@
 	Reserve(ctx context.Context, k site.InstanceKey, perSecond float64, maxWait time.Duration) (wait time.Duration, ok bool)
 }
 
+// IdentityFinder finds out which instance runs at an address in place of the one that the view names.
+type IdentityFinder interface {
+	Suspect(in site.Instance)
+}
+
 // Helpers decide together with other fronts.
 type Helpers struct {
-	Finder  InstanceFinder
-	Crashes CrashWatch
-	Pacer   Pacer
+	Finder     InstanceFinder
+	Crashes    CrashWatch
+	Pacer      Pacer
+	Identities IdentityFinder
 }
 
 // StateSource returns the newest known state of the deployment.
@@ -104,6 +112,7 @@
 	finder      InstanceFinder
 	crashes     CrashWatch
 	pacer       Pacer
+	identities  IdentityFinder
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
@@ -126,7 +135,7 @@
 	stopped, endAll := context.WithCancel(context.Background())
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, tracker: newInstanceTracker(),
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -242,6 +242,8 @@
 const (
 	// refusedConnectionExclusion is how long no request is sent to an instance after it refused a connection.
 	refusedConnectionExclusion = 700 * time.Millisecond
+	// replacedInstanceExclusion is how long no request is sent to an instance after another one answered at its address.
+	replacedInstanceExclusion = 2 * time.Second
 	// fullInstanceExclusion is how long no request is sent to an instance after it rejected one because it is full.
 	fullInstanceExclusion = 60 * time.Millisecond
 )
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -66,8 +67,10 @@
 	candidate *Candidate
 	state     func() *follow.State
 	client    *serverClient
-	log       *zap.SugaredLogger
-	group     *tasks.Group
+	// identities is nil if nothing finds out what has replaced a server.
+	identities IdentityFinder
+	log        *zap.SugaredLogger
+	group      *tasks.Group
 
 	mu sync.Mutex
 	// fence is the fencing token of this front's last term as the planner.
@@ -328,9 +331,22 @@
 	p.wake()
 }
 
+// IdentityFinder finds out which instance runs at an address in place of the one that the view names.
+type IdentityFinder interface {
+	Suspect(in site.Instance)
+}
+
+// SetIdentities sets the finder of replaced servers; call it before Run.
+func (p *Planner) SetIdentities(f IdentityFinder) {
+	p.identities = f
+}
+
 // markLost marks a server as unreachable or replaced, so that it gets no orders.
 // The caller must hold p.mu.
 func (p *Planner) markLost(s *server, err error) {
+	if errors.Is(err, errReplaced) && p.identities != nil {
+		p.identities.Suspect(s.inst)
+	}
 	if !s.lost {
 		p.log.Warnw("server lost", "Instance", s.inst.ID, "Born", s.inst.Born, "Error", err.Error())
 		s.lost = true
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -16,6 +16,7 @@
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
+	"foxtailcroft/internal/front/ident"
 	"foxtailcroft/internal/front/pacer"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/proxy"
@@ -29,6 +30,7 @@
 type Dialect interface {
 	proxy.Dialect
 	sched.Dialect
+	ident.Dialect
 	follow.Decoder
 }
 
@@ -94,6 +96,8 @@
 	planner, closePlanner := sched.New(sched.Settings{
 		Node: settings.Node.Name, ChecksFence: settings.ChecksFence, LoadWindow: settings.Bounds.LoadWindow, HandoverDelay: settings.Bounds.Lease,
 	}, candidate, follower.State, pool, o.Dialect, o.Metrics, log.Named("Planner"))
+	identities, closeIdentities := ident.New(follower, pool, o.Dialect, log.Named("Identity"))
+	planner.SetIdentities(identities)
 	mux := peer.NewMux()
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
@@ -107,7 +111,7 @@
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")),
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = newCallerServer(f.reverseProxy, follower)
@@ -115,6 +119,7 @@
 		closeLinks()
 		closeCrashes()
 		closePlanner()
+		closeIdentities()
 		closePool()
 	}
 }
@@ -176,6 +181,9 @@
 func (f *Front) reportUsage(ctx context.Context) {
 	var reportedFence int64
 	var reportedAt time.Time
+	// sent names the newest successor that the planner has from this front, and received the newest
+	// that this front has from the planner.
+	var sent, received follow.Cursor
 	for f.awaitReport(ctx) {
 		planner := f.follower.State().Planner
 		if planner == nil {
@@ -184,9 +192,15 @@
 		isNewPlanner := planner.FencingToken != reportedFence
 		usage := f.reverseProxy.TakeUsage(isNewPlanner)
 		usage.Leaving, usage.Evidence = f.follower.MarkedDraining(), f.crashes.Evidence()
+		if isNewPlanner {
+			sent, received = follow.Cursor{}, follow.Cursor{}
+		}
+		var next follow.Cursor
+		usage.Successors, next = f.follower.SuccessorsAfter(sent)
+		usage.SuccessorsAfter = received
 		reportedFence = planner.FencingToken
 		if !isNewPlanner && len(usage.Uses) == 0 && len(usage.Asked) == 0 && len(usage.Pauses) == 0 && len(usage.Limits) == 0 && len(usage.Leaving) == 0 &&
-			len(usage.Evidence.New) == 0 && usage.Evidence.Epoch == "" && !f.follower.Unavailable(0) && time.Since(reportedAt) < idleReportInterval {
+			len(usage.Evidence.New) == 0 && len(usage.Successors) == 0 && usage.Evidence.Epoch == "" && !f.follower.Unavailable(0) && time.Since(reportedAt) < idleReportInterval {
 			continue
 		}
 		reportedAt = time.Now()
@@ -201,6 +215,10 @@
 		for _, k := range status.Leaving {
 			f.follower.MarkDraining(k)
 		}
+		for _, x := range status.Successors {
+			f.follower.AddSuccessor(x)
+		}
+		sent, received = next, status.SuccessorsNext
 		f.crashes.ApplyEvidence(status.Evidence)
 		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -82,6 +82,10 @@
 	missing map[string]int64
 	// leaving holds the instances that have told callers that they leave; updateMu guards it.
 	leaving map[site.InstanceKey]bool
+	// successors are the incarnations found while the store was away, in the order in which they were
+	// found, and forgottenSuccessors counts those of earlier outages; updateMu guards both.
+	successors          []Successor
+	forgottenSuccessors int64
 }
 
 // Delays holds the delays that a deployment configures.
@@ -282,7 +286,7 @@
 	}
 }
 
-// RunMissingCheck removes instances that did not announce themselves again after an outage.
+// RunMissingCheck removes instances that did not announce themselves after an outage.
 func (f *Follower) RunMissingCheck(ctx context.Context) {
 	for sleep.For(ctx, missingCheckInterval) {
 		if f.Unavailable(f.delays.ReturnGrace) {
@@ -296,9 +300,10 @@
 				}
 				delete(f.missing, key)
 			}
-			if len(keys) == len(old.Keys) {
+			if len(keys) == len(old.Keys) && len(f.successors) == 0 {
 				return old
 			}
+			f.forgetSuccessors()
 			return f.deriveState(old, keys, old.Revision)
 		})
 	}
@@ -415,7 +420,7 @@
 	}
 	for _, in := range old.Instances {
 		key := f.layout.InstancePrefix + in.ID
-		if _, ok := keys[key]; ok || in.Draining {
+		if _, ok := keys[key]; ok || in.Draining || isSuccessor(in) {
 			continue
 		}
 		keys[key] = old.Keys[key]
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -98,6 +98,7 @@
 			}
 		}
 	}
+	f.applySuccessors(old, s)
 	if kv, ok := keys[PlannerKey]; ok {
 		var front Front
 		if err := json.Unmarshal(kv.Value, &front); err == nil {
