front/ident: an instance names itself in answers to health checks

Change: the ID comes from the answer to a health check, birth and models from the report. A successor is put into the view at once and kept there, where the old announcement was read again, and logged, with each change.

--- a/internal/front/ident/finder.go
+++ b/internal/front/ident/finder.go
@@ -29,8 +29,11 @@
 
 // Dialect encodes inquiries and decodes the replies.
 type Dialect interface {
-	// IdentityRequest returns a request for a server's report that only one instance answers.
-	IdentityRequest(address, instance string) (*http.Request, error)
+	// IdentityRequest returns a request whose response names the instance that answers at an
+	// address; expected is the one that is known there.
+	IdentityRequest(address, healthPath, expected string) (*http.Request, error)
+	// ReportRequest returns the request for a server's report.
+	ReportRequest(address string) (*http.Request, error)
 	// DecodeInstance decodes the instance that a response names as its sender; empty if it names none.
 	DecodeInstance(h http.Header) string
 	Report(data []byte) (site.ServerReport, error)
@@ -112,55 +115,78 @@
 
 // identify returns the incarnation at an instance's address, provided that it belongs to the same service.
 func (f *Finder) identify(ctx context.Context, in site.Instance) (site.InstanceKey, error) {
-	id := in.ID
-	report, other, err := f.ask(ctx, in, id)
-	if err == nil && other != "" && other != id {
-		id = other
-		report, _, err = f.ask(ctx, in, id)
+	id, err := f.askIdentity(ctx, in)
+	if err != nil {
+		return site.InstanceKey{}, err
 	}
+	report, err := f.askReport(ctx, in)
 	switch {
 	case err != nil:
 		return site.InstanceKey{}, err
-	case report == nil:
-		return site.InstanceKey{}, fmt.Errorf("no report from instance %q", id)
-	case id == in.ID && report.Born == 0:
-		return in.InstanceKey, nil
 	case !isOfService(f.view.State().Document, in.Service, report):
 		return site.InstanceKey{}, errUnknownService
+	case id == in.ID && report.Born == 0:
+		return in.InstanceKey, nil
 	}
 	return site.InstanceKey{ID: id, Born: report.Born}, nil
 }
 
-// ask asks an instance for its report at an address; if another instance answers, it returns that one's ID.
-func (f *Finder) ask(ctx context.Context, in site.Instance, id string) (report *site.ServerReport, other string, err error) {
-	req, err := f.dialect.IdentityRequest(in.Address, id)
+// errUnnamed reports a response that names no instance.
+var errUnnamed = errors.New("the response names no instance")
+
+// askIdentity returns the ID of the instance at an address.
+func (f *Finder) askIdentity(ctx context.Context, in site.Instance) (string, error) {
+	doc := f.view.State().Document
+	if doc == nil || doc.Services[in.Service] == nil || doc.Services[in.Service].HealthPath == "" {
+		return "", errUnnamed
+	}
+	req, err := f.dialect.IdentityRequest(in.Address, doc.Services[in.Service].HealthPath, in.ID)
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
-	res, err := f.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
-		Method: req.Method, URI: req.URL.RequestURI(), Host: in.Address, Header: req.Header, NewConnection: true,
-	})
+	res, _, err := f.send(ctx, in, req)
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
-	defer res.Finish(false)
-	if res.Status == http.StatusMisdirectedRequest {
-		return nil, f.dialect.DecodeInstance(res.Header), nil
+	id := f.dialect.DecodeInstance(res.Header)
+	if id == "" {
+		return "", errUnnamed
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	return id, nil
+}
+
+// askReport returns the report of the instance at an address.
+func (f *Finder) askReport(ctx context.Context, in site.Instance) (site.ServerReport, error) {
+	req, err := f.dialect.ReportRequest(in.Address)
+	if err != nil {
+		return site.ServerReport{}, err
+	}
+	res, body, err := f.send(ctx, in, req)
 	if err != nil {
-		return nil, "", err
+		return site.ServerReport{}, err
+	}
+	if res.Status != http.StatusOK || !f.dialect.IsReport(body) {
+		return site.ServerReport{}, fmt.Errorf("status %d without a report", res.Status)
 	}
-	if res.Status != http.StatusOK || !f.dialect.IsReport(data) {
-		return nil, "", fmt.Errorf("status %d without a report", res.Status)
+	return f.dialect.Report(body)
+}
+
+// send sends a request over a connection of its own and returns the response with its body read.
+func (f *Finder) send(ctx context.Context, in site.Instance, req *http.Request) (*conns.Response, []byte, error) {
+	res, err := f.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
+		Method: req.Method, URI: req.URL.RequestURI(), Host: in.Address, Header: req.Header, NewConnection: true,
+	})
+	if err != nil {
+		return nil, nil, err
 	}
-	r, err := f.dialect.Report(data)
-	return &r, "", err
+	defer res.Finish(false)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	return res, body, err
 }
 
 // isOfService reports whether a report can only come from an instance of a service: it is the only
 // one whose instances report, or the only one that has the models in the report.
-func isOfService(doc *site.Document, service string, r *site.ServerReport) bool {
+func isOfService(doc *site.Document, service string, r site.ServerReport) bool {
 	if doc == nil {
 		return false
 	}
--- a/internal/front/proxy/leaving_test.go
+++ b/internal/front/proxy/leaving_test.go
@@ -46,6 +46,11 @@
 // TestInstanceReplacedByAnotherGetsNoMoreRequests lets another instance answer at a known address.
 func TestInstanceReplacedByAnotherGetsNoMoreRequests(t *testing.T) {
 	withProxy(t, 2, func(r *harness) {
+		// The first server is nearer, so that requests choose it.
+		r.proxy.settings.Node.Domain = "a"
+		other := r.state.Instances["plain-2"]
+		other.Domain = "b"
+		r.state.Instances["plain-2"] = other
 		r.stopServer["10.0.0.1:80"]()
 		arrivals := 0
 		r.net.Serve("10.0.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/node/front/restarted_test.go
+++ b/internal/node/front/restarted_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,13 +31,15 @@
 		engines int
 		// loaded tells that the second incarnations hold their models at once.
 		loaded bool
-		served bool
+		// underLoad tells that requests with a common prompt part are in flight at all servers as they crash.
+		underLoad bool
+		served    bool
 	}{
-		{"under new ids", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 1, false, true},
-		{"under their ids", func(n int) string { return fmt.Sprintf("i-%d", n) }, false, 1, false, true},
-		{"under new ids with models, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, true, true},
-		{"under new ids, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, false, false},
-		{"of another service", func(n int) string { return fmt.Sprintf("new-%d", n) }, true, 1, false, false},
+		{"under new ids", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 1, false, false, true},
+		{"under their ids", func(n int) string { return fmt.Sprintf("i-%d", n) }, false, 1, false, false, true},
+		{"under new ids with models, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, true, false, true},
+		{"under new ids, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, false, false, false},
+		{"of another service", func(n int) string { return fmt.Sprintf("new-%d", n) }, true, 1, false, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
@@ -47,7 +49,7 @@
 					for m := range models {
 						list = append(list, fmt.Sprintf(`{"name":"%s%d","weightsMb":70000,"loadS":1}`, prefix, m))
 					}
-					return fmt.Sprintf(`{"name":"%s","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":4,"models":[%s]}}`, service, strings.Join(list, ","))
+					return fmt.Sprintf(`{"name":"%s","health":"/health","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":4,"models":[%s]}}`, service, strings.Join(list, ","))
 				}
 				services := []string{engine("llm", "m"), `{"name":"desk"}`, engine("other", "x")}[:c.engines+1]
 				r.writeKey(platform.DocumentKey, `{"version":1,"routes":[
@@ -69,6 +71,9 @@
 						ID: id, Born: born, Service: service, Address: address, Zone: "a", Slots: 64, EventTime: 20 * time.Millisecond,
 						Sizes: sizes, WeightsMb: 220000, AdapterSlots: 8, LoadTime: 500 * time.Millisecond, ChecksFence: true,
 					}, r.executions, announce, held...)
+					if c.underLoad {
+						s.SetFaults(fake.Faults{FirstByteDelay: 400 * time.Millisecond})
+					}
 					announce()
 					return r.net.Serve(address, s)
 				}
@@ -85,6 +90,12 @@
 				time.Sleep(4 * time.Second)
 				r.store.SetRejectStatus(http.StatusServiceUnavailable)
 				time.Sleep(time.Second)
+				if c.underLoad {
+					for n := range 4 * servers {
+						r.clients.Go(func() { r.requestModel(fronts[n%len(fronts)], fmt.Sprintf("crash-%d", n), held(n)) })
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
 				for n := range servers {
 					stops[n]()
 				}
@@ -103,20 +114,23 @@
 				backAt := time.Now()
 				served := map[string]int{}
 				for n := 0; time.Since(backAt) < recoveryTime+judgedTime; n++ {
-					model := held(n)
-					id := fmt.Sprintf("late-%d", n)
-					if r.requestModel(fronts[n%len(fronts)], id, model) && time.Since(backAt) > recoveryTime {
-						served[model]++
-					}
+					r.clients.Go(func() {
+						model, sentAt := held(n), time.Now()
+						if r.requestModel(fronts[n%len(fronts)], fmt.Sprintf("late-%d", n), model) && sentAt.Sub(backAt) > recoveryTime {
+							r.mu.Lock()
+							served[model]++
+							r.mu.Unlock()
+						}
+					})
 					time.Sleep(soundPause)
 				}
+				r.clients.Wait()
 				if c.served {
 					for m := range models {
 						r.g.Expect(served[fmt.Sprintf("m%d", m)]).To(BeNumerically(">=", 10), "requests served for model m%d", m)
 					}
 				}
 				r.store.SetRejectStatus(0)
-				r.clients.Wait()
 			})
 		})
 	}
@@ -130,6 +144,8 @@
 		case expect != "" && expect != id:
 			w.Header().Set("Instance-Id", id)
 			w.WriteHeader(http.StatusMisdirectedRequest)
+		case req.URL.Path == "/health":
+			w.Header().Set("Instance-Id", id)
 		case request == "":
 			w.WriteHeader(http.StatusBadRequest)
 		default:
@@ -150,6 +166,7 @@
 	if err != nil {
 		return false
 	}
-	defer res.Body.Close()
-	return res.StatusCode == http.StatusOK && slices.Contains(res.Header["Request-Id"], id)
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return err == nil && res.StatusCode == http.StatusOK
 }
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -83,9 +83,11 @@
 	// leaving holds the instances that have told callers that they leave; updateMu guards it.
 	leaving map[site.InstanceKey]bool
 	// successors are the incarnations found while the store was away, in the order in which they were
-	// found, and forgottenSuccessors counts those of earlier outages; updateMu guards both.
+	// found, and forgottenSuccessors counts those of earlier outages; superseded gives the revisions of
+	// the announcements of the instances that they replace, by ID. updateMu guards all three.
 	successors          []Successor
 	forgottenSuccessors int64
+	superseded          map[string]int64
 }
 
 // Delays holds the delays that a deployment configures.
@@ -98,7 +100,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, epoch: uuid.NewString()}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, epoch: uuid.NewString()}
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
 }
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -98,7 +98,7 @@
 			}
 		}
 	}
-	f.applySuccessors(old, s)
+	f.keepSuccessors(old, s)
 	if kv, ok := keys[PlannerKey]; ok {
 		var front Front
 		if err := json.Unmarshal(kv.Value, &front); err == nil {
@@ -129,6 +129,9 @@
 
 func (f *Follower) decodeInstance(old, s *State, kv store.KV) {
 	id := strings.TrimPrefix(kv.Key, f.layout.InstancePrefix)
+	if f.isSuperseded(id, kv.Revision) {
+		return
+	}
 	before, known := old.Instances[id]
 	if known && before.Revision == kv.Revision {
 		before.Draining = before.Draining || f.leaving[before.InstanceKey]
--- a/internal/plat/follow/successor.go
+++ b/internal/plat/follow/successor.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"maps"
 	"slices"
 
 	"foxtailcroft/internal/core/site"
@@ -23,9 +24,21 @@
 		if !f.mayReplace(x) {
 			return old
 		}
+		in := old.Instances[x.Old.ID]
+		if !isSuccessor(in) {
+			f.superseded[in.ID] = in.Revision
+		}
 		f.successors = append(f.successors, x)
+		s := *old
+		s.Instances, s.replaced = maps.Clone(old.Instances), make(chan struct{})
+		delete(s.Instances, x.Old.ID)
+		if _, announced := s.Instances[x.New.ID]; !announced {
+			in.InstanceKey, in.Models, in.Revision = x.New, nil, 0
+			in.Draining = f.leaving[x.New]
+			s.Instances[x.New.ID] = in
+		}
 		f.log.Infow("instance replaced while the store is away", "Instance", x.Old.ID, "Born", x.Old.Born, "By", x.New.ID, "ByBorn", x.New.Born)
-		return f.deriveState(old, old.Keys, old.Revision)
+		return &s
 	})
 }
 
@@ -47,24 +60,25 @@
 	return slices.Clone(f.successors[first:]), next
 }
 
-// applySuccessors replaces instances of a state by their successors, in the order in which they were found.
-func (f *Follower) applySuccessors(old, s *State) {
-	for _, x := range f.successors {
-		in, ok := s.Instances[x.Old.ID]
-		if ok && in.InstanceKey == x.Old {
-			delete(s.Instances, x.Old.ID)
-		} else if in, ok = old.Instances[x.New.ID]; !ok || in.InstanceKey != x.New || !isSuccessor(in) {
-			continue
-		}
-		if _, announced := s.Instances[x.New.ID]; announced {
-			continue
+// keepSuccessors adds the successors of the old state that have no announcement to a new one.
+func (f *Follower) keepSuccessors(old, s *State) {
+	if len(f.successors) == 0 {
+		return
+	}
+	for id, in := range old.Instances {
+		if _, announced := s.Instances[id]; !announced && isSuccessor(in) {
+			in.Draining = in.Draining || f.leaving[in.InstanceKey]
+			s.Instances[id] = in
 		}
-		in.InstanceKey, in.Models, in.Revision = x.New, nil, 0
-		in.Draining = in.Draining || f.leaving[x.New]
-		s.Instances[x.New.ID] = in
 	}
 }
 
+// isSuperseded reports whether an announcement is that of an instance with a successor.
+func (f *Follower) isSuperseded(id string, revision int64) bool {
+	known, ok := f.superseded[id]
+	return ok && known == revision
+}
+
 // isSuccessor reports whether an instance of the view has no announcement and is there as a successor.
 func isSuccessor(in site.Instance) bool {
 	return in.Revision == 0
@@ -75,4 +89,5 @@
 func (f *Follower) forgetSuccessors() {
 	f.forgottenSuccessors += int64(len(f.successors))
 	f.successors = nil
+	clear(f.superseded)
 }
