front/crash: trials of blocked prompt parts go on without the store

Seen by callers: STARVED. Cause: a trial of a blocked part was claimed in the store alone, and an answer that cleared a part whose crashes the store has was told to the store alone. Change: while the store is away, trials are claimed at the planner, under the numbers of the evidence that it collects, by the same rules as in the store; what clears a part reaches it as well. Where it isn't in reach either, one of the known fronts tries the part by itself, with the same growing delays. TestOneFrontAtATime... holds with the store away, too.

--- a/internal/front/crash/collect.go
+++ b/internal/front/crash/collect.go
@@ -66,6 +66,21 @@
 	return reply
 }
 
+// Claim collects evidence under a key if nothing but what the claiming front knows has been
+// collected there. While the store answers, no claim is taken.
+func (c *Collector) Claim(r peers.EvidenceClaim, storeAway bool) peers.EvidenceClaimReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.items[r.Evidence.Key]
+	if !storeAway || c.epoch == "" || r.Epoch != c.epoch || known.Number != r.Evidence.Number || !ok && len(c.items) >= maxCollected {
+		return peers.EvidenceClaimReply{}
+	}
+	c.last++
+	r.Evidence.Number = c.last
+	c.items[r.Evidence.Key] = r.Evidence
+	return peers.EvidenceClaimReply{Taken: true, Number: c.last}
+}
+
 // isNewer reports whether evidence replaces earlier evidence under its key: a longer crash record
 // of the same front, or a harmless part that refutes more records.
 func isNewer(e, before peers.Evidence) bool {
@@ -97,6 +112,8 @@
 func (w *Watcher) ApplyEvidence(reply peers.EvidenceReply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	// The planner is in reach, so that trials are claimed there.
+	w.forgetOwnTrials()
 	if reply.Epoch == w.epoch && len(reply.Collected) == 0 {
 		return
 	}
@@ -107,7 +124,7 @@
 		w.forgetCollected()
 	}
 	for _, e := range reply.Collected {
-		if strings.HasPrefix(e.Key, recordPrefix) || strings.HasPrefix(e.Key, harmlessPrefix) {
+		if strings.HasPrefix(e.Key, recordPrefix) || strings.HasPrefix(e.Key, harmlessPrefix) || strings.HasPrefix(e.Key, trialPrefix) {
 			w.collected[e.Key] = store.KV{Key: e.Key, Value: e.Value, Revision: collectedRevisions + e.Number}
 		}
 	}
@@ -123,8 +140,9 @@
 			w.ownHarmless[p] = stored.newest[p].Revision
 		}
 	}
-	for key := range w.unwritten {
-		if strings.HasPrefix(key, harmlessPrefix) {
+	for key, value := range w.unwritten {
+		var h harmlessPart
+		if strings.HasPrefix(key, harmlessPrefix) && json.Unmarshal(value, &h) == nil && h.UpTo > collectedRevisions {
 			delete(w.unwritten, key)
 		}
 	}
@@ -157,10 +175,13 @@
 		out[key] = kv
 	}
 	for key, kv := range w.stored {
-		// A harmless part that was collected refutes more than the one in the store.
-		if _, ok := out[key]; !ok || !strings.HasPrefix(key, harmlessPrefix) {
+		// A harmless part or a trial that was collected is newer than the one in the store.
+		if _, ok := out[key]; !ok || strings.HasPrefix(key, recordPrefix) {
 			out[key] = kv
 		}
 	}
+	for key, kv := range w.ownTrials {
+		out[key] = kv
+	}
 	return out
 }
--- a/internal/front/crash/harmless.go
+++ b/internal/front/crash/harmless.go
@@ -71,6 +71,29 @@
 		w.setUnwritten(harmlessKey(p), value)
 		return
 	}
-	written := w.put(ctx, store.Txn{If: []store.Compare{{Key: harmlessKey(p), Revision: known.Revision}}, Puts: []store.Put{{Key: harmlessKey(p), Value: value}}})
+	written := w.writeHarmless(ctx, p, value)
 	w.log.Infow("prompt part harmless", "Service", p.Service, "PromptPart", p.ID, "UpTo", upTo, "Written", written)
 }
+
+// writeHarmless writes a harmless part; false if the store holds another one. While the store is
+// away the planner gets it instead.
+func (w *Watcher) writeHarmless(ctx context.Context, p blame.Part, value []byte) bool {
+	key := harmlessKey(p)
+	defer w.setUnwritten(key, nil)
+	for tries := 1; ; tries++ {
+		known := w.site.State().Keys[key].Revision
+		if w.put(ctx, store.Txn{If: []store.Compare{{Key: key, Revision: known}}, Puts: []store.Put{{Key: key, Value: value}}}) {
+			return true
+		}
+		if !w.site.Unavailable(0) || tries > maxHarmlessTries {
+			return false
+		}
+		w.setUnwritten(key, value)
+		if !sleep.For(ctx, min(time.Duration(tries)*commitRetryDelay, maxCommitRetryDelay)) {
+			return false
+		}
+	}
+}
+
+// maxHarmlessTries bounds the writes of one harmless part; the last ones are maxCommitRetryDelay apart.
+const maxHarmlessTries = 300
--- a/internal/front/crash/trial.go
+++ b/internal/front/crash/trial.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/policy/blame"
@@ -111,15 +114,25 @@
 		w.log.Infow("trial ended", "Service", service, "PromptPart", part, "Broken", broken, "Failed", result.Failed)
 		w.group.Go(func() {
 			defer w.endTrial(p)
-			w.writeTrial(w.ctx, p, result, w.site.State().Keys[trialKey(p)].Revision)
+			w.writeTrial(w.ctx, p, result, w.trialRevision(p))
 		})
 	}, true
 }
 
+// trialRevision returns the revision of a part's trials, in the store or, while it is away, as collected.
+func (w *Watcher) trialRevision(p blame.Part) int64 {
+	if !w.site.Unavailable(0) {
+		return w.site.State().Keys[trialKey(p)].Revision
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keys[trialKey(p)].Revision
+}
+
 // beginTrial marks a part as being tried by this front; ok is false if a trial is not due or under
-// way, or can't be claimed because the store is away.
+// way, or can't be claimed.
 func (w *Watcher) beginTrial(p blame.Part) (plan trialPlan, ok bool) {
-	if w.site.Unavailable(0) {
+	if w.claims == nil && w.site.Unavailable(0) {
 		return plan, false
 	}
 	w.mu.Lock()
@@ -147,9 +160,65 @@
 		return false
 	}
 	key := trialKey(p)
+	if w.site.Unavailable(0) {
+		return w.claimTrial(ctx, p, value, revision)
+	}
 	return w.put(ctx, store.Txn{If: []store.Compare{{Key: key, Revision: revision}}, Puts: []store.Put{{Key: key, Value: value}}})
 }
 
+// claimTrial claims a part's trial at the planner. Where that one isn't in reach either, one of the
+// known fronts tries the part by itself.
+func (w *Watcher) claimTrial(ctx context.Context, p blame.Part, value []byte, revision int64) bool {
+	if w.claims == nil {
+		return false
+	}
+	key := trialKey(p)
+	w.mu.Lock()
+	claim := peers.EvidenceClaim{Epoch: w.epoch, Evidence: peers.Evidence{Key: key, Value: value, Number: max(0, revision-collectedRevisions)}}
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	reply, err := w.claims.ClaimEvidence(ctx, claim)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err != nil && !w.isFirst(p):
+		return false
+	case err != nil:
+		newest := revision
+		for _, kv := range w.keys {
+			newest = max(newest, kv.Revision)
+		}
+		w.ownTrials[key] = store.KV{Key: key, Value: value, Revision: newest + 1}
+	case !reply.Taken || w.epoch != claim.Epoch:
+		return false
+	default:
+		w.collected[key] = store.KV{Key: key, Value: value, Revision: collectedRevisions + reply.Number}
+	}
+	w.update()
+	return true
+}
+
+// forgetOwnTrials forgets the trials that were claimed neither at the store nor at the planner; the
+// caller holds the lock.
+func (w *Watcher) forgetOwnTrials() {
+	if len(w.ownTrials) > 0 {
+		clear(w.ownTrials)
+		w.update()
+	}
+}
+
+// isFirst reports whether this front is the one that tries a part if fronts can't agree.
+func (w *Watcher) isFirst(p blame.Part) bool {
+	rank := func(name string) uint64 { return xxhash.Sum64String(partKey(p) + "/" + name) }
+	for name := range w.site.State().Fronts {
+		if rank(name) < rank(w.self.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // Blocked returns the prompt parts for which a request must not be sent to instances of a service.
 func (w *Watcher) Blocked(service string, prompt []site.PromptPart) []BlockedPart {
 	v := w.verdict.Load()
--- a/internal/front/crash/trial_test.go
+++ b/internal/front/crash/trial_test.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
 )
@@ -15,6 +18,12 @@
 // TestOneFrontAtATimeTriesABlockedPart blocks a part at three fronts and checks which of them may
 // send a trial, and when, after the first trial has ended in some way.
 func TestOneFrontAtATimeTriesABlockedPart(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		t.Run(fmt.Sprintf("store away: %t", storeAway), func(t *testing.T) { testTrials(t, storeAway) })
+	}
+}
+
+func testTrials(t *testing.T, storeAway bool) {
 	for _, c := range []struct {
 		name string
 		// end ends the trial of the first front.
@@ -32,6 +41,7 @@
 			defer closeWatcher()
 			w.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: "4", Born: 7}, Service: "llm"}, prompt("root", "dead"), true)
 			time.Sleep(time.Second)
+			r.exchange(w)
 			r.setFronts("b", "c")
 		}, 10 * time.Second, 16 * time.Second},
 	} {
@@ -40,15 +50,18 @@
 				g := NewWithT(t)
 				r := newRig()
 				r.setFronts("a", "b", "c")
+				r.failing, r.unavailable = storeAway, storeAway
 				var watchers []*Watcher
 				for _, name := range []string{"a", "b", "c"} {
 					w, closeWatcher := r.watcher(name)
 					defer closeWatcher()
+					w.SetClaims(r)
 					watchers = append(watchers, w)
 				}
 				apply := func() {
 					for _, w := range watchers {
 						w.apply(r.State().Keys)
+						r.exchange(w)
 					}
 				}
 				for _, id := range []string{"1", "2", "3"} {
@@ -118,7 +131,57 @@
 }
 
 func newRig() *rig {
-	return &rig{keys: map[string]store.KV{}, alive: map[string]bool{}, planner: "a"}
+	return &rig{keys: map[string]store.KV{}, alive: map[string]bool{}, planner: "a", collector: NewCollector()}
+}
+
+// exchange sends a usage report to the planner.
+func (r *rig) exchange(w *Watcher) {
+	w.ApplyEvidence(r.collector.Exchange(w.Evidence(), r.Unavailable(0)))
+}
+
+func (r *rig) ClaimEvidence(_ context.Context, c peers.EvidenceClaim) (peers.EvidenceClaimReply, error) {
+	if r.plannerAway {
+		return peers.EvidenceClaimReply{}, &peers.NoPlannerError{}
+	}
+	return r.collector.Claim(c, r.Unavailable(0)), nil
+}
+
+// TestOneFrontTriesABlockedPartIfNoneReachesThePlanner blocks a part, and then takes the store and
+// the planner away.
+func TestOneFrontTriesABlockedPartIfNoneReachesThePlanner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig()
+		r.setFronts("a", "b", "c")
+		var watchers []*Watcher
+		for _, name := range []string{"a", "b", "c"} {
+			w, closeWatcher := r.watcher(name)
+			defer closeWatcher()
+			w.SetClaims(r)
+			watchers = append(watchers, w)
+		}
+		for _, id := range []string{"1", "2", "3"} {
+			watchers[0].RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root", "dead"), true)
+		}
+		time.Sleep(time.Second)
+		for _, w := range watchers {
+			w.apply(r.State().Keys)
+		}
+		r.failing, r.unavailable, r.plannerAway = true, true, true
+		trials := 0
+		began := time.Now()
+		for time.Since(began) < 30*time.Second {
+			for _, w := range watchers {
+				w.apply(r.State().Keys)
+				if end, ok := w.StartTrial(t.Context(), "llm", "dead"); ok {
+					trials++
+					end(true)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(trials).To(Equal(2), "3 s and 15 s after the newest crash")
+	})
 }
 
 // setFronts replaces the registered fronts.
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -14,6 +14,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/policy/blame"
@@ -44,6 +45,11 @@
 	Commit(ctx context.Context, t store.Txn) (store.Result, error)
 }
 
+// Claims takes claims of trials while the store is away.
+type Claims interface {
+	ClaimEvidence(ctx context.Context, c peers.EvidenceClaim) (peers.EvidenceClaimReply, error)
+}
+
 // Prober reports whether an instance accepts connections.
 type Prober interface {
 	Probe(ctx context.Context, t conns.Target) error
@@ -87,6 +93,10 @@
 	// tried to claim a trial.
 	trying    map[blame.Part]bool
 	lastClaim time.Time
+	// ownTrials are this front's trials while neither the store nor the planner is in reach, by key.
+	ownTrials map[string]store.KV
+	// claims is nil if trials need the store.
+	claims Claims
 }
 
 // verdict is the verdict on all known crashes.
@@ -106,7 +116,7 @@
 	w := &Watcher{
 		self: self, site: view, store: s, prober: p, log: log, group: &tasks.Group{}, ctx: ctx,
 		crashesTotal: meters.GetOrCreateCounter("foxtailcroft_instance_crashes_total"),
-		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{}, trying: map[blame.Part]bool{},
+		pending:      map[site.InstanceKey]*pendingRecord{}, ownHarmless: map[blame.Part]int64{}, firstSeen: map[string]time.Time{}, sharing: map[blame.Part]bool{}, trying: map[blame.Part]bool{}, ownTrials: map[string]store.KV{},
 		collected: map[string]store.KV{}, unwritten: map[string][]byte{}, newEvidence: make(chan struct{}, 1),
 	}
 	w.verdict.Store(&verdict{})
@@ -117,6 +127,11 @@
 	}
 }
 
+// SetClaims lets trials be claimed while the store is away; call it before Run.
+func (w *Watcher) SetClaims(c Claims) {
+	w.claims = c
+}
+
 // Run applies the crash records of all fronts until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	cleanup := time.NewTicker(cleanupInterval)
@@ -144,6 +159,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stored = own
+	if !w.site.Unavailable(0) {
+		w.forgetOwnTrials()
+	}
 	w.update()
 }
 
--- a/internal/front/crash/watcher_test.go
+++ b/internal/front/crash/watcher_test.go
@@ -27,6 +27,9 @@
 	failing  bool
 	// unavailable tells that the view has noticed that the store fails.
 	unavailable bool
+	// collector is the planner's, which no front reaches if plannerAway is set.
+	collector   *Collector
+	plannerAway bool
 	alive       map[string]bool
 	planner     string
 	fronts      map[string]follow.Front
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -26,6 +26,7 @@
 	methodChanges = "Changes"
 	methodPace    = "Pace"
 	methodOutage  = "Outage"
+	methodClaim   = "Claim"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -118,9 +119,23 @@
 	Collected []Evidence
 }
 
+// EvidenceClaim asks the planner to collect evidence if nothing newer has been collected under its
+// key; Evidence.Number is that of what the front knows, 0 if it knows none.
+type EvidenceClaim struct {
+	Epoch    string
+	Evidence Evidence
+}
+
+// EvidenceClaimReply tells whether a claim was taken, and under which number.
+type EvidenceClaimReply struct {
+	Taken  bool
+	Number int64
+}
+
 // EvidenceCollector collects the evidence of all fronts while the store is away.
 type EvidenceCollector interface {
 	Exchange(r EvidenceReport, storeAway bool) EvidenceReply
+	Claim(c EvidenceClaim, storeAway bool) EvidenceClaimReply
 }
 
 // InstanceLimit is the number of requests a second that an instance takes from all fronts, 0 for any.
@@ -240,6 +255,8 @@
 	local Planner
 	// applyUsage applies a usage report where this front is the planner.
 	applyUsage func(UsageReport) PlannerStatus
+	// claim takes a claim where this front is the planner.
+	claim func(EvidenceClaim) EvidenceClaimReply
 }
 
 // evidenceHold is how long after an outage of the store evidence is still collected, until the
@@ -262,6 +279,12 @@
 		status.Evidence = h.Evidence.Exchange(u.Evidence, f.Unavailable(evidenceHold))
 		return status
 	}
+	m.claim = func(c EvidenceClaim) EvidenceClaimReply {
+		return h.Evidence.Claim(c, f.Unavailable(evidenceHold))
+	}
+	peer.OnCall(mux, methodClaim, func(_ context.Context, _ *peer.Conn, c EvidenceClaim) (EvidenceClaimReply, error) {
+		return m.claim(c), nil
+	})
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (follow.View, error) {
 		view, _ := f.Snapshot(after)
 		return view, nil
@@ -398,6 +421,20 @@
 	return status, err
 }
 
+// ClaimEvidence makes a claim at the current planner. It returns a NoPlannerError if there is no planner.
+func (m *Client) ClaimEvidence(ctx context.Context, c EvidenceClaim) (EvidenceClaimReply, error) {
+	planner := m.state().Planner
+	if planner == nil {
+		return EvidenceClaimReply{}, &NoPlannerError{}
+	}
+	if planner.Run == m.self.Run {
+		return m.claim(c), nil
+	}
+	var reply EvidenceClaimReply
+	err := m.call(ctx, planner.Address, methodClaim, callTimeout, c, &reply)
+	return reply, err
+}
+
 func (m *Client) call(ctx context.Context, address, method string, timeout time.Duration, params, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -108,6 +108,7 @@
 	candidate.SetRelay(frontPeers)
 	candidate.SetWitnesses(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
+	crashes.SetClaims(frontPeers)
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
--- a/internal/node/front/restarted_test.go
+++ b/internal/node/front/restarted_test.go
@@ -40,6 +40,7 @@
 		{"under new ids with models, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, true, false, true},
 		{"under new ids, two kinds of engines", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 2, false, false, false},
 		{"of another service", func(n int) string { return fmt.Sprintf("new-%d", n) }, true, 1, false, false, false},
+		{"under new ids, their requests share a prompt part", func(n int) string { return fmt.Sprintf("new-%d", n) }, false, 1, false, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
