--- a/internal/front/proxy/attempts_test.go
+++ b/internal/front/proxy/attempts_test.go
@@ -278,11 +278,14 @@
 		p.leave = leave
 		w, aborted := r.send(ctx, p.path, "id-1")
 		time.Sleep(11 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		for _, broken := range p.check(w, aborted) {
 			t.Errorf("%s %q: %s; %d runs, status %d, aborted %t, body %q", p.path, p.script, broken, p.runs, w.Code, aborted, w.Body)
 		}
+		more = p.next > len(p.script)
 	})
-	return p.next > len(p.script)
+	return more
 }
 
 // holders finds all instances of a service.
@@ -299,7 +302,7 @@
 	return out, nil
 }
 
-// check returns the guarantees that an answer breaks.
+// check returns the guarantees that an answer breaks; the caller holds the lock.
 func (p *play) check(w *httptest.ResponseRecorder, aborted bool) []string {
 	var out []string
 	failIf := func(broken bool, what string) {
