front/proxy: the check of orders plays the same orders in each run

Cause: which of two servers was chosen, and whether a stop came before a rejection at the same moment, was left to chance, so that the number of orders differed by up to 38 between runs. Change: one server is nearer; the stop comes a millisecond after the rejection.

--- a/internal/front/proxy/attempts_test.go
+++ b/internal/front/proxy/attempts_test.go
@@ -34,7 +34,7 @@
 	unfinished       event = "runs though its last byte is missing"
 	lost             event = "runs, connection ends without a response"
 	rejected         event = "rejected"
-	rejectedStop     event = "rejected as the front stops"
+	rejectedStop     event = "rejected, and then the front stops"
 	foreignRejection event = "another request's rejection, then its own answer"
 	foreignAnswer    event = "another request's answer, then its own one"
 	answered         event = "answered"
@@ -171,7 +171,8 @@
 	}
 	const seal, statement = "Server-Seal: s\r\n", "Not-Run: 1\r\n"
 	if e == rejectedStop {
-		p.proxy.SetStopTime(time.Now())
+		// The rejection arrives first, so that the order is the same in each run.
+		p.proxy.SetStopTime(time.Now().Add(time.Millisecond))
 	}
 	if e == rejected || e == rejectedStop {
 		return head(503, id, statement, "full"), true
@@ -262,6 +263,12 @@
 		for i := range r.state.Document.Routes {
 			r.state.Document.Routes[i].MaxAttempts = maxPlayAttempts
 		}
+		// One server is nearer, so that the choice between the two is the same in each run.
+		for _, id := range []string{"plain-2", "llm-2"} {
+			in := r.state.Instances[id]
+			in.Domain = "b"
+			r.state.Instances[id] = in
+		}
 		for address, stop := range r.stopServer {
 			stop()
 			r.net.Serve(address, p)
@@ -270,7 +277,7 @@
 		defer closePool()
 		log, err := logs.New(io.Discard, "error", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
-		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
+		settings := conf.Front{Node: conf.Node{Name: "f", Domain: "a"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
 		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: holders{r}, Crashes: r, Pacer: r, Identities: r}, metrics.NewSet(), log.Sugar())
 		p.proxy = r.proxy
 		ctx, leave := context.WithCancel(r.t.Context())
