base/serve, node/httpd: a stopping entry answers calls that it has read

Cause: http.Server.Shutdown closes connections that it takes for idle, also one whose first request it is reading. The front has a server of its own for that reason; the entry did not. Change: the front's server moves to base/serve, and entry and agent use it; what stood twice is gone. A stopping server without requests lingers 200 ms for those that it has read in part, and kept connections are asked to close while the load balancer is given time to notice. Tests of node, base and test/proofs pass.

--- a/internal/node/front/callers.go
+++ b/internal/base/serve/server.go
@@ -1,28 +1,22 @@
-package front
+package serve
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
-
-	"foxtailcroft/internal/plat/follow"
 )
 
 const (
-	// headerTimeout bounds the time for reading a request's header; the configured limit is not applied here.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the size of a request's header; the configured limit, a lower one, is not applied here.
-	maxHeaderBytes = 64 << 10
-	// idleTimeoutMargin is added to the configured idle timeout, so that a request
-	// sent just before the timeout still finds its connection open.
-	idleTimeoutMargin = time.Second
+	// lingerTime is how long a stopping server without requests waits for those that it has read in part.
+	lingerTime = 200 * time.Millisecond
 	// flushTimeout bounds the wait for the last answers to be written.
 	flushTimeout = 500 * time.Millisecond
 )
 
-// stopPhase is the progress of stopping a callerServer; its zero value is serving normally.
+// stopPhase is the progress of stopping a server; its zero value is serving normally.
 type stopPhase int
 
 const (
@@ -34,28 +28,29 @@
 	stopped
 )
 
-// callerServer serves callers' connections. http.Server may close a connection as
-// idle although it has just read a request from it, and still call the handler.
-// So callerServer lets a connection either serve a request or be closed, never both.
-type callerServer struct {
-	server   *http.Server
-	handler  http.Handler
-	follower *follow.Follower
-	mu       sync.Mutex
+// Server serves HTTP connections. http.Server may close a connection as idle although it has just
+// read a request from it, and still call the handler. So Server lets a connection either serve a
+// request or be closed, never both.
+type Server struct {
+	server  *http.Server
+	handler http.Handler
+	mu      sync.Mutex
 	// idleSince is when the idle connections became idle.
 	idleSince map[net.Conn]time.Time
 	// listener is the one that serve accepts connections from, nil before that.
 	listener       net.Listener
 	phase          stopPhase
 	activeRequests int
-	// drained is closed when the last request has ended after drain was called.
+	// begunRequests counts the requests so far.
+	begunRequests uint64
+	// drained is closed when the last request has ended after Drain was called.
 	drained chan struct{}
 }
 
-// callerConn is a connection of a caller; the lock of its server guards its fields.
-type callerConn struct {
+// serverConn is an accepted connection; the lock of its server guards its fields.
+type serverConn struct {
 	net.Conn
-	server *callerServer
+	server *Server
 	// inRequest is set while the connection serves a request.
 	inRequest bool
 	closed    bool
@@ -64,34 +59,34 @@
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
-func newCallerServer(h http.Handler, follower *follow.Follower) *callerServer {
-	c := &callerServer{handler: h, follower: follower, idleSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
-	c.server = &http.Server{
-		Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: c.connStateChanged,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
-		},
+// New returns a server with the timeouts, limits and base context of h; its handler is served, and
+// its ConnState and ConnContext are replaced.
+func New(h *http.Server) *Server {
+	c := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
+	h.Handler, h.ConnState = c, c.connStateChanged
+	h.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
 	}
 	return c
 }
 
-// callerListener wraps accepted connections as callerConn.
-type callerListener struct {
+// listener wraps accepted connections as serverConn.
+type listener struct {
 	net.Listener
-	server *callerServer
+	server *Server
 }
 
-// Accept returns the next connection as a callerConn.
-func (l callerListener) Accept() (net.Conn, error) {
+// Accept returns the next connection as a serverConn.
+func (l listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, server: l.server}, nil
+	return &serverConn{Conn: conn, server: l.server}, nil
 }
 
 // Close closes the connection, unless it is serving a request and the server has not stopped.
-func (k *callerConn) Close() error {
+func (k *serverConn) Close() error {
 	k.server.mu.Lock()
 	if k.inRequest && k.server.phase != stopped {
 		k.server.mu.Unlock()
@@ -103,8 +98,8 @@
 }
 
 // ServeHTTP serves a request, or aborts it if its connection was closed or the server has stopped.
-func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, _ := r.Context().Value(connKey{}).(*callerConn)
+func (c *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(*serverConn)
 	last, ok := c.beginRequest(conn)
 	if !ok {
 		panic(http.ErrAbortHandler)
@@ -118,7 +113,7 @@
 
 // beginRequest marks a connection as serving a request; last is true if it closes
 // after the answer, and ok is false if the request must not be served.
-func (c *callerServer) beginRequest(conn *callerConn) (last, ok bool) {
+func (c *Server) beginRequest(conn *serverConn) (last, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == stopped || conn.closed {
@@ -126,11 +121,12 @@
 	}
 	conn.inRequest = true
 	c.activeRequests++
+	c.begunRequests++
 	return c.phase >= closingConnections, true
 }
 
 // endRequest marks the request of a connection as ended.
-func (c *callerServer) endRequest(conn *callerConn) {
+func (c *Server) endRequest(conn *serverConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn.inRequest = false
@@ -138,17 +134,26 @@
 	c.stopIfIdle()
 }
 
-// stopIfIdle stops accepting requests if the server is finishing and none is in flight; the caller holds the lock.
-func (c *callerServer) stopIfIdle() {
-	if c.phase == finishingRequests && c.activeRequests == 0 {
-		c.phase = stopped
-		close(c.drained)
+// stopIfIdle stops accepting requests if the server is finishing and none is in flight for
+// lingerTime; the caller holds the lock.
+func (c *Server) stopIfIdle() {
+	if c.phase != finishingRequests || c.activeRequests > 0 {
+		return
 	}
+	begun := c.begunRequests
+	time.AfterFunc(lingerTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.phase == finishingRequests && c.begunRequests == begun {
+			c.phase = stopped
+			close(c.drained)
+		}
+	})
 }
 
 // connStateChanged records when connections become idle. While the server finishes, it closes
 // those whose requests came before, as their answers didn't ask the callers to close.
-func (c *callerServer) connStateChanged(conn net.Conn, state http.ConnState) {
+func (c *Server) connStateChanged(conn net.Conn, state http.ConnState) {
 	if c.recordState(conn, state) >= finishingRequests && state == http.StateIdle {
 		// Callers expect that idle connections may be closed.
 		_ = conn.Close()
@@ -156,7 +161,7 @@
 }
 
 // recordState records the time of a change to idle, and returns the current phase.
-func (c *callerServer) recordState(conn net.Conn, state http.ConnState) stopPhase {
+func (c *Server) recordState(conn net.Conn, state http.ConnState) stopPhase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateIdle {
@@ -167,20 +172,16 @@
 	return c.phase
 }
 
-// closeIdle closes connections that have been idle for longer than the current configuration allows.
-func (c *callerServer) closeIdle() {
-	doc := c.follower.State().Document
-	if doc == nil || doc.Limits.IdleTimeout <= 0 {
-		return
-	}
-	for _, conn := range c.connsIdleBefore(time.Now().Add(-doc.Limits.IdleTimeout - idleTimeoutMargin)) {
+// CloseIdle closes connections that became idle at a time or before.
+func (c *Server) CloseIdle(since time.Time) {
+	for _, conn := range c.connsIdleBefore(since) {
 		// connStateChanged removes the connection from the map.
 		_ = conn.Close()
 	}
 }
 
 // connsIdleBefore returns the connections that became idle at a time or before.
-func (c *callerServer) connsIdleBefore(t time.Time) []net.Conn {
+func (c *Server) connsIdleBefore(t time.Time) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []net.Conn
@@ -192,44 +193,45 @@
 	return out
 }
 
-// serve accepts connections until the server is closed or drained.
-func (c *callerServer) serve(l net.Listener) error {
+// Serve accepts connections until the server is closed or drained, and then returns nil.
+func (c *Server) Serve(l net.Listener) error {
 	c.mu.Lock()
 	c.listener = l
 	c.mu.Unlock()
-	err := c.server.Serve(callerListener{l, c})
+	err := c.server.Serve(listener{l, c})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase >= finishingRequests {
 		return nil
 	}
-	return ignoreServerClosed(err)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
 }
 
-// closeAfterAnswers makes each connection close after its next answer.
-func (c *callerServer) closeAfterAnswers() {
+// CloseAfterAnswers makes each connection close after its next answer.
+func (c *Server) CloseAfterAnswers() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = max(c.phase, closingConnections)
 }
 
-// drain accepts no new connections and waits until no request is in flight, after
+// Drain accepts no new connections and waits until no request is in flight, after
 // which requests are no longer accepted; it returns an error only if ctx ends first.
 // Until then requests of open connections are answered: http.Server.Shutdown would close
 // a connection whose first request it has read, without an answer.
-func (c *callerServer) drain(ctx context.Context) error {
+func (c *Server) Drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.phase = max(c.phase, finishingRequests)
-	listener := c.listener
+	accepting := c.listener
 	c.stopIfIdle()
 	c.mu.Unlock()
-	if listener != nil {
+	if accepting != nil {
 		// The process is about to exit, which closes a listener that fails to close here.
-		_ = listener.Close()
-	}
-	for _, conn := range c.connsIdleBefore(time.Now()) {
-		_ = conn.Close()
+		_ = accepting.Close()
 	}
+	c.CloseIdle(time.Now())
 	select {
 	case <-c.drained:
 	case <-ctx.Done():
@@ -244,8 +246,8 @@
 	return nil
 }
 
-// close stops accepting requests and closes all connections at once.
-func (c *callerServer) close() {
+// Close stops accepting requests and closes all connections at once.
+func (c *Server) Close() {
 	c.mu.Lock()
 	c.phase = stopped
 	c.mu.Unlock()
--- a/internal/node/front/callers_test.go
+++ b/internal/base/serve/server_test.go
@@ -1,4 +1,4 @@
-package front
+package serve
 
 import (
 	"context"
@@ -11,17 +11,17 @@
 	. "github.com/onsi/gomega"
 )
 
-// newCallerServerWithConn returns a callerServer, a connection of it, and its count of served requests.
-func newCallerServerWithConn() (c *callerServer, conn *callerConn, served *int) {
+// newServerWithConn returns a Server, a connection of it, and its count of served requests.
+func newServerWithConn() (c *Server, conn *serverConn, served *int) {
 	served = new(int)
-	c = newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { *served++ }), nil)
+	c = New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { *served++ })})
 	connEnd, _ := net.Pipe()
-	return c, &callerConn{Conn: connEnd, server: c}, served
+	return c, &serverConn{Conn: connEnd, server: c}, served
 }
 
 // serveRequest calls the handler with a request of a connection, as http.Server does
 // after reading the header; aborted is true if the handler was aborted.
-func serveRequest(c *callerServer, conn net.Conn) (w *httptest.ResponseRecorder, aborted bool) {
+func serveRequest(c *Server, conn net.Conn) (w *httptest.ResponseRecorder, aborted bool) {
 	ctx := context.WithValue(context.Background(), connKey{}, conn)
 	w = httptest.NewRecorder()
 	defer func() { aborted = recover() != nil }()
@@ -33,7 +33,7 @@
 // http.Server has read a request from it, but before the handler is called.
 func TestRequestOfClosedConnectionIsNotServed(t *testing.T) {
 	g := NewWithT(t)
-	c, conn, served := newCallerServerWithConn()
+	c, conn, served := newServerWithConn()
 	c.connStateChanged(conn, http.StateIdle)
 	for _, idle := range c.connsIdleBefore(time.Now().Add(time.Second)) {
 		g.Expect(idle.Close()).To(Succeed())
@@ -47,7 +47,7 @@
 // http.Server may do on shutdown if it still considers the connection idle.
 func TestConnectionInUseIsNotClosed(t *testing.T) {
 	g := NewWithT(t)
-	c, conn, _ := newCallerServerWithConn()
+	c, conn, _ := newServerWithConn()
 	c.handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		g.Expect(conn.Close()).To(Succeed())
 		g.Expect(conn.closed).To(BeFalse())
@@ -62,13 +62,13 @@
 // requests are first served with Connection: close, and aborted after the drain.
 func TestStoppingClosesConnectionsBeforeRejectingRequests(t *testing.T) {
 	g := NewWithT(t)
-	c, conn, served := newCallerServerWithConn()
+	c, conn, served := newServerWithConn()
 	w, _ := serveRequest(c, conn)
 	g.Expect(w.Header().Get("Connection")).To(BeEmpty())
-	c.closeAfterAnswers()
+	c.CloseAfterAnswers()
 	w, _ = serveRequest(c, conn)
 	g.Expect(w.Header().Get("Connection")).To(Equal("close"))
-	g.Expect(c.drain(context.Background())).To(Succeed())
+	g.Expect(c.Drain(context.Background())).To(Succeed())
 	_, aborted := serveRequest(c, conn)
 	g.Expect(aborted).To(BeTrue())
 	g.Expect(*served).To(Equal(2))
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -98,6 +98,7 @@
 // then are refused; each refusal tells whether the request may have run.
 func (e *Entry) Drain(ctx context.Context) {
 	e.HTTPServer.SetReady(false)
+	e.HTTPServer.CloseAfterAnswers()
 	sleep.For(ctx, e.settings.Drain.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Drain.Limit.Std())
 	defer cancel()
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -12,6 +12,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
@@ -76,7 +77,7 @@
 	pool           *conns.Pool
 	mux            *peer.Mux
 	hello          func() peer.Hello
-	callerServer   *callerServer
+	callerServer   *serve.Server
 	options        Options
 	log            *zap.SugaredLogger
 	lifecycleState lifecycle
@@ -115,7 +116,7 @@
 			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
 		}, o.Metrics, log.Named("Relay")),
 	}
-	f.callerServer = newCallerServer(f.reverseProxy, follower)
+	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
 	return f, func() {
 		closeLinks()
 		closeCrashes()
@@ -138,6 +139,13 @@
 	idleReportInterval = time.Second
 	// usageIntervalPerFront is the shortest mean time between two reports that the planner receives from all fronts.
 	usageIntervalPerFront = 30 * time.Millisecond
+	// headerTimeout bounds the time for reading a request's header; the configured limit is not applied here.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the size of a request's header; the configured limit, a lower one, is not applied here.
+	maxHeaderBytes = 64 << 10
+	// idleTimeoutMargin is added to the configured idle timeout, so that a request
+	// sent just before the timeout still finds its connection open.
+	idleTimeoutMargin = time.Second
 	// idleSweepInterval is the time between two searches for idle connections to close.
 	idleSweepInterval = 500 * time.Millisecond
 )
@@ -151,8 +159,8 @@
 	if l.Metrics != nil {
 		t.Critical("Metrics", f.auxiliaryServer(t, l.Metrics, f.metricsHandler()))
 	}
-	t.OnClose(f.callerServer.close)
-	t.Critical("Callers", func(context.Context) error { return f.callerServer.serve(l.Callers) })
+	t.OnClose(f.callerServer.Close)
+	t.Critical("Callers", func(context.Context) error { return f.callerServer.Serve(l.Callers) })
 	t.KeepRunning("Follow", f.follower.Run)
 	t.KeepRunning("Reread", f.follower.RunReread)
 	t.KeepRunning("Peers", f.follower.RunPeerPoll)
@@ -254,6 +262,8 @@
 			in, ok := state.Instances[k.ID]
 			return ok && in.InstanceKey == k && !in.Draining
 		})
-		f.callerServer.closeIdle()
+		if doc := state.Document; doc != nil && doc.Limits.IdleTimeout > 0 {
+			f.callerServer.CloseIdle(time.Now().Add(-doc.Limits.IdleTimeout - idleTimeoutMargin))
+		}
 	}
 }
--- a/internal/node/front/ready.go
+++ b/internal/node/front/ready.go
@@ -57,10 +57,10 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	f.candidate.Resign(ctx)
-	f.callerServer.closeAfterAnswers()
+	f.callerServer.CloseAfterAnswers()
 	sleep.For(ctx, min(unreadyNoticeTime, time.Until(deadline)/2))
 	f.reverseProxy.RefuseLong()
-	if err := f.callerServer.drain(ctx); err != nil {
+	if err := f.callerServer.Drain(ctx); err != nil {
 		f.log.Warnw("requests were cut off", "Error", err.Error())
 	}
 }
--- a/internal/node/httpd/server.go
+++ b/internal/node/httpd/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
+
+	"foxtailcroft/internal/base/serve"
 )
 
 const (
@@ -23,7 +25,7 @@
 type Server struct {
 	Router         *httprouter.Router
 	ready          atomic.Bool
-	http           *http.Server
+	server         *serve.Server
 	cancelRequests context.CancelCauseFunc
 }
 
@@ -43,10 +45,10 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
-	s.http = &http.Server{
+	s.server = serve.New(&http.Server{
 		Handler: s.Router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return baseCtx },
-	}
+	})
 	return s
 }
 
@@ -57,17 +59,18 @@
 
 // Serve serves the listener until Close or Shutdown is called, and then returns nil.
 func (s *Server) Serve(lis net.Listener) error {
-	if err := s.http.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return s.server.Serve(lis)
 }
 
 // Close stops the server immediately and cancels the requests in flight.
 func (s *Server) Close() {
 	s.cancelRequests(context.Canceled)
-	// Close may be called twice, and its error needs no action.
-	_ = s.http.Close()
+	s.server.Close()
+}
+
+// CloseAfterAnswers makes each connection close after its next answer.
+func (s *Server) CloseAfterAnswers() {
+	s.server.CloseAfterAnswers()
 }
 
 // Shutdown waits for the requests in flight. If the context ends first, it
@@ -75,12 +78,13 @@
 // returns an error.
 func (s *Server) Shutdown(ctx context.Context, cause error) error {
 	s.SetReady(false)
-	err := s.http.Shutdown(ctx)
+	err := s.server.Drain(ctx)
 	s.cancelRequests(cause)
 	if err == nil {
 		return nil
 	}
 	refusalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalGrace)
 	defer cancel()
-	return errors.Join(err, s.http.Shutdown(refusalCtx), s.http.Close())
+	defer s.server.Close()
+	return errors.Join(err, s.server.Drain(refusalCtx))
 }
