front/peers: views that are longer than a message are read in parts

Seen by callers: 503 from a front that starts while the store is away, until the store is back, where a site's keys take over 512 KB. Cause: class 'a bound of one layer that another does not know'. A view went to other fronts in one message, which may have 512 KB at the most. Change: fronts read each other's encoded views in parts of 256 KB; one that changes meanwhile is read anew. Fronts of earlier versions are asked as before. Evidence: TestFrontStartsFromALongViewOfAnotherFront, 1.3 MB of keys, failed before.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -289,6 +289,10 @@
 		view, _ := f.Snapshot(after)
 		return view, nil
 	})
+	views := &viewEncoder{follower: f}
+	peer.OnCall(mux, methodView, func(_ context.Context, _ *peer.Conn, r viewRequest) (viewPart, error) {
+		return views.part(r)
+	})
 	peer.OnCall(mux, methodWant, func(ctx context.Context, _ *peer.Conn, w InstanceRequest) (InstanceReply, error) {
 		return h.Planner.RequestInstances(ctx, w)
 	})
@@ -369,8 +373,12 @@
 // than a revision; false if none has it.
 func (m *Client) FetchNewer(ctx context.Context, revision int64) (follow.View, bool) {
 	for _, address := range m.sampleFronts() {
-		var view follow.View
-		if m.call(ctx, address, methodNewer, callTimeout, revision, &view) == nil && view.Revision > revision {
+		view, err := m.fetchView(ctx, address, revision)
+		if err != nil {
+			// A front of an earlier version sends its view whole.
+			err = m.call(ctx, address, methodNewer, callTimeout, revision, &view)
+		}
+		if err == nil && view.Revision > revision {
 			return view, true
 		}
 	}
--- /dev/null
+++ b/internal/front/peers/view.go
@@ -0,0 +1,99 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"foxtailcroft/internal/link/peer"
+	"foxtailcroft/internal/plat/follow"
+)
+
+// methodView returns a front's view in parts, as a whole one may not fit into a message.
+const methodView = "View"
+
+const (
+	// maxPartBytes bounds a part, which takes a third more in its message.
+	maxPartBytes = peer.MaxFrameBytes / 2
+	// maxViewBytes bounds a view that is read in parts.
+	maxViewBytes = 64 << 20
+	// maxViewReads bounds the tries to read a view that changes meanwhile.
+	maxViewReads = 3
+)
+
+// viewRequest asks for a part of a view newer than a revision.
+type viewRequest struct {
+	After int64
+	// Revision is that of the view whose first parts the front has, 0 for none, and Offset their size.
+	Revision int64
+	Offset   int
+}
+
+// viewPart is a part of an encoded view of Size bytes; Revision is 0 if there is none that is newer.
+type viewPart struct {
+	Revision int64
+	Size     int
+	Data     []byte
+}
+
+// viewEncoder encodes the newest view once for all fronts that ask for it.
+type viewEncoder struct {
+	follower *follow.Follower
+	mu       sync.Mutex
+	// revision is that of the view that data encodes.
+	revision int64
+	data     []byte
+}
+
+// part returns a part of the view that is asked for, or the first one of the newest view.
+func (e *viewEncoder) part(r viewRequest) (viewPart, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Offset == 0 || r.Revision != e.revision {
+		view, ok := e.follower.Snapshot(r.After)
+		if !ok {
+			return viewPart{}, nil
+		}
+		data, err := json.Marshal(view)
+		if err != nil {
+			return viewPart{}, err
+		}
+		e.revision, e.data, r.Offset = view.Revision, data, 0
+	}
+	from := min(max(0, r.Offset), len(e.data))
+	return viewPart{Revision: e.revision, Size: len(e.data), Data: e.data[from:min(len(e.data), from+maxPartBytes)]}, nil
+}
+
+var (
+	errViewTooLong  = errors.New("the view is too long")
+	errViewChanging = errors.New("the view changed while it was read")
+)
+
+// fetchView returns a front's view if it is newer than a revision, and else an empty one.
+func (m *Client) fetchView(ctx context.Context, address string, after int64) (follow.View, error) {
+	for range maxViewReads {
+		var data []byte
+		request := viewRequest{After: after}
+		for {
+			var part viewPart
+			if err := m.call(ctx, address, methodView, callTimeout, request, &part); err != nil || part.Revision == 0 {
+				return follow.View{}, err
+			}
+			if part.Size > maxViewBytes {
+				return follow.View{}, errViewTooLong
+			}
+			if request.Offset > 0 && part.Revision != request.Revision {
+				break
+			}
+			data = append(data, part.Data...)
+			if len(data) >= part.Size || len(part.Data) == 0 {
+				var view follow.View
+				err := json.Unmarshal(data, &view)
+				return view, err
+			}
+			request.Revision, request.Offset = part.Revision, len(data)
+		}
+	}
+	return follow.View{}, errViewChanging
+}
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -18,6 +18,7 @@
 
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/tree"
+	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/standin/kvsim"
@@ -270,3 +271,25 @@
 		r.g.Expect(status).To(Equal(200))
 	})
 }
+
+// TestFrontStartsFromALongViewOfAnotherFront guards against fronts that start without the store and
+// never get a view that is longer than a message between fronts.
+func TestFrontStartsFromALongViewOfAnotherFront(t *testing.T) {
+	withHarness(t, func(r *harness) {
+		r.configure(1, "old")
+		r.startServer("i-1", "desk")
+		for n := range 40 {
+			r.writeKey(fmt.Sprintf("foxtailcroft/long/%d", n), strings.Repeat("x", peer.MaxFrameBytes/16))
+		}
+		_, endFirst := r.start("front-1")
+		defer endFirst()
+		time.Sleep(2 * time.Second)
+		r.store.SetRejectStatus(http.StatusServiceUnavailable)
+		_, endSecond := r.start("front-2", "front-9:3", "front-1:3")
+		defer endSecond()
+		time.Sleep(2 * time.Second)
+		status, _, err := r.send("front-2", "/old/x", "id-1")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(status).To(Equal(200))
+	})
+}
