front/crash: the newest proof of a harmless part is the one that is shared

Cause: found in reading: while the store is away, a task for each answer went on writing what it had proved, so that an older proof could take the place of a newer one. Change: one task a part, which reads what is proved before each try; the log says 'nothing was sent' where a refusal rests on no attempt. Evidence: TestAnswerDuringAnOutageClearsAPartBlockedBefore (a part blocked before an outage; failed at: the other fronts kept it blocked).

--- a/internal/front/crash/collect_test.go
+++ b/internal/front/crash/collect_test.go
@@ -11,6 +11,7 @@
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/policy/blame"
 )
 
 func TestCollectorNumbersWhatIsNew(t *testing.T) {
@@ -140,3 +141,48 @@
 		expectBlocked(true, "crashes after the outage")
 	})
 }
+
+// TestAnswerDuringAnOutageClearsAPartBlockedBefore guards against fronts that go on refusing a part
+// since an answer that clears it came while the store was away.
+func TestAnswerDuringAnOutageClearsAPartBlockedBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig()
+		var watchers []*Watcher
+		for _, name := range []string{"a", "b", "c"} {
+			w, closeWatcher := r.watcher(name)
+			defer closeWatcher()
+			watchers = append(watchers, w)
+		}
+		expectBlocked := func(want bool, when string) {
+			for range 2 {
+				for _, w := range watchers {
+					w.apply(r.State().Keys)
+					r.exchange(w)
+				}
+			}
+			for _, w := range watchers {
+				g.Expect(len(w.Blocked("llm", prompt("root"))) > 0).To(Equal(want), when)
+			}
+		}
+		setAway := func(on bool) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.failing, r.unavailable = on, on
+		}
+		for _, id := range []string{"1", "2", "3"} {
+			watchers[0].RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root"), true)
+		}
+		time.Sleep(time.Second)
+		expectBlocked(true, "crashes in the store")
+		setAway(true)
+		expectBlocked(true, "the store is away")
+		watchers[1].RecordAnswer("llm", prompt("root"))
+		time.Sleep(time.Second)
+		expectBlocked(false, "an answer at one front")
+		setAway(false)
+		time.Sleep(2 * maxCommitRetryDelay)
+		expectBlocked(false, "the store is back")
+		g.Expect(r.State().Keys).To(HaveKey(harmlessKey(blame.Part{Service: "llm", ID: "root"})))
+	})
+}
--- a/internal/front/crash/harmless.go
+++ b/internal/front/crash/harmless.go
@@ -51,49 +51,56 @@
 	}
 }
 
-// shareHarmless tells the other fronts that a prompt part is harmless, unless they know.
+// shareHarmless tells the other fronts that a prompt part is harmless, and again if answers prove
+// meanwhile that it refutes more records.
 func (w *Watcher) shareHarmless(ctx context.Context, p blame.Part) {
 	sleep.For(ctx, rand.N(maxShareDelay))
-	w.mu.Lock()
-	delete(w.sharing, p)
-	upTo := w.ownHarmless[p]
-	w.mu.Unlock()
-	known := w.site.State().Keys[harmlessKey(p)]
+	shared := int64(0)
+	for tries := 1; ; tries++ {
+		w.mu.Lock()
+		upTo := w.ownHarmless[p]
+		if upTo <= shared || tries > maxShareTries {
+			delete(w.sharing, p)
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		if w.tellHarmless(ctx, p, upTo) {
+			shared = upTo
+			continue
+		}
+		if !sleep.For(ctx, min(time.Duration(tries)*commitRetryDelay, maxCommitRetryDelay)) {
+			return
+		}
+	}
+}
+
+// maxShareTries bounds the tries to share one harmless part; the last ones are maxCommitRetryDelay apart.
+const maxShareTries = 300
+
+// tellHarmless tells up to which revision a prompt part is harmless, unless the others know; false
+// if only the planner can be told, as the store is away.
+func (w *Watcher) tellHarmless(ctx context.Context, p blame.Part, upTo int64) bool {
+	key := harmlessKey(p)
+	known := w.site.State().Keys[key]
 	var shared harmlessPart
-	if upTo == 0 || json.Unmarshal(known.Value, &shared) == nil && shared.UpTo >= upTo {
-		return
+	if json.Unmarshal(known.Value, &shared) == nil && shared.UpTo >= upTo {
+		return true
 	}
 	value, err := json.Marshal(harmlessPart{Service: p.Service, Part: p.ID, UpTo: upTo})
 	if err != nil {
-		return
+		return true
 	}
 	if upTo > collectedRevisions {
-		w.setUnwritten(harmlessKey(p), value)
-		return
+		w.setUnwritten(key, value)
+		return true
 	}
-	written := w.writeHarmless(ctx, p, value)
+	written := w.put(ctx, store.Txn{If: []store.Compare{{Key: key, Revision: known.Revision}}, Puts: []store.Put{{Key: key, Value: value}}})
 	w.log.Infow("prompt part harmless", "Service", p.Service, "PromptPart", p.ID, "UpTo", upTo, "Written", written)
-}
-
-// writeHarmless writes a harmless part; false if the store holds another one. While the store is
-// away the planner gets it instead.
-func (w *Watcher) writeHarmless(ctx context.Context, p blame.Part, value []byte) bool {
-	key := harmlessKey(p)
-	defer w.setUnwritten(key, nil)
-	for tries := 1; ; tries++ {
-		known := w.site.State().Keys[key].Revision
-		if w.put(ctx, store.Txn{If: []store.Compare{{Key: key, Revision: known}}, Puts: []store.Put{{Key: key, Value: value}}}) {
-			return true
-		}
-		if !w.site.Unavailable(0) || tries > maxHarmlessTries {
-			return false
-		}
+	if !written && w.site.Unavailable(0) {
 		w.setUnwritten(key, value)
-		if !sleep.For(ctx, min(time.Duration(tries)*commitRetryDelay, maxCommitRetryDelay)) {
-			return false
-		}
+		return false
 	}
+	w.setUnwritten(key, nil)
+	return true
 }
-
-// maxHarmlessTries bounds the writes of one harmless part; the last ones are maxCommitRetryDelay apart.
-const maxHarmlessTries = 300
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -10,7 +10,7 @@
 // logAttempt logs an attempt that did not succeed at an instance, and why.
 func (c *call) logAttempt(event string, in site.Instance, reason string) {
 	c.server.log.Infow(event, "Request", c.request.ID, "Instance", in.ID, "Born", in.Born, "Announced", in.Revision,
-		"Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Status", c.instanceStatus, "Basis", string(c.attempts.Last()), "AnswerBegan", c.answerBegan, "Parts", c.loggedParts(), "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
+		"Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "InstanceStatus", c.instanceStatus, "Basis", string(c.attempts.Last()), "AnswerBegan", c.answerBegan, "Parts", c.loggedParts(), "Reason", reason, "Ms", time.Since(c.arrivedAt).Milliseconds())
 }
 
 // maxLoggedParts bounds the prompt parts in one log line.
--- a/internal/policy/proof/proof.go
+++ b/internal/policy/proof/proof.go
@@ -17,6 +17,7 @@
 
 // The bases of findings.
 const (
+	NothingSent    Basis = "nothing was sent"
 	NothingWritten Basis = "nothing was written"
 	SaidNotRun     Basis = "the instance says that it did not run it"
 	NoResponse     Basis = "no response"
@@ -76,5 +77,10 @@
 // provided that it is not sent again.
 func (r Request) IsNotRun() bool { return r.possibleRuns == 0 }
 
-// Last returns the basis of the finding on the latest attempt, empty if there is none.
-func (r Request) Last() Basis { return r.last }
+// Last returns the basis of the finding on the latest attempt, NothingSent if there is none.
+func (r Request) Last() Basis {
+	if r == (Request{}) {
+		return NothingSent
+	}
+	return r.last
+}
--- a/internal/policy/proof/proof_test.go
+++ b/internal/policy/proof/proof_test.go
@@ -36,5 +36,6 @@
 	g.Expect(r.IsNotRun()).To(BeFalse())
 	g.Expect(r.PossibleRuns()).To(Equal(1))
 	g.Expect(r.NotRunAttempts()).To(Equal(3))
+	g.Expect(Request{}.Last()).To(Equal(NothingSent))
 	g.Expect(Request{}.With(rejected).With(Attempt{}).IsNotRun()).To(BeTrue())
 }
