front/sched: a planner whose process restarts while the store is away goes on

Seen by callers: STARVED. Once the planner's front was restarted, models that were not loaded stayed so until the store was back. Cause: class 'knowledge that only one source can give', as in: the planner's key names the run of a process, and a new run needs the store to claim it. Change: where servers check fencing tokens, a front that was the planner before its process restarted goes on under the token, if the store has been away for as long as the process runs: the holder is the same machine at the same address, and no other can have got a token. Fronts notice the new run by its replies and report everything to it. Evidence: TestPlannerThatRestartsWhileTheStoreIsAwayGoesOn failed before (none of the requests for a model that was not loaded served).

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -172,6 +172,8 @@
 // PlannerStatus is the planner's reply to a usage report: the load of the busiest
 // servers, and what a successor would otherwise have to learn again.
 type PlannerStatus struct {
+	// Run is that of the planner's process, which may have restarted under the same fencing token.
+	Run   string
 	Loads []ServerLoad
 	// Limits are the limits that instances have named or lifted recently.
 	Limits []InstanceLimit
@@ -274,6 +276,7 @@
 			f.AddSuccessor(x)
 		}
 		status := h.Planner.ApplyUsage(u)
+		status.Run = self.Run
 		status.Successors, status.SuccessorsNext = f.SuccessorsAfter(u.SuccessorsAfter)
 		status.Leaving = f.MarkedDraining()
 		status.Evidence = h.Evidence.Exchange(u.Evidence, f.Unavailable(evidenceHold))
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -317,23 +317,34 @@
 }
 
 // FencingToken returns the fencing token if this front may give orders now, and false
-// otherwise. After a suspension of the machine the lease must be renewed first.
+// otherwise. If servers check fencing tokens, a planner whose process restarts while the store is
+// away goes on under its token. After a suspension of the machine the lease must be renewed first.
 // If servers don't check fencing tokens (checked is false), the lease must also
 // have been renewed within three quarters of its TTL, or no front may reach the store.
 func (l *Candidate) FencingToken(checked bool) (int64, bool) {
 	state := l.site.State()
 	p := state.Planner
-	if p == nil || p.Run != l.Self.Run {
+	if p == nil {
 		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if p.Run != l.Self.Run && !(checked && l.continues(p.Front)) {
+		return 0, false
+	}
 	if l.leaving || l.suspended() || !checked && !l.holdsKey(state.Keys[follow.PlannerKey].Lease) {
 		return 0, false
 	}
 	return p.FencingToken, true
 }
 
+// continues reports whether this front held the planner's key before its process restarted, and no
+// other one can have claimed it since, as far as this front knows: the store has been away for as
+// long as this process runs. The caller must hold l.mu.
+func (l *Candidate) continues(planner follow.Front) bool {
+	return planner.Name == l.Self.Name && planner.Address == l.Self.Address && l.lease == 0 && l.site.Unavailable(0)
+}
+
 // holdsKey reports whether no other front can have claimed the planner's key, which is
 // attached to a lease. The caller must hold l.mu.
 func (l *Candidate) holdsKey(lease int64) bool {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -189,6 +189,7 @@
 // reportUsage periodically reports this front's usage to the planner; without a planner it waits.
 func (f *Front) reportUsage(ctx context.Context) {
 	var reportedFence int64
+	var plannerRun string
 	var reportedAt time.Time
 	// sent names the newest successor that the planner has from this front, and received the newest
 	// that this front has from the planner.
@@ -221,6 +222,10 @@
 			}
 			continue
 		}
+		if status.Run != plannerRun {
+			// It doesn't know what was reported to the process before.
+			reportedFence, plannerRun = 0, status.Run
+		}
 		for _, k := range status.Leaving {
 			f.follower.MarkDraining(k)
 		}
--- a/internal/node/front/restarted_test.go
+++ b/internal/node/front/restarted_test.go
@@ -171,3 +171,52 @@
 	_ = res.Body.Close()
 	return err == nil && res.StatusCode == http.StatusOK
 }
+
+// TestPlannerThatRestartsWhileTheStoreIsAwayGoesOn guards against models that nobody loads for the
+// rest of an outage since the planner's process was restarted.
+func TestPlannerThatRestartsWhileTheStoreIsAwayGoesOn(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		r := &crashRig{harness: h, part: "none"}
+		r.writeKey(platform.DocumentKey, `{"version":1,"routes":[
+{"name":"s","host":"h.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":15000,"responseGoalMs":1500,"service":"llm","attempts":2,"canResume":true,"gapTargetMs":400}],
+"services":[{"name":"llm","engine":{"slots":64,"weightsMb":100000,"adapterSlots":8,"loadsPerS":4,"models":[{"name":"m0","weightsMb":70000,"loadS":1},{"name":"m1","weightsMb":70000,"loadS":1}]}}],
+"limits":{"bodyBytes":1000000,"idleTimeoutMs":15000}}`)
+		var s *fake.Server
+		announce := func() { r.writeKey(s.Key(), string(s.Announcement())) }
+		s = fake.NewServer(fake.Spec{
+			ID: "i-1", Born: 1, Service: "llm", Address: "10.0.4.1:80", Zone: "a", Slots: 64, EventTime: 20 * time.Millisecond,
+			Sizes: map[string]float64{"m0": 70000, "m1": 70000}, WeightsMb: 100000, AdapterSlots: 8, LoadTime: 500 * time.Millisecond, ChecksFence: true,
+		}, r.executions, announce, "m0")
+		announce()
+		r.net.Serve("10.0.4.1:80", s)
+		fronts := []string{"front-1", "front-2", "front-3"}
+		stops := map[string]func(){}
+		start := func(name string) { _, stops[name] = r.start(name, "front-1:3", "front-2:3") }
+		for _, f := range fronts {
+			start(f)
+			defer func() { stops[f]() }()
+		}
+		time.Sleep(4 * time.Second)
+		r.store.SetRejectStatus(http.StatusServiceUnavailable)
+		time.Sleep(3 * time.Second)
+		for _, f := range fronts {
+			stops[f]()
+			time.Sleep(500 * time.Millisecond)
+			start(f)
+			time.Sleep(2 * time.Second)
+		}
+		served := 0
+		for n := range 10 {
+			if r.requestModel(fronts[n%3], fmt.Sprintf("m1-%d", n), "m1") {
+				served++
+			}
+		}
+		r.g.Expect(served).To(BeNumerically(">=", 8), "requests for a model that was not loaded")
+		for _, o := range r.executions.Orders() {
+			r.g.Expect(o.Holder).To(Equal(r.executions.Orders()[0].Holder))
+		}
+		r.store.SetRejectStatus(0)
+		time.Sleep(10 * time.Second)
+		r.g.Expect(r.requestModel("front-1", "m0-last", "m0")).To(BeTrue(), "the store is back")
+	})
+}
