node/front: only a planner that has restarted gets all usage once more

Change: they are sent again only if the run changes under the same fencing token. Receivers of base/serve are named after their types. Result: tests of node/front, plat/follow and front/sched pass.

--- a/internal/base/serve/server.go
+++ b/internal/base/serve/server.go
@@ -37,7 +37,7 @@
 	mu      sync.Mutex
 	// idleSince is when the idle connections became idle.
 	idleSince map[net.Conn]time.Time
-	// listener is the one that serve accepts connections from, nil before that.
+	// listener is the one that Serve accepts connections from, nil before that.
 	listener       net.Listener
 	phase          stopPhase
 	activeRequests int
@@ -62,12 +62,12 @@
 // New returns a server with the timeouts, limits and base context of h; its handler is served, and
 // its ConnState and ConnContext are replaced.
 func New(h *http.Server) *Server {
-	c := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
-	h.Handler, h.ConnState = c, c.connStateChanged
+	s := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
+	h.Handler, h.ConnState = s, s.connStateChanged
 	h.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
-	return c
+	return s
 }
 
 // listener wraps accepted connections as serverConn.
@@ -86,106 +86,106 @@
 }
 
 // Close closes the connection, unless it is serving a request and the server has not stopped.
-func (k *serverConn) Close() error {
-	k.server.mu.Lock()
-	if k.inRequest && k.server.phase != stopped {
-		k.server.mu.Unlock()
+func (c *serverConn) Close() error {
+	c.server.mu.Lock()
+	if c.inRequest && c.server.phase != stopped {
+		c.server.mu.Unlock()
 		return nil
 	}
-	k.closed = true
-	k.server.mu.Unlock()
-	return k.Conn.Close()
+	c.closed = true
+	c.server.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // ServeHTTP serves a request, or aborts it if its connection was closed or the server has stopped.
-func (c *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, _ := r.Context().Value(connKey{}).(*serverConn)
-	last, ok := c.beginRequest(conn)
+	last, ok := s.beginRequest(conn)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.endRequest(conn)
+	defer s.endRequest(conn)
 	if last {
 		w.Header().Set("Connection", "close")
 	}
-	c.handler.ServeHTTP(w, r)
+	s.handler.ServeHTTP(w, r)
 }
 
 // beginRequest marks a connection as serving a request; last is true if it closes
 // after the answer, and ok is false if the request must not be served.
-func (c *Server) beginRequest(conn *serverConn) (last, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == stopped || conn.closed {
+func (s *Server) beginRequest(conn *serverConn) (last, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == stopped || conn.closed {
 		return false, false
 	}
 	conn.inRequest = true
-	c.activeRequests++
-	c.begunRequests++
-	return c.phase >= closingConnections, true
+	s.activeRequests++
+	s.begunRequests++
+	return s.phase >= closingConnections, true
 }
 
 // endRequest marks the request of a connection as ended.
-func (c *Server) endRequest(conn *serverConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (s *Server) endRequest(conn *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	conn.inRequest = false
-	c.activeRequests--
-	c.stopIfIdle()
+	s.activeRequests--
+	s.stopIfIdle()
 }
 
 // stopIfIdle stops accepting requests if the server is finishing and none is in flight for
 // lingerTime; the caller holds the lock.
-func (c *Server) stopIfIdle() {
-	if c.phase != finishingRequests || c.activeRequests > 0 {
+func (s *Server) stopIfIdle() {
+	if s.phase != finishingRequests || s.activeRequests > 0 {
 		return
 	}
-	begun := c.begunRequests
+	begun := s.begunRequests
 	time.AfterFunc(lingerTime, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.phase == finishingRequests && c.begunRequests == begun {
-			c.phase = stopped
-			close(c.drained)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.phase == finishingRequests && s.begunRequests == begun {
+			s.phase = stopped
+			close(s.drained)
 		}
 	})
 }
 
 // connStateChanged records when connections become idle. While the server finishes, it closes
 // those whose requests came before, as their answers didn't ask the callers to close.
-func (c *Server) connStateChanged(conn net.Conn, state http.ConnState) {
-	if c.recordState(conn, state) >= finishingRequests && state == http.StateIdle {
+func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
+	if s.recordState(conn, state) >= finishingRequests && state == http.StateIdle {
 		// Callers expect that idle connections may be closed.
 		_ = conn.Close()
 	}
 }
 
 // recordState records the time of a change to idle, and returns the current phase.
-func (c *Server) recordState(conn net.Conn, state http.ConnState) stopPhase {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (s *Server) recordState(conn net.Conn, state http.ConnState) stopPhase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if state == http.StateIdle {
-		c.idleSince[conn] = time.Now()
+		s.idleSince[conn] = time.Now()
 	} else {
-		delete(c.idleSince, conn)
+		delete(s.idleSince, conn)
 	}
-	return c.phase
+	return s.phase
 }
 
 // CloseIdle closes connections that became idle at a time or before.
-func (c *Server) CloseIdle(since time.Time) {
-	for _, conn := range c.connsIdleBefore(since) {
+func (s *Server) CloseIdle(since time.Time) {
+	for _, conn := range s.connsIdleBefore(since) {
 		// connStateChanged removes the connection from the map.
 		_ = conn.Close()
 	}
 }
 
 // connsIdleBefore returns the connections that became idle at a time or before.
-func (c *Server) connsIdleBefore(t time.Time) []net.Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (s *Server) connsIdleBefore(t time.Time) []net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var out []net.Conn
-	for conn, since := range c.idleSince {
+	for conn, since := range s.idleSince {
 		if !since.After(t) {
 			out = append(out, conn)
 		}
@@ -194,14 +194,14 @@
 }
 
 // Serve accepts connections until the server is closed or drained, and then returns nil.
-func (c *Server) Serve(l net.Listener) error {
-	c.mu.Lock()
-	c.listener = l
-	c.mu.Unlock()
-	err := c.server.Serve(listener{l, c})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase >= finishingRequests {
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	err := s.server.Serve(listener{l, s})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase >= finishingRequests {
 		return nil
 	}
 	if errors.Is(err, http.ErrServerClosed) {
@@ -211,46 +211,46 @@
 }
 
 // CloseAfterAnswers makes each connection close after its next answer.
-func (c *Server) CloseAfterAnswers() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.phase = max(c.phase, closingConnections)
+func (s *Server) CloseAfterAnswers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.phase = max(s.phase, closingConnections)
 }
 
 // Drain accepts no new connections and waits until no request is in flight, after
 // which requests are no longer accepted; it returns an error only if ctx ends first.
 // Until then requests of open connections are answered: http.Server.Shutdown would close
 // a connection whose first request it has read, without an answer.
-func (c *Server) Drain(ctx context.Context) error {
-	c.mu.Lock()
-	c.phase = max(c.phase, finishingRequests)
-	accepting := c.listener
-	c.stopIfIdle()
-	c.mu.Unlock()
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.phase = max(s.phase, finishingRequests)
+	accepting := s.listener
+	s.stopIfIdle()
+	s.mu.Unlock()
 	if accepting != nil {
 		// The process is about to exit, which closes a listener that fails to close here.
 		_ = accepting.Close()
 	}
-	c.CloseIdle(time.Now())
+	s.CloseIdle(time.Now())
 	select {
-	case <-c.drained:
+	case <-s.drained:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	// Shutdown waits for answers being written, and for connections that never carried a request.
 	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	if err := c.server.Shutdown(flushCtx); err != nil && ctx.Err() != nil {
+	if err := s.server.Shutdown(flushCtx); err != nil && ctx.Err() != nil {
 		return err
 	}
 	return nil
 }
 
 // Close stops accepting requests and closes all connections at once.
-func (c *Server) Close() {
-	c.mu.Lock()
-	c.phase = stopped
-	c.mu.Unlock()
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.phase = stopped
+	s.mu.Unlock()
 	// The process is about to exit, which closes any connection that fails to close here.
-	_ = c.server.Close()
+	_ = s.server.Close()
 }
--- a/internal/core/site/instance.go
+++ b/internal/core/site/instance.go
@@ -23,7 +23,7 @@
 	WarmUpLeft time.Duration
 	// Models are the loaded models; loaded adapters are not announced.
 	Models []string
-	// Revision is the store revision of the announcement.
+	// Revision is the store revision of the announcement, 0 if there is none.
 	Revision int64
 }
 
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -222,10 +222,11 @@
 			}
 			continue
 		}
-		if status.Run != plannerRun {
-			// It doesn't know what was reported to the process before.
-			reportedFence, plannerRun = 0, status.Run
+		if status.Run != plannerRun && !isNewPlanner {
+			// A planner that has restarted doesn't know what was reported before.
+			reportedFence = 0
 		}
+		plannerRun = status.Run
 		for _, k := range status.Leaving {
 			f.follower.MarkDraining(k)
 		}
