front/peers: views are asked for whole only where parts are not known

Cause: found in reading: after any failed call, such as one to a front that is cut off, the older method was tried as well, so that a front that starts without the store waited twice as long for it. Change: only an unknown method leads to the older one. Result: tests of node/front pass.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -377,7 +377,7 @@
 func (m *Client) FetchNewer(ctx context.Context, revision int64) (follow.View, bool) {
 	for _, address := range m.sampleFronts() {
 		view, err := m.fetchView(ctx, address, revision)
-		if err != nil {
+		if isUnknownMethod(err) {
 			// A front of an earlier version sends its view whole.
 			err = m.call(ctx, address, methodNewer, callTimeout, revision, &view)
 		}
--- a/internal/front/peers/view.go
+++ b/internal/front/peers/view.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
 )
@@ -70,6 +72,12 @@
 	errViewChanging = errors.New("the view changed while it was read")
 )
 
+// isUnknownMethod reports whether a call failed since the other front doesn't know its method.
+func isUnknownMethod(err error) bool {
+	var remote *jsonrpc2.Error
+	return errors.As(err, &remote) && remote.Code == jsonrpc2.CodeMethodNotFound
+}
+
 // fetchView returns a front's view if it is newer than a revision, and else an empty one.
 func (m *Client) fetchView(ctx context.Context, address string, after int64) (follow.View, error) {
 	for range maxViewReads {
