front/crash: trials go to requests that can be sent, and go on as the store returns

Cause, from the fronts' logs: three trials in a row went to requests whose models were not loaded and which were refused in the end, so that they proved nothing. Change: a trial waits a second for a request that an instance can take now; with the store back, trials go by what the store has; a record that is taken over is no other crash. Evidence: TestTrialsGoOnWhenTheStoreReturns failed before; TestTrialPrefersARequestThatCanBeSent is new with its parameter.

--- a/internal/front/crash/trial.go
+++ b/internal/front/crash/trial.go
@@ -25,9 +25,9 @@
 	trialTimeout = 10 * time.Second
 	// trialSpreadPerFront is the span, per known front, over which fronts spread their claims of a trial.
 	trialSpreadPerFront = 30 * time.Millisecond
-	// ambiguousTrialDelay is how long a trial waits for a request without any of the parts that may
-	// be the cause instead; where all requests have one, the trial goes ahead.
-	ambiguousTrialDelay = time.Second
+	// unsuitedTrialDelay is how long a trial waits for a request that an instance can take now, and
+	// without any of the parts that may be the cause instead; then any request will do.
+	unsuitedTrialDelay = time.Second
 	// trialTime is the expected duration of a trial.
 	trialTime = time.Second
 )
@@ -94,12 +94,22 @@
 	return false
 }
 
+// TrialRequest is a request that may show whether a blocked part of its prompt still crashes instances.
+type TrialRequest struct {
+	Service string
+	// Part is the blocked part.
+	Part   string
+	Prompt []site.PromptPart
+	// Ready is true if an instance can take the request now.
+	Ready bool
+}
+
 // StartTrial reports whether a request may be sent although one part of its prompt is blocked, to
 // show whether the part still crashes instances; only one front at a time sends one. end ends the
 // trial and tells whether the attempt broke off.
-func (w *Watcher) StartTrial(ctx context.Context, service, part string, prompt []site.PromptPart) (end func(broken bool), ok bool) {
-	p := blame.Part{Service: service, ID: part}
-	plan, ok := w.beginTrial(p, prompt)
+func (w *Watcher) StartTrial(ctx context.Context, r TrialRequest) (end func(broken bool), ok bool) {
+	p := blame.Part{Service: r.Service, ID: r.Part}
+	plan, ok := w.beginTrial(p, r)
 	if !ok {
 		return nil, false
 	}
@@ -107,7 +117,7 @@
 		w.endTrial(p)
 		return nil, false
 	}
-	w.log.Infow("trial of a blocked prompt part", "Service", service, "PromptPart", part, "FailedBefore", plan.claim.Failed)
+	w.log.Infow("trial of a blocked prompt part", "Service", p.Service, "PromptPart", p.ID, "FailedBefore", plan.claim.Failed)
 	return func(broken bool) {
 		result := trial{Failed: plan.claim.Failed}
 		if broken {
@@ -115,7 +125,7 @@
 		} else if _, blocked := w.verdict.Load().Blocked[p]; !blocked {
 			result.Failed = 0
 		}
-		w.log.Infow("trial ended", "Service", service, "PromptPart", part, "Broken", broken, "Failed", result.Failed)
+		w.log.Infow("trial ended", "Service", p.Service, "PromptPart", p.ID, "Broken", broken, "Failed", result.Failed)
 		w.group.Go(func() {
 			defer w.endTrial(p)
 			w.writeTrial(w.ctx, p, result, w.trialRevision(p))
@@ -135,7 +145,7 @@
 
 // beginTrial marks a part as being tried by this front; ok is false if a trial is not due or under
 // way, or can't be claimed.
-func (w *Watcher) beginTrial(p blame.Part, prompt []site.PromptPart) (plan trialPlan, ok bool) {
+func (w *Watcher) beginTrial(p blame.Part, r TrialRequest) (plan trialPlan, ok bool) {
 	if w.claims == nil && w.site.Unavailable(0) {
 		return plan, false
 	}
@@ -144,10 +154,13 @@
 	v := w.verdict.Load()
 	plan, ok = v.trials[p]
 	due := plan.at
-	if slices.ContainsFunc(prompt, func(other site.PromptPart) bool {
+	if !r.Ready || slices.ContainsFunc(r.Prompt, func(other site.PromptPart) bool {
 		return v.alternatives[p][blame.Part{Service: p.Service, ID: other.ID}]
 	}) {
-		due = due.Add(ambiguousTrialDelay)
+		due = due.Add(unsuitedTrialDelay)
+	}
+	if plan.claim.revision > collectedRevisions && !w.site.Unavailable(0) {
+		plan = w.storedPlan(p, plan)
 	}
 	if !ok || time.Now().Before(due) || w.trying[p] || time.Since(w.lastClaim) < trialInterval || w.isClaimed(plan) {
 		return plan, false
@@ -156,6 +169,19 @@
 	return plan, true
 }
 
+// storedPlan returns a plan with the claim that the store has, as the store decides again although
+// what was collected while it was away still counts; the caller holds the lock.
+func (w *Watcher) storedPlan(p blame.Part, collected trialPlan) trialPlan {
+	kv := w.stored[trialKey(p)]
+	plan := collected
+	plan.claim = trialClaim{revision: kv.Revision}
+	if len(kv.Value) > 0 && json.Unmarshal(kv.Value, &plan.claim.trial) == nil {
+		plan.claimedAt = time.Now()
+	}
+	plan.claim.Failed = max(plan.claim.Failed, collected.claim.Failed)
+	return plan
+}
+
 // endTrial allows this front to try a part again.
 func (w *Watcher) endTrial(p blame.Part) {
 	w.mu.Lock()
--- a/internal/front/crash/trial_test.go
+++ b/internal/front/crash/trial_test.go
@@ -72,7 +72,7 @@
 				apply()
 				try := func(w *Watcher) (func(bool), bool) {
 					apply()
-					return w.StartTrial(t.Context(), "llm", "dead", prompt("dead"))
+					return w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "dead", Prompt: prompt("dead"), Ready: true})
 				}
 				_, ok := try(watchers[0])
 				g.Expect(ok).To(BeFalse(), "before the first trial is due")
@@ -116,14 +116,14 @@
 		w.apply(r.State().Keys)
 		time.Sleep(10 * time.Second)
 		r.failing = true
-		_, ok := w.StartTrial(t.Context(), "llm", "dead", prompt("dead"))
+		_, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "dead", Prompt: prompt("dead"), Ready: true})
 		g.Expect(ok).To(BeFalse())
 		r.failing, r.unavailable = false, true
 		time.Sleep(trialInterval)
-		_, ok = w.StartTrial(t.Context(), "llm", "dead", prompt("dead"))
+		_, ok = w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "dead", Prompt: prompt("dead"), Ready: true})
 		g.Expect(ok).To(BeFalse())
 		r.unavailable = false
-		end, ok := w.StartTrial(t.Context(), "llm", "dead", prompt("dead"))
+		end, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "dead", Prompt: prompt("dead"), Ready: true})
 		g.Expect(ok).To(BeTrue())
 		w.RecordAnswer("llm", prompt("dead"))
 		end(false)
@@ -174,7 +174,7 @@
 		for time.Since(began) < 30*time.Second {
 			for _, w := range watchers {
 				w.apply(r.State().Keys)
-				if end, ok := w.StartTrial(t.Context(), "llm", "dead", prompt("dead")); ok {
+				if end, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "dead", Prompt: prompt("dead"), Ready: true}); ok {
 					trials++
 					end(true)
 				}
@@ -214,9 +214,9 @@
 		w.apply(r.State().Keys)
 		g.Expect(w.Blocked("llm", prompt("root", "sound"))).To(HaveLen(1))
 		time.Sleep(blame.TrialDelay(0) + 100*time.Millisecond)
-		_, ok := w.StartTrial(t.Context(), "llm", "root", prompt("root", "dead"))
+		_, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "root", Prompt: prompt("root", "dead"), Ready: true})
 		g.Expect(ok).To(BeFalse(), "a part in most of the crashes")
-		end, ok := w.StartTrial(t.Context(), "llm", "root", prompt("root", "sound"))
+		end, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "root", Prompt: prompt("root", "sound"), Ready: true})
 		g.Expect(ok).To(BeTrue())
 		w.RecordAnswer("llm", prompt("root", "sound"))
 		end(false)
@@ -248,3 +248,75 @@
 		g.Expect(w.Blocked("llm", prompt("root", "dead"))).To(HaveLen(1))
 	})
 }
+
+// TestTrialPrefersARequestThatCanBeSent guards against trials that prove nothing, one after the
+// other, as their requests wait for models.
+func TestTrialPrefersARequestThatCanBeSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig()
+		w, closeWatcher := r.watcher("a")
+		defer closeWatcher()
+		for _, id := range []string{"1", "2", "3"} {
+			w.RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root"), true)
+		}
+		time.Sleep(time.Second)
+		w.apply(r.State().Keys)
+		time.Sleep(blame.TrialDelay(0) + 100*time.Millisecond)
+		try := func(ready bool) bool {
+			_, ok := w.StartTrial(t.Context(), TrialRequest{Service: "llm", Part: "root", Prompt: prompt("root"), Ready: ready})
+			return ok
+		}
+		g.Expect(try(false)).To(BeFalse())
+		time.Sleep(unsuitedTrialDelay)
+		g.Expect(try(false)).To(BeTrue(), "no request can be sent")
+	})
+}
+
+// TestTrialsGoOnWhenTheStoreReturns guards against a pause of all trials for as long as what was
+// collected in an outage still counts.
+func TestTrialsGoOnWhenTheStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig()
+		r.setFronts("a", "b")
+		r.failing, r.unavailable = true, true
+		var watchers []*Watcher
+		for _, name := range []string{"a", "b"} {
+			w, closeWatcher := r.watcher(name)
+			defer closeWatcher()
+			w.SetClaims(r)
+			watchers = append(watchers, w)
+		}
+		collect := func() {
+			for range 2 {
+				for _, w := range watchers {
+					w.apply(r.State().Keys)
+					w.ApplyEvidence(r.collector.Exchange(w.Evidence(), true))
+				}
+			}
+		}
+		for _, id := range []string{"1", "2", "3"} {
+			watchers[0].RecordBroken(site.Instance{InstanceKey: site.InstanceKey{ID: id, Born: 7}, Service: "llm"}, prompt("root"), true)
+		}
+		time.Sleep(time.Second)
+		collect()
+		time.Sleep(blame.TrialDelay(0) + time.Second)
+		request := TrialRequest{Service: "llm", Part: "root", Prompt: prompt("root"), Ready: true}
+		end, ok := watchers[0].StartTrial(t.Context(), request)
+		g.Expect(ok).To(BeTrue())
+		end(false)
+		time.Sleep(100 * time.Millisecond)
+		collect()
+		r.mu.Lock()
+		r.failing, r.unavailable = false, false
+		r.mu.Unlock()
+		time.Sleep(time.Second)
+		collect()
+		_, ok = watchers[1].StartTrial(t.Context(), request)
+		g.Expect(ok).To(BeTrue(), "the store is back")
+		collect()
+		_, ok = watchers[0].StartTrial(t.Context(), request)
+		g.Expect(ok).To(BeFalse(), "beside the other one's trial")
+	})
+}
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"strings"
@@ -180,7 +181,9 @@
 		}
 	}
 	for key, kv := range all {
-		if kv.Revision != w.keys[key].Revision {
+		// A collected record that the store takes later is no other crash.
+		taken := strings.HasPrefix(key, recordPrefix) && bytes.Equal(kv.Value, w.keys[key].Value)
+		if kv.Revision != w.keys[key].Revision && !taken {
 			w.firstSeen[key] = now
 		}
 	}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -127,10 +127,10 @@
 	return out
 }
 
-func (r *harness) StartTrial(_ context.Context, _, part string, _ []site.PromptPart) (end func(broken bool), ok bool) {
+func (r *harness) StartTrial(_ context.Context, t crash.TrialRequest) (end func(broken bool), ok bool) {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
-	r.trials = append(r.trials, part)
+	r.trials = append(r.trials, t.Part)
 	return func(broken bool) {
 		r.watchMu.Lock()
 		defer r.watchMu.Unlock()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -74,7 +74,7 @@
 	Blocked(service string, prompt []site.PromptPart) []crash.BlockedPart
 	// StartTrial reports whether a request with a blocked part may be sent to show whether the
 	// part still crashes instances; end ends the trial and tells whether the attempt broke off.
-	StartTrial(ctx context.Context, service, part string, prompt []site.PromptPart) (end func(broken bool), ok bool)
+	StartTrial(ctx context.Context, r crash.TrialRequest) (end func(broken bool), ok bool)
 }
 
 // Pacer reserves requests to instances that limit the requests of all fronts.
--- a/internal/front/proxy/trial.go
+++ b/internal/front/proxy/trial.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/crash"
 )
 
 // endIfBlocked ends the request if a part of its prompt crashes instances, and reports whether
@@ -27,7 +28,9 @@
 	if c.trial != nil {
 		return c.trial.part == part
 	}
-	end, ok := c.server.crashes.StartTrial(ctx, c.service, part, c.request.PromptParts)
+	end, ok := c.server.crashes.StartTrial(ctx, crash.TrialRequest{
+		Service: c.service, Part: part, Prompt: c.request.PromptParts, Ready: len(c.untried(c.candidates())) > 0,
+	})
 	if ok {
 		c.trial = &trial{part: part, end: end}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,6 +43,7 @@
 	{145, 16, "the deadline passed during the second attempt of a resumed stream, and the body of a refusal followed the events already sent"},
 	{318, 16, "the stand-in store accepted a write under an expired lease, so the planner's key outlived its front; later, once, a complete empty answer: a stand-in server that two requests crash at once could complete one"},
 	{336, 16, "the soak test gave the same port to two processes"},
+	{7019, 18, "trials of a blocked prompt part went to requests that waited for models, and stopped for 5 s as the store returned, once in 54 runs"},
 	{7025, 18, "a common prompt part was blocked in place of the one that crashed servers, and the request that tried it had both, once in 53 runs"},
 }
 
