--- a/internal/front/proxy/attempts_test.go
+++ b/internal/front/proxy/attempts_test.go
@@ -80,7 +80,7 @@
 	return p.script[p.next-1]
 }
 
-// peek returns the next event if it is one of those given.
+// peek returns the next event, without taking it, if it is one of those given.
 func (p *play) peek(list ...event) (event, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
