front/proxy, platform: callers with keys of client accounts

Cause: the document of a deployment may hold client accounts, and the product knew no keys: the accounts' requests ran without their account's name, and the callers' keys reached the instances.

--- /dev/null
+++ b/internal/core/site/account.go
@@ -0,0 +1,128 @@
+package site
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"slices"
+)
+
+// KeyDigest is the SHA-256 digest of a caller's key. Keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	return sha256.Sum256([]byte(key))
+}
+
+// Quota bounds what the callers of a client account may ask of all fronts together.
+type Quota struct {
+	// PerSecond and Burst are in tokens if CountsTokens is set, otherwise in requests; a PerSecond of 0 is no limit.
+	PerSecond    float64
+	Burst        float64
+	CountsTokens bool
+	// PlainTokens is the cost of a request that declares no tokens.
+	PlainTokens float64
+}
+
+// IsLimited reports whether the quota bounds anything.
+func (q Quota) IsLimited() bool {
+	return q.PerSecond > 0
+}
+
+// Cost returns what a request counts, in the quota's unit.
+func (q Quota) Cost(r *RequestInfo) float64 {
+	if !q.CountsTokens {
+		return 1
+	}
+	if !r.DeclaresTokens {
+		return q.PlainTokens
+	}
+	return float64(r.PromptTokens) + float64(r.MaxTokens)
+}
+
+// Account is a client account; its callers identify themselves by its keys.
+type Account struct {
+	Name string
+	Keys []KeyDigest
+	// Priority overrides those of the routes; it is nil if the account has none.
+	Priority *int
+	Quota    Quota
+}
+
+// InvalidAccount is the error of an account in the operator's document.
+type InvalidAccount struct {
+	Account string
+	Field   string
+	Value   string
+	Rule    string
+}
+
+// Error returns a message with the account, the field, its value and the rule that it breaks.
+func (i *InvalidAccount) Error() string {
+	return fmt.Sprintf("account %q: %s %q %s", i.Account, i.Field, i.Value, i.Rule)
+}
+
+// Accounts are the client accounts of a document; a nil pointer means that requests need no key.
+type Accounts struct {
+	list  []Account
+	byKey map[KeyDigest]int
+}
+
+// NewAccounts returns accounts that are found by their keys; errors are *InvalidAccount.
+func NewAccounts(list []Account) (*Accounts, error) {
+	a := &Accounts{list: slices.Clone(list), byKey: map[KeyDigest]int{}}
+	names := map[string]bool{}
+	for i, account := range a.list {
+		if err := account.check(); err != nil {
+			return nil, err
+		}
+		if names[account.Name] {
+			return nil, &InvalidAccount{account.Name, "Name", account.Name, "is also the name of another account"}
+		}
+		names[account.Name] = true
+		for _, key := range account.Keys {
+			if other, ok := a.byKey[key]; ok && other != i {
+				return nil, &InvalidAccount{account.Name, "Keys", "(digest " + fmt.Sprintf("%x", key[:4]) + ")", "also belong to account " + a.list[other].Name}
+			}
+			a.byKey[key] = i
+		}
+	}
+	return a, nil
+}
+
+func (a Account) check() error {
+	switch {
+	case a.Name == "":
+		return &InvalidAccount{a.Name, "Name", "", "is required"}
+	case a.Quota.PerSecond < 0:
+		return &InvalidAccount{a.Name, "PerSecond", fmt.Sprint(a.Quota.PerSecond), "must not be negative"}
+	case a.Quota.Burst < 0:
+		return &InvalidAccount{a.Name, "Burst", fmt.Sprint(a.Quota.Burst), "must not be negative"}
+	case a.Quota.PlainTokens < 0:
+		return &InvalidAccount{a.Name, "PlainTokens", fmt.Sprint(a.Quota.PlainTokens), "must not be negative"}
+	}
+	return nil
+}
+
+// All returns the accounts in the document's order.
+func (a *Accounts) All() []Account {
+	if a == nil {
+		return nil
+	}
+	return a.list
+}
+
+// Find returns the account with a key, or nil if there is none. The key is looked up by its
+// digest, so the time that this takes tells nothing about how much of a key is right.
+func (a *Accounts) Find(key string) *Account {
+	if a == nil || key == "" {
+		return nil
+	}
+	digest := DigestKey(key)
+	i, ok := a.byKey[digest]
+	if !ok || !slices.ContainsFunc(a.list[i].Keys, func(k KeyDigest) bool { return subtle.ConstantTimeCompare(k[:], digest[:]) == 1 }) {
+		return nil
+	}
+	return &a.list[i]
+}
--- a/internal/core/site/document.go
+++ b/internal/core/site/document.go
@@ -45,7 +45,9 @@
 	// they can be sent to an instance that has them cached.
 	Sticky    bool
 	Resumable bool
-	Split     []WeightedService
+	// Keyless is true if requests of the route need no key of a client account.
+	Keyless bool
+	Split   []WeightedService
 }
 
 // Retryable reports whether a request may be retried after an attempt with an unknown outcome.
@@ -114,6 +116,8 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts is nil if requests need no keys.
+	Accounts *Accounts
 }
 
 // Route returns the host's route with the longest prefix of the path, or nil if none matches.
--- a/internal/core/site/request.go
+++ b/internal/core/site/request.go
@@ -18,9 +18,27 @@
 	// in tokens; 0 if not declared.
 	PromptTokens int
 	MaxTokens    int
-	PromptParts  []PromptPart
+	// DeclaresTokens is true if the request declares its tokens.
+	DeclaresTokens bool
+	PromptParts    []PromptPart
 	// LastEventID is the ID of the last event that the caller received, from which a stream resumes.
 	LastEventID string
+	// Key is the key of a client account, empty if the request has none or more than one.
+	Key string
+}
+
+// Forwarding is what the headers of a request to an instance state.
+type Forwarding struct {
+	Instance string
+	// Remaining is the time until the deadline.
+	Remaining time.Duration
+	Priority  int
+	// LastEvent is the event to resume after, empty to resume none.
+	LastEvent string
+	// UsesAccounts is true if the document has accounts: the caller's key is then removed, and
+	// Account names its account, empty if the route needs no key.
+	UsesAccounts bool
+	Account      string
 }
 
 // ServerLoad is the load that a server reports with an answer: its running and waiting
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -35,9 +35,13 @@
 	state     *follow.State
 	request   site.RequestInfo
 	route     *site.Route
-	service   string
-	body      []byte
-	tried     map[site.InstanceKey]bool
+	// usesAccounts is true if the document has client accounts, and account is that of the request's
+	// key; nil if it needs none.
+	usesAccounts bool
+	account      *site.Account
+	service      string
+	body         []byte
+	tried        map[site.InstanceKey]bool
 	// usedConns are the connections that have carried attempts of the request.
 	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
@@ -145,7 +149,10 @@
 	case c.route.Resumable:
 		c.resumedAfter = c.request.LastEventID
 	}
-	c.server.dialect.SetRequestHeaders(header, in.ID, time.Until(c.deadline), min(9, c.route.Priority), c.resumedAfter)
+	c.server.dialect.SetRequestHeaders(header, site.Forwarding{
+		Instance: in.ID, Remaining: time.Until(c.deadline), Priority: c.priority(), LastEvent: c.resumedAfter,
+		UsesAccounts: c.usesAccounts, Account: c.accountName(),
+	})
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
 		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -32,9 +32,8 @@
 	DecodeRequest(h http.Header) site.RequestInfo
 	// IsEndToEnd reports whether a header is end-to-end even if a Connection header names it.
 	IsEndToEnd(name string) bool
-	// SetRequestHeaders sets the headers of a request to an instance; remaining is the
-	// time until the deadline, and an empty lastEvent resumes nothing.
-	SetRequestHeaders(h http.Header, instance string, remaining time.Duration, priority int, lastEvent string)
+	// SetRequestHeaders sets the headers of a request to an instance.
+	SetRequestHeaders(h http.Header, f site.Forwarding)
 	// MatchesRequest reports whether an answer belongs to the request with an id.
 	MatchesRequest(h http.Header, id string) bool
 	// IsSigned reports whether an answer has the signature of an instance and no content encoding.
@@ -188,6 +187,9 @@
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
+	if !c.authenticate(doc.Accounts) {
+		return
+	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	if !c.readBody(doc.Limits.BodyBytes) || c.refuseIfTooLong() {
