policy/fair, front/sched: waiting requests count by client account

Cause: a model's weight in the planner was its number of waiting requests, so an account that sends many times its usual demand got models loaded before those of accounts that wait with one request each. Change: the requests of one account count by the logarithm of their number; requests without an account count one each, as before. Result: go test ./internal/policy/fair ./internal/front/sched.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -37,6 +37,8 @@
 type InstanceRequest struct {
 	Service string
 	Target  site.Target
+	// Account is the request's client account, empty if it has none.
+	Account string
 	// Wait is how long the request can wait for an instance and still be served in time.
 	Wait time.Duration
 	// Answer is how long the planner may take to reply. The front then asks again,
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	askedAt := time.Now()
-	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
+	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Account: c.accountName(), Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
 	if c.endIfExpired(ctx) {
 		return false
 	}
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -15,7 +15,7 @@
 )
 
 // refusedWantWeight is the least weight of a wanted model, used when its requests were
-// refused and none is waiting. A model's weight is otherwise its number of waiting requests.
+// refused and none is waiting.
 const refusedWantWeight = 0.5
 
 // startWork starts the swaps and adapter loads that the current wants need.
@@ -32,7 +32,7 @@
 	for _, target := range p.pruneAndSortWants(now) {
 		w := p.wants[target]
 		if len(p.serversWithModel(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(refusedWantWeight, float64(len(w.waiters))), Waited: now.Sub(w.firstRequested)})
+			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(refusedWantWeight, w.weight()), Waited: now.Sub(w.firstRequested)})
 			continue
 		}
 		if target.Name != "" {
--- a/internal/front/sched/wants.go
+++ b/internal/front/sched/wants.go
@@ -7,6 +7,7 @@
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/policy/fair"
 )
 
 // wantedTarget is a model or adapter that requests wait for or recently asked for.
@@ -28,6 +29,16 @@
 	answer  chan peers.InstanceReply
 }
 
+// weight returns the weight of the waiting requests, in which those of one client account
+// count less the more of them there are.
+func (w *wantedTarget) weight() float64 {
+	byAccount := map[string]int{}
+	for waiting := range w.waiters {
+		byAccount[waiting.request.Account]++
+	}
+	return fair.Weight(byAccount)
+}
+
 // refusedWantTTL is how long a want lives on after the wait time of its last request.
 const refusedWantTTL = 3 * time.Second
 
