core/kinds, core/view: client accounts as a resource kind

Cause: the product's own deployment serves whoever reaches an entry; the platform's accounts have no counterpart among the declared resources.

A digest that another account has is refused with field, digest and the other account's name: by the entry, which reads the accounts from the store because its view may lag, and within one file by apply and config check. Two writes at the same moment can still both pass; the view then gives the key to the account that is first by name. An account that cannot be decoded still counts as declared, so that it does not open the API. The lookup by digest is shared with the platform's accounts (site.KeyIndex). Audit records are logged, so they hide digests; errors give the first eight digits, and only the length of a value that is no digest. Errors of list items now name the line of the list.

--- a/cmd/foxtailcroft/audit.go
+++ b/cmd/foxtailcroft/audit.go
@@ -31,7 +31,7 @@
 	}
 	flags.register(cmd, print.Table)
 	cmd.Flags().StringVar(&since, "since", "", "show records since a time such as 2026-01-02T15:04:05Z, or for a past duration such as 2h")
-	cmd.Flags().StringVar(&kind, "kind", "", "show only records of one kind: Model, Adapter, Service, Policy, Plan, Claims or Node")
+	cmd.Flags().StringVar(&kind, "kind", "", "show only records of one kind: Model, Adapter, Service, Policy, Account, Plan, Claims or Node")
 	cmd.Flags().StringVar(&name, "name", "", "show only records of the resource with this name; needs --kind")
 	return cmd
 }
--- a/examples/embed.go
+++ b/examples/embed.go
@@ -2,7 +2,8 @@
 
 import "embed"
 
-// Files holds the resource files at its root and the example requests in the requests directory.
+// Files holds the resource files at its root, the example requests in the requests directory and client accounts
+// in the accounts directory.
 //
-//go:embed *.yaml requests/*.yaml
+//go:embed *.yaml accounts/*.yaml requests/*.yaml
 var Files embed.FS
--- a/internal/base/conf/conf_test.go
+++ b/internal/base/conf/conf_test.go
@@ -1,10 +1,13 @@
 package conf
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	sample "foxtailcroft/examples"
 )
 
 func TestExamplesAreValid(t *testing.T) {
@@ -49,6 +52,32 @@
 	}
 }
 
+// TestAccountsOfOneFile guards against accounts of one file that share a key, and against an example that
+// cannot be applied.
+func TestAccountsOfOneFile(t *testing.T) {
+	example, err := sample.Files.ReadFile("accounts/accounts.yaml")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	last := string(example[bytes.LastIndex(example, []byte("- "))+2:][:64])
+	shared := "\n---\nKind: Account\nName: third\nSpec:\n  RatePerSecond: 1\n  Keys:\n    - " + last + "\n"
+	cases := []struct {
+		name, text, want string
+	}{
+		{"example", string(example), ""},
+		{"key of another account", string(example) + shared, "f.yaml:37: field Spec.Keys[0]: value \"" + last[:8] + "...\" is also a key of Account \"nightly-reports\""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := DecodeResources("f.yaml", []byte(c.text))
+			if c.want == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(MatchError(c.want))
+		})
+	}
+}
+
 // FuzzSettings checks that no document makes the decoders panic.
 func FuzzSettings(f *testing.F) {
 	for _, role := range ExampleRoles() {
--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -158,6 +158,7 @@
 func DecodeResources(file string, data []byte) ([]kinds.Resource, error) {
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	var out []kinds.Resource
+	keyHolders := map[string]string{}
 	for {
 		var doc yaml.Node
 		err := dec.Decode(&doc)
@@ -168,6 +169,9 @@
 			return nil, decodeError(file, data, err)
 		}
 		r, err := decodeResource(file, doc.Content[0])
+		if err == nil {
+			err = withLocation(file, doc.Content[0], addKeys(r, keyHolders))
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -175,6 +179,20 @@
 	}
 }
 
+// addKeys adds the digests of an account to those of the accounts before it in the file, which must not have them.
+func addKeys(r kinds.Resource, holders map[string]string) error {
+	if r.Kind != kinds.Account {
+		return nil
+	}
+	if err := kinds.CheckKeyHolders(r, holders); err != nil {
+		return err
+	}
+	for _, key := range r.Account.Keys {
+		holders[key] = r.Name
+	}
+	return nil
+}
+
 // decodeResource decodes and validates one document.
 func decodeResource(file string, doc *yaml.Node) (kinds.Resource, error) {
 	offset := doc.Line - 1
@@ -231,7 +249,8 @@
 	}
 	line := doc.Line
 	parts := strings.Split(fieldErr.Path, ".")
-	if keyLine := lineOfKey(doc, parts[len(parts)-1]); keyLine > 0 {
+	name, _, _ := strings.Cut(parts[len(parts)-1], "[")
+	if keyLine := lineOfKey(doc, name); keyLine > 0 {
 		line = keyLine
 	}
 	return &InvalidSetting{File: file, Line: line, Field: fieldErr.Path, Value: fieldErr.Value, Rule: fieldErr.Rule}
--- a/internal/core/audit/record.go
+++ b/internal/core/audit/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -20,7 +21,7 @@
 	From int64
 	To   int64
 	// Changes are the changed fields.
-	Changes []Change `json:",omitempty"`
+	Changes Changes `json:",omitempty"`
 }
 
 // Change is the old and new value of one field as JSON text; empty if the field is absent.
@@ -30,13 +31,39 @@
 	New  string
 }
 
+// Changes are the changed fields of one record.
+type Changes []Change
+
+// keysPath is the path of the digests of an account's keys.
+const keysPath = "Spec.Keys["
+
+// hiddenDigest stands for a digest in a record.
+const hiddenDigest = `"(digest)"`
+
+// WithoutKeys returns the changes with placeholders for digests of keys, because records are also logged.
+func (c Changes) WithoutKeys() Changes {
+	out := slices.Clone(c)
+	for i, change := range out {
+		if !strings.HasPrefix(change.Path, keysPath) {
+			continue
+		}
+		if change.Old != "" {
+			out[i].Old = hiddenDigest
+		}
+		if change.New != "" {
+			out[i].New = hiddenDigest
+		}
+	}
+	return out
+}
+
 // Diff returns the fields that differ between two JSON documents, sorted by path. A
 // document that is not valid JSON counts as empty.
-func Diff(before, after []byte) []Change {
+func Diff(before, after []byte) Changes {
 	a, b := map[string]string{}, map[string]string{}
 	flattenLeaves("", decodeJSON(before), a)
 	flattenLeaves("", decodeJSON(after), b)
-	var out []Change
+	var out Changes
 	for path, v := range a {
 		if b[path] != v {
 			out = append(out, Change{path, v, b[path]})
--- a/internal/core/kinds/check.go
+++ b/internal/core/kinds/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 
@@ -35,6 +36,9 @@
 		list = append(list, fault.InvalidField{Path: "Name", Value: r.Name, Rule: "must be 1 to 100 lower-case letters, digits, dots or dashes"})
 	}
 	list = append(list, ValidateStruct("Spec", r.Spec())...)
+	if r.Kind == Account {
+		list = append(list, repeatedKeys(r.Account.Keys)...)
+	}
 	if len(list) == 0 {
 		return nil
 	}
@@ -63,9 +67,52 @@
 	return list
 }
 
+// repeatedKeys returns the fields of digests that are listed earlier in the same list.
+func repeatedKeys(keys []string) []fault.InvalidField {
+	var list []fault.InvalidField
+	for i, key := range keys {
+		if first := slices.Index(keys, key); first < i {
+			list = append(list, fault.InvalidField{Path: keyPath(i), Value: shortDigest(key), Rule: "is the same as " + keyPath(first)})
+		}
+	}
+	return list
+}
+
+// CheckKeyHolders returns a *fault.InvalidFields if an account has a digest that another account
+// holds; holders gives the name of the holder of each digest.
+func CheckKeyHolders(r Resource, holders map[string]string) error {
+	var list []fault.InvalidField
+	for i, key := range r.Account.Keys {
+		if other, ok := holders[key]; ok {
+			list = append(list, fault.InvalidField{Path: keyPath(i), Value: shortDigest(key), Rule: fmt.Sprintf("is also a key of Account %q", other)})
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return &fault.InvalidFields{List: list}
+}
+
+// keyPath returns the path of a digest in the resource of an account.
+func keyPath(i int) string {
+	return fmt.Sprintf("Spec.Keys[%d]", i)
+}
+
+// shortDigestLength is the number of digits that identify a digest in an error message.
+const shortDigestLength = 8
+
+// shortDigest returns the first digits of a digest, by which messages name it.
+func shortDigest(digest string) string {
+	return digest[:min(shortDigestLength, len(digest))] + "..."
+}
+
 // violatingValue formats the invalid value; it returns "" for structs and pointers,
-// which have no short form.
+// which have no short form. It states only the length of a text that is no digest,
+// because that may be the key itself.
 func violatingValue(b validator.FieldError) string {
+	if b.Tag() == "sha256" {
+		return fmt.Sprintf("(%d characters)", len(b.Value().(string)))
+	}
 	if b.Kind() == reflect.Pointer || b.Kind() == reflect.Struct {
 		return ""
 	}
@@ -78,6 +125,7 @@
 		"required": "is required", "gt": "must be greater than " + b.Param(), "gte": "must be at least " + b.Param(),
 		"lte": "must be at most " + b.Param(), "max": "must be at most " + b.Param() + " long", "min": "must have at least " + b.Param(),
 		"ltefield": "must not exceed " + b.Param(), "oneof": "must be one of " + b.Param(),
+		"sha256":        "must be the SHA-256 digest of a key, 64 lower-case hexadecimal digits",
 		"resourcename":  "must be 1 to 100 lower-case letters, digits, dots or dashes",
 		"hostname_port": "must be host:port", "url": "must be a URL",
 		"required_without": "is required where " + b.Param() + " is not set", "excluded_with": "must not be set together with " + b.Param(),
--- a/internal/core/kinds/class.go
+++ b/internal/core/kinds/class.go
@@ -23,6 +23,14 @@
 	return "", fmt.Errorf("class %q is none of urgent, interactive, patient", s)
 }
 
+// AtMost returns the class, or the highest class that is allowed if that has a lower priority.
+func (c Class) AtMost(highest Class) Class {
+	if highest.Rank() > c.Rank() {
+		return highest
+	}
+	return c
+}
+
 // Rank returns the sort order of the class: 0 for the highest priority, larger for lower ones.
 func (c Class) Rank() int {
 	switch c {
--- a/internal/core/kinds/fuzz_test.go
+++ b/internal/core/kinds/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -9,6 +10,9 @@
 	"foxtailcroft/internal/core/fault"
 )
 
+// testDigest is the digest of the key "test-key".
+const testDigest = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef"
+
 // FuzzResource checks that every document is either rejected or encodes to the same JSON after a round trip.
 func FuzzResource(f *testing.F) {
 	for _, doc := range []string{
@@ -16,6 +20,7 @@
 		`{"Kind":"Adapter","Name":"a","Spec":{"Model":"m","Version":"1","MemoryBytes":1}}`,
 		`{"Kind":"Service","Name":"s","Spec":{"IdempotentMethods":["GET"],"ClaimRetention":"1h"}}`,
 		`{"Kind":"Policy","Name":"p","Spec":{"ColdStartPrice":1e3}}`,
+		`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `"],"RatePerSecond":2.5,"Burst":10,"Class":"urgent"}}`,
 		`{"Kind":"Modell"}`, `{"Kind":"Model","Spec":{"Versio":1}}`, `{"Kind":"Model","Spec":{"ColdStart":7}}`, `[]`, `{"Kind":"Model","Spec":null}`, ``,
 	} {
 		f.Add([]byte(doc))
@@ -55,6 +60,12 @@
 		{`{"Kind":"Thing","Name":"m"}`, "Kind"},
 		{`{"Kind":"Service","Name":"s","Spec":{"IdempotentMethods":["FETCH"]}}`, "Spec.IdempotentMethods[0]"},
 		{`{"Kind":"Policy","Name":"p","Spec":{"ColdStartPrice":0}}`, "Spec.ColdStartPrice"},
+		{`{"Kind":"Account","Name":"c","Spec":{}}`, "Spec.Keys"},
+		{`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `","` + strings.ToUpper(testDigest) + `"]}}`, "Spec.Keys[1]"},
+		{`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `","` + testDigest + `"]}}`, "Spec.Keys[1]"},
+		{`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `"],"RatePerSecond":-1}}`, "Spec.RatePerSecond"},
+		{`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `"],"Burst":-1}}`, "Spec.Burst"},
+		{`{"Kind":"Account","Name":"c","Spec":{"Keys":["` + testDigest + `"],"Class":"idle"}}`, "Spec.Class"},
 	}
 	for _, c := range cases {
 		t.Run(c.path, func(t *testing.T) {
@@ -75,3 +86,27 @@
 		})
 	}
 }
+
+// TestKeyIsNotRepeatedInErrors guards against an operator's key, given in place of its digest, that ends up in
+// the terminal or in a log.
+func TestKeyIsNotRepeatedInErrors(t *testing.T) {
+	for _, key := range []string{"secret-key", strings.Repeat("0", 63) + "g", ""} {
+		g := NewWithT(t)
+		err := Validate(Resource{Kind: Account, Name: "c", Account: &AccountSpec{Keys: []string{testDigest, key}}})
+		g.Expect(err).To(MatchError(ContainSubstring("Spec.Keys[1]")))
+		g.Expect(key == "" || !strings.Contains(err.Error(), key)).To(BeTrue(), "%v", err)
+	}
+}
+
+// TestClassAtMost guards against requests that are served in a higher class than their account's.
+func TestClassAtMost(t *testing.T) {
+	for _, c := range []struct{ asked, highest, want Class }{
+		{Urgent, Interactive, Interactive},
+		{Urgent, Patient, Patient},
+		{Urgent, Urgent, Urgent},
+		{Patient, Urgent, Patient},
+		{Interactive, Interactive, Interactive},
+	} {
+		NewWithT(t).Expect(c.asked.AtMost(c.highest)).To(Equal(c.want))
+	}
+}
--- a/internal/core/kinds/resource.go
+++ b/internal/core/kinds/resource.go
@@ -18,12 +18,13 @@
 	Adapter Kind = "Adapter"
 	Service Kind = "Service"
 	Policy  Kind = "Policy"
+	Account Kind = "Account"
 )
 
 // All returns the kinds in the order in which resources of one file are applied:
 // a kind comes after those that it refers to.
 func All() []Kind {
-	return []Kind{Policy, Model, Adapter, Service}
+	return []Kind{Policy, Model, Adapter, Service, Account}
 }
 
 // ParseKind returns the kind with the name, ignoring case, or a *fault.InvalidField error.
@@ -33,7 +34,7 @@
 			return k, nil
 		}
 	}
-	return "", &fault.InvalidField{Path: "Kind", Value: name, Rule: "must be one of Model, Adapter, Service, Policy"}
+	return "", &fault.InvalidField{Path: "Kind", Value: name, Rule: "must be one of Model, Adapter, Service, Policy, Account"}
 }
 
 // ResourceKey returns the configuration key of the resource of a kind and name.
@@ -53,6 +54,7 @@
 	Adapter  *AdapterSpec `json:",omitempty"`
 	Service  *ServiceSpec `json:",omitempty"`
 	Policy   *PolicySpec  `json:",omitempty"`
+	Account  *AccountSpec `json:",omitempty"`
 }
 
 // envelope is the JSON form of a Resource.
@@ -75,6 +77,8 @@
 		return r.Service
 	case Policy:
 		return r.Policy
+	case Account:
+		return r.Account
 	}
 	return nil
 }
@@ -137,10 +141,12 @@
 		r.Service = &ServiceSpec{}
 	case Policy:
 		r.Policy = &PolicySpec{}
+	case Account:
+		r.Account = &AccountSpec{}
 	default:
 		_, err := ParseKind(string(kind))
 		if err == nil {
-			err = &fault.InvalidField{Path: "Kind", Value: string(kind), Rule: "must be written Model, Adapter, Service or Policy"}
+			err = &fault.InvalidField{Path: "Kind", Value: string(kind), Rule: "must be written Model, Adapter, Service, Policy or Account"}
 		}
 		return r, err
 	}
--- a/internal/core/kinds/specs.go
+++ b/internal/core/kinds/specs.go
@@ -50,6 +50,17 @@
 	MaxKeepAlive Duration `yaml:"MaxKeepAlive" validate:"gte=0"`
 }
 
+// AccountSpec declares a client account. Once one is declared, callers must identify themselves by a key of an account.
+type AccountSpec struct {
+	// Keys are the SHA-256 digests of the account's keys, as lower-case hexadecimal digits.
+	Keys []string `yaml:"Keys" validate:"min=1,dive,sha256"`
+	// RatePerSecond and Burst limit the account's requests over all entries; a RatePerSecond of 0 is no limit.
+	RatePerSecond float64 `yaml:"RatePerSecond" validate:"gte=0,lte=1000000000"`
+	Burst         float64 `yaml:"Burst" validate:"gte=0,lte=1000000000"`
+	// Class is the highest class of the account's requests; empty means Interactive.
+	Class Class `yaml:"Class" validate:"omitempty,oneof=urgent interactive patient"`
+}
+
 // DefaultConcurrency bounds the concurrent requests of a replica or plain endpoint whose spec sets no bound.
 const DefaultConcurrency = 32
 
--- a/internal/core/site/account.go
+++ b/internal/core/site/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"fmt"
 	"slices"
 )
@@ -66,12 +65,12 @@
 // Accounts are the client accounts of a document; a nil pointer means that requests need no key.
 type Accounts struct {
 	list  []Account
-	byKey map[KeyDigest]int
+	byKey KeyIndex
 }
 
 // NewAccounts returns accounts that are found by their keys; errors are *InvalidAccount.
 func NewAccounts(list []Account) (*Accounts, error) {
-	a := &Accounts{list: slices.Clone(list), byKey: map[KeyDigest]int{}}
+	a := &Accounts{list: slices.Clone(list), byKey: KeyIndex{}}
 	names := map[string]bool{}
 	for i, account := range a.list {
 		if err := account.check(); err != nil {
@@ -82,10 +81,9 @@
 		}
 		names[account.Name] = true
 		for _, key := range account.Keys {
-			if other, ok := a.byKey[key]; ok && other != i {
+			if other := a.byKey.Add(key, i); other != i {
 				return nil, &InvalidAccount{account.Name, "Keys", "(digest " + fmt.Sprintf("%x", key[:4]) + ")", "also belong to account " + a.list[other].Name}
 			}
-			a.byKey[key] = i
 		}
 	}
 	return a, nil
@@ -113,15 +111,13 @@
 	return a.list
 }
 
-// Find returns the account with a key, or nil if there is none. The key is looked up by its
-// digest, so the time that this takes tells nothing about how much of a key is right.
+// Find returns the account with a key, or nil if there is none.
 func (a *Accounts) Find(key string) *Account {
-	if a == nil || key == "" {
+	if a == nil {
 		return nil
 	}
-	digest := DigestKey(key)
-	i, ok := a.byKey[digest]
-	if !ok || !slices.ContainsFunc(a.list[i].Keys, func(k KeyDigest) bool { return subtle.ConstantTimeCompare(k[:], digest[:]) == 1 }) {
+	i, ok := a.byKey.Find(key)
+	if !ok {
 		return nil
 	}
 	return &a.list[i]
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -41,6 +41,8 @@
 	adapters    map[string]kinds.Resource
 	services    map[string]kinds.Resource
 	policies    map[string]kinds.Resource
+	accounts    map[string]kinds.Resource
+	keys        accountKeys
 	plans       map[string]plan.Plan
 	nodes       map[string]plan.Node
 	endpoints   map[string][]string
@@ -56,7 +58,7 @@
 func Empty() *View {
 	return &View{
 		entries: map[string]Entry{}, models: map[string]kinds.Resource{}, adapters: map[string]kinds.Resource{},
-		services: map[string]kinds.Resource{}, policies: map[string]kinds.Resource{}, plans: map[string]plan.Plan{},
+		services: map[string]kinds.Resource{}, policies: map[string]kinds.Resource{}, accounts: map[string]kinds.Resource{}, plans: map[string]plan.Plan{},
 		nodes: map[string]plan.Node{}, endpoints: map[string][]string{},
 	}
 }
@@ -135,7 +137,7 @@
 // Resources returns the resources of a kind, sorted by name.
 func (v *View) Resources(kind kinds.Kind) []kinds.Resource {
 	byName := map[kinds.Kind]map[string]kinds.Resource{
-		kinds.Model: v.models, kinds.Adapter: v.adapters, kinds.Service: v.services, kinds.Policy: v.policies,
+		kinds.Model: v.models, kinds.Adapter: v.adapters, kinds.Service: v.services, kinds.Policy: v.policies, kinds.Account: v.accounts,
 	}[kind]
 	return slices.SortedFunc(maps.Values(byName), func(a, b kinds.Resource) int { return strings.Compare(a.Name, b.Name) })
 }
@@ -183,6 +185,9 @@
 	for _, e := range changed {
 		out.updateParsed(e)
 	}
+	if changedKinds[string(kinds.Account)] {
+		out.indexKeys()
+	}
 	return &out
 }
 
@@ -257,6 +262,9 @@
 	if changedKinds[string(kinds.Policy)] {
 		v.policies = maps.Clone(v.policies)
 	}
+	if changedKinds[string(kinds.Account)] {
+		v.accounts = maps.Clone(v.accounts)
+	}
 	if changedKinds["Plan"] || changedKinds["Claims"] {
 		v.plans = maps.Clone(v.plans)
 	}
@@ -278,7 +286,7 @@
 	default:
 		parsed := map[string]map[string]kinds.Resource{
 			string(kinds.Model): v.models, string(kinds.Adapter): v.adapters,
-			string(kinds.Service): v.services, string(kinds.Policy): v.policies,
+			string(kinds.Service): v.services, string(kinds.Policy): v.policies, string(kinds.Account): v.accounts,
 		}[kind]
 		if parsed != nil && storeParsed(parsed, name, e) && !e.Deleted {
 			parsed[name] = parsed[name].WithRevision(e.Revision)
--- a/internal/core/view/view_test.go
+++ b/internal/core/view/view_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/core/site"
 	"foxtailcroft/test/seeds"
 )
 
@@ -70,6 +72,52 @@
 	})
 }
 
+// TestAccountsByKey guards against keys that are found after they were removed, and against a
+// deployment that is open to callers without a key because an account cannot be decoded.
+func TestAccountsByKey(t *testing.T) {
+	account := func(name string, keys ...string) Entry {
+		var digests []string
+		for _, k := range keys {
+			digests = append(digests, site.DigestKey(k).String())
+		}
+		r := kinds.Resource{Kind: kinds.Account, Name: name, Account: &kinds.AccountSpec{Keys: digests}}
+		value, err := json.Marshal(r)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return Entry{Key: r.Key(), Value: value}
+	}
+	deleted := Entry{Key: "Account/a", Deleted: true}
+	cases := []struct {
+		name     string
+		entries  []Entry
+		requires bool
+		holders  map[string]string
+	}{
+		{"no account", []Entry{{Key: "Policy/p", Value: json.RawMessage(`{}`)}}, false, map[string]string{"k1": "", "": ""}},
+		{"two accounts", []Entry{account("a", "k1", "k2"), account("b", "k3")}, true, map[string]string{"k1": "a", "k2": "a", "k3": "b", "k4": "", "": ""}},
+		{"key replaced", []Entry{account("a", "k1"), account("a", "k2")}, true, map[string]string{"k1": "", "k2": "a"}},
+		{"last account deleted", []Entry{account("a", "k1"), deleted}, false, map[string]string{"k1": ""}},
+		{"one of two accounts deleted", []Entry{account("a", "k1"), account("b", "k2"), deleted}, true, map[string]string{"k1": "", "k2": "b"}},
+		{"same key written at the same moment", []Entry{account("b", "k1"), account("a", "k1")}, true, map[string]string{"k1": "a"}},
+		{"undecodable account", []Entry{{Key: "Account/a", Value: json.RawMessage(`{"Kind":"Account","Spec":{"New":1}}`)}}, true, map[string]string{"k1": ""}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := Empty()
+			for i, e := range c.entries {
+				e.Revision = int64(i + 1)
+				v = v.Apply(Delta{Revision: e.Revision, Entries: []Entry{e}})
+			}
+			g.Expect(v.RequiresKey()).To(Equal(c.requires))
+			for key, name := range c.holders {
+				r, ok := v.FindAccount(key)
+				g.Expect(r.Name).To(Equal(name), key)
+				g.Expect(ok).To(Equal(name != ""), key)
+			}
+		})
+	}
+}
+
 func TestUndecodableValueKeepsLastDecodedValue(t *testing.T) {
 	g := NewWithT(t)
 	v := Empty().Apply(Delta{Revision: 1, Entries: []Entry{{Key: "Policy/p", Revision: 1, Value: json.RawMessage(`{"Kind":"Policy","Name":"p","Spec":{"ColdStartPrice":5}}`)}}})
--- a/internal/entry/admin/writer.go
+++ b/internal/entry/admin/writer.go
@@ -39,6 +39,9 @@
 	if err := checkReferences(w.holder.View(), r); err != nil {
 		return r, err
 	}
+	if err := w.checkKeys(ctx, r); err != nil {
+		return r, err
+	}
 	old, kv, err := w.readStored(ctx, r.Key(), expected)
 	if err != nil {
 		return r, err
@@ -136,6 +139,32 @@
 	return nil
 }
 
+// checkKeys refuses an account with a key of another one. It reads the accounts from the store,
+// because the view may not have the newest yet.
+func (w *Writer) checkKeys(ctx context.Context, r kinds.Resource) error {
+	if r.Kind != kinds.Account {
+		return nil
+	}
+	list, err := w.store.Range(ctx, store.StatePrefix+kinds.ResourceKey(kinds.Account, ""))
+	if err != nil {
+		return err
+	}
+	holders := map[string]string{}
+	for _, kv := range list.KVs {
+		var other kinds.Resource
+		if err := json.Unmarshal(kv.Value, &other); err != nil {
+			return fmt.Errorf("stored value of %s: %w", kv.Key, err)
+		}
+		if other.Name == r.Name {
+			continue
+		}
+		for _, key := range other.Account.Keys {
+			holders[key] = other.Name
+		}
+	}
+	return kinds.CheckKeyHolders(r, holders)
+}
+
 // checkChange refuses a change to a service's number of claim partitions.
 func checkChange(v *view.View, old, r kinds.Resource) error {
 	if r.Kind != kinds.Service {
--- a/internal/plat/ledger/ledger.go
+++ b/internal/plat/ledger/ledger.go
@@ -56,7 +56,7 @@
 		return 0, err
 	}
 	now := time.Now().UTC()
-	record := audit.Record{Time: now, Actor: c.Actor, Action: c.Action, Key: c.Key, From: c.From, Changes: audit.Diff(c.Before, c.After)}
+	record := audit.Record{Time: now, Actor: c.Actor, Action: c.Action, Key: c.Key, From: c.From, Changes: audit.Diff(c.Before, c.After).WithoutKeys()}
 	value, err := json.Marshal(record)
 	if err != nil {
 		return 0, err
