entry/caller, entry/admit: callers with keys of declared accounts

Cause: entries took a request's class and volume from any caller.

Change: once an Account is declared, each request of the callers' API needs "Authorization: Bearer KEY"; without a known key it is answered 401 before its body is read. The key is not passed on to agents and services, a class above the account's is lowered to it, and requests over the account's rate get 429 with the time after which there is room. Requests that did not run do not count. Without accounts, admission makes no further allocation and headers are forwarded as before.

Ruled out: golang.org/x/time/rate, which cannot refund a token that was taken at once.

--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -18,17 +18,19 @@
 	DeadlineExceeded Code = "DeadlineExceeded" // the deadline passed first
 	Overloaded       Code = "Overloaded"
 	Draining         Code = "Draining"
-	NoEndpoint       Code = "NoEndpoint"   // no endpoint serves the model or service now
-	NoSlot           Code = "NoSlot"       // this endpoint does not serve the model or service
-	NoMemory         Code = "NoMemory"     // busy replicas fill the endpoint
-	StoreAway        Code = "StoreAway"    // state that must be read from or written to the store is not confirmed yet
-	Deposed          Code = "Deposed"      // another agent owns the endpoint, or another endpoint the claim partition
-	KeyReused        Code = "KeyReused"    // the idempotency key was used for a different call
-	EngineFailed     Code = "EngineFailed" // the engine or plain service failed, or an error is of no other kind
-	EndpointLost     Code = "EndpointLost" // the endpoint cannot be reached, fell silent or restarted
-	Canceled         Code = "Canceled"     // the attempt was canceled, such as when the caller has gone
-	Revoked          Code = "Revoked"      // the attempt was revoked or is over
-	Unsettled        Code = "Unsettled"    // a call to a plain service has an unknown outcome
+	UnknownKey       Code = "UnknownKey"    // the request has no key of a client account
+	QuotaExceeded    Code = "QuotaExceeded" // the client account is over its rate limit
+	NoEndpoint       Code = "NoEndpoint"    // no endpoint serves the model or service now
+	NoSlot           Code = "NoSlot"        // this endpoint does not serve the model or service
+	NoMemory         Code = "NoMemory"      // busy replicas fill the endpoint
+	StoreAway        Code = "StoreAway"     // state that must be read from or written to the store is not confirmed yet
+	Deposed          Code = "Deposed"       // another agent owns the endpoint, or another endpoint the claim partition
+	KeyReused        Code = "KeyReused"     // the idempotency key was used for a different call
+	EngineFailed     Code = "EngineFailed"  // the engine or plain service failed, or an error is of no other kind
+	EndpointLost     Code = "EndpointLost"  // the endpoint cannot be reached, fell silent or restarted
+	Canceled         Code = "Canceled"      // the attempt was canceled, such as when the caller has gone
+	Revoked          Code = "Revoked"       // the attempt was revoked or is over
+	Unsettled        Code = "Unsettled"     // a call to a plain service has an unknown outcome
 )
 
 // Refusal is a refused or failed request. NotRun is true only if the request
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -30,7 +30,7 @@
 		writeRefusal(w, req.ID, err)
 		return
 	}
-	release, err := s.limit.Acquire(req.Class)
+	release, refund, err := s.admit(req)
 	if err != nil {
 		s.recordEnd(req, body.Model, calls.Result{}, began, err)
 		writeRefusal(w, req.ID, err)
@@ -40,6 +40,7 @@
 	setWriteDeadline(w, req.Deadline)
 	out := newChatWriter(w, req.ID, body, began, s.firstTokenTime)
 	res, err := s.dispatcher.Do(r.Context(), req, out)
+	refundNotRun(refund, err)
 	s.recordEnd(req, body.Model, res, began, err)
 	out.finish(res, err)
 }
@@ -95,7 +96,13 @@
 	return d.Sum64()
 }
 
-func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	v := s.holder.View()
+	if _, err := authenticate(v, r.Header); err != nil {
+		s.countRefusal(err)
+		writeRefusal(w, requestID(r.Header), err)
+		return
+	}
 	type model struct {
 		ID     string `json:"id"`
 		Object string `json:"object"`
@@ -106,7 +113,6 @@
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{Object: "list", Data: []model{}}
-	v := s.holder.View()
 	for _, m := range v.Resources(kinds.Model) {
 		out.Data = append(out.Data, model{ID: m.Name, Object: "model", Owner: "operator"})
 	}
--- a/internal/entry/caller/refuse.go
+++ b/internal/entry/caller/refuse.go
@@ -17,11 +17,13 @@
 	switch c {
 	case fault.BadRequest:
 		return http.StatusBadRequest
+	case fault.UnknownKey:
+		return http.StatusUnauthorized
 	case fault.NotFound:
 		return http.StatusNotFound
 	case fault.KeyReused:
 		return http.StatusUnprocessableEntity
-	case fault.Overloaded:
+	case fault.Overloaded, fault.QuotaExceeded:
 		return http.StatusTooManyRequests
 	case fault.DeadlineExceeded, fault.Unsettled:
 		return http.StatusGatewayTimeout
@@ -67,6 +69,9 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
+	if r.Code == fault.UnknownKey {
+		h.Set("WWW-Authenticate", authenticationScheme)
+	}
 	w.WriteHeader(statusOf(r.Code))
 	// A write error means that the caller has gone.
 	_ = json.NewEncoder(w).Encode(bodyOf(r))
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -53,6 +53,7 @@
 	dispatcher     Dispatcher
 	limit          *admit.Limit
 	log            *zap.Logger
+	quotas         *admit.Quotas
 	firstTokenTime *metrics.Histogram
 	meters         *metrics.Set
 }
@@ -60,7 +61,7 @@
 // New returns a server that admits requests by the limit and passes them to the dispatcher.
 func New(settings Settings, holder *view.Holder, dispatcher Dispatcher, limit *admit.Limit, meters *metrics.Set, log *zap.Logger) *Server {
 	return &Server{
-		settings: settings, holder: holder, dispatcher: dispatcher, limit: limit, log: log, meters: meters,
+		settings: settings, holder: holder, dispatcher: dispatcher, limit: limit, quotas: admit.NewQuotas(), log: log, meters: meters,
 		firstTokenTime: meters.GetOrCreateHistogram("foxtailcroft_first_token_seconds"),
 	}
 }
@@ -74,18 +75,23 @@
 	}
 }
 
-// parseCommon parses the headers that all requests may have: request ID,
-// idempotency key, class and timeout.
+// parseCommon parses the headers that all requests may have: request ID, key of
+// an account, idempotency key, class and timeout.
 func (s *Server) parseCommon(r *http.Request) (calls.Request, error) {
-	req := calls.Request{ID: r.Header.Get(headerRequestID), IdempotencyKey: r.Header.Get(headerIdempotencyKey)}
-	if req.ID == "" {
-		req.ID = uuid.NewString()
+	req := calls.Request{ID: requestID(r.Header), IdempotencyKey: r.Header.Get(headerIdempotencyKey)}
+	account, err := authenticate(s.holder.View(), r.Header)
+	if err != nil {
+		return req, err
 	}
+	req.Account = account.Name
 	class, err := kinds.ParseClass(r.Header.Get(headerClass))
 	if err != nil {
 		return req, fault.NotRun(fault.BadRequest, "header %s: %v", headerClass, err)
 	}
 	req.Class = class
+	if account.Account != nil {
+		req.Class = class.AtMost(highestClass(*account.Account))
+	}
 	timeout, err := s.parseTimeout(r.Header.Get(headerTimeout))
 	if err != nil {
 		return req, err
@@ -94,6 +100,14 @@
 	return req, nil
 }
 
+// requestID returns the request ID that a caller sent, or a new one.
+func requestID(h http.Header) string {
+	if id := h.Get(headerRequestID); id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
+
 // parseTimeout parses the timeout header; an empty one gives the default. The error
 // is a BadRequest *fault.Refusal unless the header is a whole number of milliseconds
 // from 1 to the maximum.
@@ -140,7 +154,8 @@
 	if err != nil {
 		outcome = string(fault.AsRefusal(err).Code)
 	}
+	s.countRefusal(err)
 	s.meters.GetOrCreateCounter(fmt.Sprintf("foxtailcroft_requests_total{outcome=%q,class=%q}", outcome, req.Class)).Inc()
-	s.log.Debug("request ended", zap.String("Request", req.ID), zap.String("Target", target), zap.String("Outcome", outcome),
+	s.log.Debug("request ended", zap.String("Request", req.ID), zap.String("Account", req.Account), zap.String("Target", target), zap.String("Outcome", outcome),
 		zap.String("Endpoint", res.Endpoint), zap.Int("Attempts", res.Attempts), zap.Bool("Cold", res.ColdStart), zap.Duration("Took", time.Since(began)), zap.Error(err))
 }
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -38,7 +38,7 @@
 		writeRefusal(w, req.ID, err)
 		return
 	}
-	release, err := s.limit.Acquire(req.Class)
+	release, refund, err := s.admit(req)
 	if err != nil {
 		s.recordEnd(req, req.Target.Service, calls.Result{}, began, err)
 		writeRefusal(w, req.ID, err)
@@ -48,6 +48,7 @@
 	setWriteDeadline(w, req.Deadline)
 	var answer serviceAnswer
 	res, err := s.dispatcher.Do(r.Context(), req, &answer)
+	refundNotRun(refund, err)
 	s.recordEnd(req, req.Target.Service, res, began, err)
 	if err != nil {
 		writeRefusal(w, req.ID, err)
@@ -76,6 +77,9 @@
 	req.PlainCall = &wire.PlainCall{
 		Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: endToEndHeaders(r.Header), Idempotent: res.Service.IsIdempotent(r.Method),
 	}
+	if req.Account != "" {
+		delete(req.PlainCall.Header, headerAuthorization)
+	}
 	if req.PlainCall.Idempotent {
 		req.IdempotencyKey = ""
 	}
--- a/internal/entry/calls/request.go
+++ b/internal/entry/calls/request.go
@@ -10,7 +10,9 @@
 
 // Request is one request of a caller, parsed and checked.
 type Request struct {
-	ID       string
+	ID string
+	// Account is the name of the caller's account, empty without accounts.
+	Account  string
 	Class    kinds.Class
 	Deadline time.Time
 	Target   route.Target
--- /dev/null
+++ b/internal/policy/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket limits a rate by a bucket of tokens.
+package bucket
