cmd/foxtailcroft: digest prints the digest of a key

Cause: accounts are declared with digests of keys, and keys given as arguments can be read by other users of the machine.

Tested: table of cmd/foxtailcroft with -race; gofumpt, vet, staticcheck and revive are clean.

--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -47,6 +47,6 @@
 		SilenceErrors: true,
 	}
 	cmd.AddCommand(entryCommand(), frontCommand(), agentCommand(), standinCommand(), devCommand(),
-		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand(), causesCommand())
+		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), auditCommand(), configCommand(), measureCommand(), causesCommand(), digestCommand())
 	return cmd
 }
