oper/cause: connection errors by kind, worst-served client accounts

Cause: the reason of a failed connection contains both addresses and ports, so each failure was a cause of its own and the table did not show how frequent a fault is. Nothing showed which accounts are served worst.

Change: reasons keep what comes before the network error and name its kind (reset, refused, timed out, EOF, ...); other addresses are masked. It reads the key Account of the request lines of fronts; lines without it have no account.

Ruled out: an order by the share of all requests, where accounts that exceed their quotas hide those that are badly served.

--- a/cmd/foxtailcroft/causes.go
+++ b/cmd/foxtailcroft/causes.go
@@ -13,7 +13,7 @@
 
 func causesCommand() *cobra.Command {
 	var output string
-	var starved bool
+	var starved, accounts bool
 	cmd := &cobra.Command{
 		Use:   "causes [LOG...]",
 		Short: "Count request outcomes in front logs by route and cause",
@@ -21,16 +21,24 @@
 		RunE: func(cmd *cobra.Command, files []string) error {
 			var t cause.Table
 			var subjects cause.StarvedSubjects
+			var served cause.Accounts
 			add := t.Add
-			if starved {
+			switch {
+			case starved:
 				add = subjects.Add
+			case accounts:
+				add = served.Add
 			}
 			if err := readLogs(cmd.InOrStdin(), files, add); err != nil {
 				return err
 			}
-			if starved {
+			switch {
+			case starved:
 				rows := subjects.Rows()
 				return print.Render(cmd.OutOrStdout(), output, rows, func(w io.Writer) error { return cause.WriteStarved(w, rows) })
+			case accounts:
+				rows := served.Worst()
+				return print.Render(cmd.OutOrStdout(), output, rows, func(w io.Writer) error { return cause.WriteAccounts(w, rows) })
 			}
 			rows := t.Rows()
 			return print.Render(cmd.OutOrStdout(), output, rows, func(w io.Writer) error { return cause.Write(w, rows) })
@@ -38,6 +46,8 @@
 	}
 	cmd.Flags().StringVarP(&output, "output", "o", print.Table, "table, json or yaml")
 	cmd.Flags().BoolVar(&starved, "starved", false, "list models, adapters and prompt parts that were asked for repeatedly and never served")
+	cmd.Flags().BoolVar(&accounts, "accounts", false, "list the worst-served tenth of the client accounts")
+	cmd.MarkFlagsMutuallyExclusive("starved", "accounts")
 	return cmd
 }
 
--- a/internal/oper/cause/line.go
+++ b/internal/oper/cause/line.go
@@ -6,15 +6,18 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
 // RequestLine is the log line that a front writes at the end of a request.
 type RequestLine struct {
-	Time     time.Time
-	Message  string
-	Node     string
-	Request  string
+	Time    time.Time
+	Message string
+	Node    string
+	Request string
+	// Account is the client account of the request, empty if it has none.
+	Account  string
 	Route    string
 	Model    string
 	Adapter  string
@@ -82,7 +85,7 @@
 // Cause is the class of a request by outcome; for a request that was not served in time it names the reason.
 type Cause string
 
-// The causes. Other refusals and failures have causes of the form "outcome: reason".
+// The causes. Other refusals and failures have causes of the form "outcome: reason", with connection errors by their kind.
 const (
 	InTime            Cause = "in time"
 	LateModelWait     Cause = "late: waited for the model"
@@ -111,10 +114,10 @@
 		}
 		return CallerLeft
 	case "refused", "failed":
-		if l.Status == 404 || l.Status == 413 {
+		if l.Status == http.StatusNotFound || l.Status == http.StatusRequestEntityTooLarge {
 			return NotAllowed
 		}
-		return Cause(l.Outcome + ": " + l.Reason)
+		return Cause(l.Outcome + ": " + generalReason(l.Reason))
 	}
 	return BrokenOff
 }
