cmd/foxtailcroft, oper/review: config diff reviews a platform document

Change: `foxtailcroft config diff NEW` prints the findings of policy/lint with file, line, column and field, as text or JSON, and differences from the version in force if that is given as a file or as the address of the platform's store. The exit status is 0 without findings, 1 with any, 2 for input or flags that cannot be used. Keys are never printed.

--- a/cmd/foxtailcroft/config.go
+++ b/cmd/foxtailcroft/config.go
@@ -13,8 +13,8 @@
 )
 
 func configCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "config", Short: "Validate settings and resource files, or print example settings"}
-	cmd.AddCommand(configCheckCommand(), configExampleCommand())
+	cmd := &cobra.Command{Use: "config", Short: "Validate settings, resource files and platform documents, or print example settings"}
+	cmd.AddCommand(configCheckCommand(), configDiffCommand(), configExampleCommand())
 	return cmd
 }
 
--- a/cmd/foxtailcroft/main.go
+++ b/cmd/foxtailcroft/main.go
@@ -30,10 +30,11 @@
 	}
 }
 
-// exitCode distinguishes invalid settings and missing files from other failures.
+// exitCode distinguishes invalid settings, missing files and unreadable input from other failures.
 func exitCode(err error) int {
 	var invalid *conf.InvalidSetting
-	if errors.As(err, &invalid) || errors.Is(err, os.ErrNotExist) {
+	var unreadable *unreadableInput
+	if errors.As(err, &invalid) || errors.As(err, &unreadable) || errors.Is(err, os.ErrNotExist) {
 		return exitInvalidSettings
 	}
 	return exitFailure
