--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -39,6 +39,18 @@
 	Contact time.Duration
 	// Drain is how long a draining instance may still be sent requests.
 	Drain time.Duration
+	// StrictRevocation is true if no request may run that was sent later than Revocation after the store
+	// acknowledged a document without its key; a Revocation of 0 is no bound.
+	StrictRevocation bool
+	Revocation       time.Duration
+}
+
+// RevocationBound returns the age of a proof up to which keys are admitted, 0 if revocation is not strict.
+func (b Bounds) RevocationBound() time.Duration {
+	if !b.StrictRevocation {
+		return 0
+	}
+	return b.Revocation
 }
 
 // Front holds the settings of a front: an entry that serves callers by the configuration of a whole deployment.
