platform, plat/store: batches tell when their call was sent

The answer to a watch call shows that nothing else had changed when the call was sent, so the batch carries that moment, on the clock that counts suspension. Batches of the streaming client don't tell, as one call there is answered with more than one batch.

--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -62,6 +62,9 @@
 type Batch struct {
 	Revision int64
 	Events   []Event
+	// SentAt is when the call was sent that this batch answers, as the time since boot; 0 if the
+	// client doesn't tell, as where one call is answered with more than one batch.
+	SentAt time.Duration
 }
 
 // Store is the key-value service. Calls without a response return *fault.Unavailable,
