plat/follow, front/peers, front/proxy: keys need a proven document

A front that was suspended or cut off went on admitting keys that the operator had withdrawn. With strict revocation a key is now admitted only while a proof younger than the bound says that the document is current; otherwise the request gets 503 and a time. Watch answers, linearizable reads, the full read and the replies of the front that is followed renew the proof; once it is older than a third of the bound the document's key is read, and other fronts are asked while the store does not answer.

An unknown key is answered with 401 only if the document is known to be current, since callers don't retry after that.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -308,6 +308,7 @@
 	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
 		return h.Leases.KeepAlive(ctx, lease)
 	})
+	answerProofs(mux, f)
 	peer.OnCall(mux, methodPace, func(_ context.Context, _ *peer.Conn, r PaceRequest) (PaceReply, error) {
 		return h.Paces.Reserve(r), nil
 	})
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -2,21 +2,45 @@
 
 import (
 	"net/http"
-
-	"foxtailcroft/internal/core/site"
+	"time"
 )
 
+// unprovenRetryAfter is the Retry-After time of refusals for want of a proof that the document is
+// current; the document's key is read, or other fronts are asked, more often than that.
+const unprovenRetryAfter = time.Second
+
 // authenticate finds the client account of the request's key; false if the request was refused.
-func (c *call) authenticate(accounts *site.Accounts) bool {
-	c.usesAccounts = accounts != nil
-	if accounts == nil || c.route.Keyless {
+func (c *call) authenticate() bool {
+	c.usesAccounts = c.state.Document.Accounts != nil
+	if !c.usesAccounts || c.route.Keyless {
 		return true
 	}
-	if c.account = accounts.Find(c.request.Key); c.account == nil {
-		c.refuse(http.StatusUnauthorized, "unknown key", 0)
+	// The document is loaded after its proof was judged, so that it is not older than the one proved.
+	currency := c.server.currency
+	admits, current := currency.AdmitsKeys(), currency.KnowsCurrentDocument()
+	c.state = c.server.stateSource.State()
+	accounts := c.state.Document.Accounts
+	c.usesAccounts = accounts != nil
+	if !admits {
+		c.refuseKey("no proof", http.StatusServiceUnavailable, "no proof that the document is current", unprovenRetryAfter)
 		return false
 	}
-	return true
+	c.account = accounts.Find(c.request.Key)
+	switch {
+	case c.account != nil || accounts == nil:
+		return true
+	case !current:
+		c.refuseKey("no proof", http.StatusServiceUnavailable, "key not found, but the document may not be current", unprovenRetryAfter)
+	default:
+		c.refuseKey("unknown key", http.StatusUnauthorized, "unknown key", 0)
+	}
+	return false
+}
+
+// refuseKey refuses the request on account of its key, and counts it under the metric's reason.
+func (c *call) refuseKey(metric string, status int, reason string, retryAfter time.Duration) {
+	c.server.meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="` + metric + `"}`).Inc()
+	c.refuse(status, reason, retryAfter)
 }
 
 // accountName returns the name of the request's account, empty if it has none.
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -57,6 +57,22 @@
 	schedule  pace.Schedule
 	log       *bytes.Buffer
 	group     conc.WaitGroup
+	// isUnproven and isOutdated tell that the document is not proved current, and not known to be.
+	isUnproven bool
+	isOutdated bool
+	// onProof is called when the proof is judged, nil for nothing.
+	onProof func()
+}
+
+func (r *harness) AdmitsKeys() bool {
+	if r.onProof != nil {
+		r.onProof()
+	}
+	return !r.isUnproven
+}
+
+func (r *harness) KnowsCurrentDocument() bool {
+	return !r.isOutdated
 }
 
 // brokenAttempt is an attempt that broke off before its answer was under way.
@@ -169,7 +185,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r}, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -93,6 +93,15 @@
 	Crashes    CrashWatch
 	Pacer      Pacer
 	Identities IdentityFinder
+	Currency   Currency
+}
+
+// Currency tells how current the document is. Its answers hold for a state that is loaded afterwards.
+type Currency interface {
+	// AdmitsKeys reports whether the document is proved current so recently that its keys may be admitted.
+	AdmitsKeys() bool
+	// KnowsCurrentDocument reports whether a key that the document lacks is unknown.
+	KnowsCurrentDocument() bool
 }
 
 // StateSource returns the newest known state of the deployment.
@@ -112,6 +121,7 @@
 	crashes     CrashWatch
 	pacer       Pacer
 	identities  IdentityFinder
+	currency    Currency
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
@@ -134,7 +144,7 @@
 	stopped, endAll := context.WithCancel(context.Background())
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, tracker: newInstanceTracker(),
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
@@ -187,7 +197,7 @@
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
-	if !c.authenticate(doc.Accounts) {
+	if !c.authenticate() {
 		return
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -55,6 +55,8 @@
 	ReadyPath string
 	Metrics   *metrics.Set
 	Log       *zap.Logger
+	// SinceBoot replaces the clock that gives the time since boot; nil for clock.SinceBoot.
+	SinceBoot func() time.Duration
 }
 
 // Listeners are the open listeners of a front; a nil Metrics serves no metrics.
@@ -87,12 +89,15 @@
 func New(o Options) (*Front, func()) {
 	log := o.Log.Sugar()
 	settings := o.Settings
+	if o.SinceBoot == nil {
+		o.SinceBoot = clock.SinceBoot
+	}
 	follower := follow.New(settings.Node.Name, o.Store, o.Dialect, o.StoreLayout, follow.Delays{
 		ReturnGrace: settings.Bounds.Returning, BatchDelay: min(settings.Bounds.InForce, settings.Bounds.Drain) * batchDelayTenths / 10,
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
 	candidate := sched.NewCandidate(sched.CandidateOptions{
-		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: clock.SinceBoot,
+		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: o.SinceBoot,
 	}, o.Store, follower, log.Named("Lead"))
 	planner, closePlanner := sched.New(sched.Settings{
 		Node: settings.Node.Name, ChecksFence: settings.ChecksFence, LoadWindow: settings.Bounds.LoadWindow, HandoverDelay: settings.Bounds.Lease,
@@ -105,6 +110,8 @@
 	issuer := pacer.NewIssuer()
 	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector()})
 	follower.SetPeers(frontPeers)
+	follower.SetProof(follow.ProofOptions{SinceBoot: o.SinceBoot, Bound: settings.Bounds.RevocationBound(), InForce: settings.Bounds.InForce, Source: frontPeers})
+	o.Metrics.GetOrCreateGauge("foxtailcroft_document_proof_age_seconds", follower.ProofAgeSeconds)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
 	candidate.SetWitnesses(frontPeers)
@@ -113,7 +120,7 @@
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Currency: follower,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
@@ -164,6 +171,9 @@
 	t.KeepRunning("Follow", f.follower.Run)
 	t.KeepRunning("Reread", f.follower.RunReread)
 	t.KeepRunning("Peers", f.follower.RunPeerPoll)
+	if f.settings.Bounds.RevocationBound() > 0 {
+		t.KeepRunning("Proof", f.follower.RunProof)
+	}
 	t.KeepRunning("Missing", f.follower.RunMissingCheck)
 	t.KeepRunning("Lead", f.candidate.Run)
 	if !f.settings.ChecksFence {
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/plat/store"
@@ -88,6 +89,7 @@
 	successors          []Successor
 	forgottenSuccessors int64
 	superseded          map[string]int64
+	proofs              proofTracker
 }
 
 // Delays holds the delays that a deployment configures.
@@ -101,6 +103,7 @@
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
 	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, epoch: uuid.NewString()}
+	f.proofs.SinceBoot, f.proofs.renewed = clock.SinceBoot, make(chan struct{})
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
 }
@@ -125,6 +128,7 @@
 // Run reads and watches the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		sent := f.proofs.SinceBoot()
 		list, err := f.readAll(ctx)
 		if err != nil {
 			f.markUnavailable(err)
@@ -137,6 +141,7 @@
 		}
 		f.markAvailable()
 		f.replaceView(list, true)
+		f.proveByList(sent, list)
 		f.watch(ctx)
 	}
 }
@@ -174,6 +179,7 @@
 			failures = 0
 			f.markAvailable()
 			f.applyBatch(b)
+			f.proveByWatch(b)
 			if _, ok := f.parent(); ok {
 				return errFollowParent
 			}
@@ -209,7 +215,7 @@
 		f.markUnavailable(watchErr)
 		return false
 	}
-	if _, _, err := f.store.Get(ctx, f.layout.DocumentKey); err != nil {
+	if _, err := f.readDocument(ctx); err != nil {
 		f.markUnavailable(err)
 		return false
 	}
@@ -224,7 +230,7 @@
 	if !f.Unavailable(0) {
 		return true
 	}
-	if _, _, err := f.store.Get(ctx, f.layout.DocumentKey); err != nil {
+	if _, err := f.readDocument(ctx); err != nil {
 		return false
 	}
 	f.markAvailable()
@@ -251,17 +257,10 @@
 		if !f.rereadDue(round) {
 			continue
 		}
-		kv, ok, err := f.store.Get(ctx, f.layout.DocumentKey)
-		if err != nil || !ok {
-			continue
+		known := f.documentRevision()
+		if applied, err := f.readDocument(ctx); err == nil && applied {
+			f.log.Warnw("document change missed by the watch; applied from a linearizable read", "Revision", f.documentRevision(), "Known", known)
 		}
-		f.update(func(old *State) *State {
-			if kv.Revision <= old.Keys[kv.Key].Revision {
-				return old
-			}
-			f.log.Warnw("document change missed by the watch; applied from a linearizable read", "Revision", kv.Revision, "Known", old.Keys[kv.Key].Revision)
-			return f.deriveState(old, applyEvents(old.Keys, []store.Event{{KV: kv}}), old.Revision)
-		})
 	}
 }
 
--- /dev/null
+++ b/internal/plat/follow/proof.go
@@ -0,0 +1,352 @@
+package follow
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/base/sleep"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/fresh"
+)
+
+const (
+	// proofCheckInterval is the pause between checks whether the proof has to be renewed.
+	proofCheckInterval = 50 * time.Millisecond
+	// minPushedRenewal is by how much a proof must have been renewed for followers to be told at once.
+	minPushedRenewal = 500 * time.Millisecond
+)
+
+// ProofSource asks other fronts for their proofs.
+type ProofSource interface {
+	// AskProofs asks some fronts at once and calls adopt with each statement as it arrives.
+	AskProofs(ctx context.Context, revision int64, adopt func(fresh.Statement))
+}
+
+// ProofOptions are the settings and dependencies of the proof that the document is current.
+type ProofOptions struct {
+	// SinceBoot is a clock that counts the time in which the machine was suspended.
+	SinceBoot func() time.Duration
+	// Bound is the age up to which a proof admits keys, 0 if keys need no proof.
+	Bound time.Duration
+	// InForce is the time in which a new document must be in force.
+	InForce time.Duration
+	Source  ProofSource
+}
+
+// proofTracker keeps the newest proof that the document is current, and when it was last renewed.
+type proofTracker struct {
+	ProofOptions
+	mu    sync.Mutex
+	proof fresh.Proof
+	// answered is when the store last answered this front or the one that it follows, 0 if never.
+	answered time.Duration
+	// absent is true while the store has no document; a document that is kept then is not proved.
+	absent bool
+	// readSent is when the latest read of the document's key was sent; reading counts those without an
+	// answer, and readFailed tells how the last one ended.
+	readSent   time.Duration
+	reading    int
+	readFailed bool
+	asked      time.Duration
+	// renewed is closed when the proof is renewed by minPushedRenewal since pushed.
+	renewed chan struct{}
+	pushed  time.Duration
+	// started is when RunProof began, and isLost is set while the proof is older than the bound.
+	started time.Duration
+	isLost  bool
+}
+
+// SetProof sets how the document is proved current; call it before Run.
+func (f *Follower) SetProof(o ProofOptions) {
+	f.proofs.ProofOptions = o
+}
+
+// documentRevision returns the revision of the document's key in the view.
+func (f *Follower) documentRevision() int64 {
+	return f.State().Keys[f.layout.DocumentKey].Revision
+}
+
+// usesAccounts reports whether the document has client accounts.
+func (s *State) usesAccounts() bool {
+	return s.Document != nil && s.Document.Accounts != nil
+}
+
+// prove records a proof if the view's document is at least as new as the one that it is for. A view
+// that is loaded after the proof is therefore covered by it.
+func (f *Follower) prove(p fresh.Proof) bool {
+	if !p.Covers(f.documentRevision()) {
+		return false
+	}
+	t := &f.proofs
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.At > t.proof.At {
+		t.proof = p
+	}
+	if t.proof.At-t.pushed >= minPushedRenewal {
+		t.pushed = t.proof.At
+		close(t.renewed)
+		t.renewed = make(chan struct{})
+	}
+	return true
+}
+
+// currentProof returns the newest proof, and a channel that is closed when it has been renewed.
+func (f *Follower) currentProof() (fresh.Proof, <-chan struct{}) {
+	f.proofs.mu.Lock()
+	defer f.proofs.mu.Unlock()
+	return f.proofs.proof, f.proofs.renewed
+}
+
+// recordAnswer records that the store has answered a call, and whether it has a document. An answer
+// counts from its arrival or, if the call took longer than a document may take to be in force, from
+// its sending: the process may have been suspended before it read the answer.
+func (f *Follower) recordAnswer(sent time.Duration, absent bool) {
+	t := &f.proofs
+	now := t.SinceBoot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.absent = absent
+	if now-sent > t.InForce {
+		now = sent
+	}
+	t.answered = max(t.answered, now)
+}
+
+// proveByWatch records that a watch call was answered, after its changes have been applied.
+func (f *Follower) proveByWatch(b store.Batch) {
+	if b.SentAt <= 0 {
+		return
+	}
+	f.proofs.mu.Lock()
+	absent := f.proofs.absent
+	f.proofs.mu.Unlock()
+	for _, e := range b.Events {
+		if e.Key == f.layout.DocumentKey {
+			absent = e.Deleted
+		}
+	}
+	f.recordAnswer(b.SentAt, absent)
+	if !absent {
+		f.prove(fresh.Proof{At: b.SentAt, Revision: f.documentRevision()})
+	}
+}
+
+// proveByList records that all keys were read from a moment on, after they have been applied.
+func (f *Follower) proveByList(sent time.Duration, list store.List) {
+	revision := int64(0)
+	for _, kv := range list.KVs {
+		if kv.Key == f.layout.DocumentKey {
+			revision = kv.Revision
+		}
+	}
+	f.recordAnswer(sent, revision == 0)
+	f.prove(fresh.FromRead(sent, 0, revision))
+}
+
+// readDocument reads the document's key linearizably and applies a newer document; applied tells
+// whether there was one.
+func (f *Follower) readDocument(ctx context.Context) (applied bool, err error) {
+	t := &f.proofs
+	sent, known := t.SinceBoot(), f.documentRevision()
+	t.mu.Lock()
+	t.readSent = sent
+	t.reading++
+	t.mu.Unlock()
+	kv, ok, err := f.store.Get(ctx, f.layout.DocumentKey)
+	t.mu.Lock()
+	t.reading--
+	t.readFailed = err != nil
+	t.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	if ok {
+		f.update(func(old *State) *State {
+			if kv.Revision <= old.Keys[kv.Key].Revision {
+				return old
+			}
+			applied = true
+			return f.deriveState(old, applyEvents(old.Keys, []store.Event{{KV: kv}}), old.Revision)
+		})
+		f.prove(fresh.FromRead(sent, known, kv.Revision))
+	}
+	f.recordAnswer(sent, !ok)
+	return applied, nil
+}
+
+// ProofStatement returns this front's proof for a question that has just been received; nil if there is none.
+func (f *Follower) ProofStatement() *fresh.Statement {
+	received := f.proofs.SinceBoot()
+	p, _ := f.currentProof()
+	return p.Statement(received)
+}
+
+// AdmitsKeys reports whether keys may be admitted by the document of a state that is loaded afterwards.
+func (f *Follower) AdmitsKeys() bool {
+	if f.proofs.Bound <= 0 {
+		return true
+	}
+	p, _ := f.currentProof()
+	return p.Admits(f.proofs.SinceBoot(), f.proofs.Bound)
+}
+
+// KnowsCurrentDocument reports whether a state that is loaded afterwards has the current document, so
+// that a key that is not in it is unknown.
+func (f *Follower) KnowsCurrentDocument() bool {
+	t := &f.proofs
+	if t.Bound > 0 {
+		return f.AdmitsKeys()
+	}
+	t.mu.Lock()
+	answered := t.answered
+	t.mu.Unlock()
+	now := t.SinceBoot()
+	return answered > 0 && now >= answered && now-answered <= t.InForce
+}
+
+// ProofAgeSeconds returns the age of the proof for the metrics, +Inf if there is none.
+func (f *Follower) ProofAgeSeconds() float64 {
+	p, _ := f.currentProof()
+	age, ok := p.Age(f.proofs.SinceBoot())
+	if !ok {
+		return math.Inf(1)
+	}
+	return age.Seconds()
+}
+
+// adopt records the proof that another front has stated in reply to a question; false if it is for a
+// newer document than this front has.
+func (f *Follower) adopt(asked time.Duration, s fresh.Statement) bool {
+	if s.Revision > f.documentRevision() {
+		return false
+	}
+	f.prove(fresh.Adopt(asked, f.proofs.SinceBoot(), s))
+	return true
+}
+
+// adoptFromParent records what the front that is followed has stated with its changes, after they have
+// been applied.
+func (f *Follower) adoptFromParent(asked time.Duration, c Changes) {
+	if c.AnswerAge != nil {
+		t := &f.proofs
+		t.mu.Lock()
+		t.answered = max(t.answered, min(t.SinceBoot(), asked-*c.AnswerAge))
+		t.mu.Unlock()
+	}
+	if c.Proof != nil {
+		f.adopt(asked, *c.Proof)
+	}
+}
+
+// statements returns the age of the store's last answer and the proof, as of the moment when a question
+// was received; nil if there are none.
+func (f *Follower) statements(received time.Duration) (*time.Duration, *fresh.Statement) {
+	t := &f.proofs
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.answered == 0 {
+		return nil, t.proof.Statement(received)
+	}
+	age := received - t.answered
+	return &age, t.proof.Statement(received)
+}
+
+// pushesProof reports whether the proof has been renewed since a moment so much that followers are told at once.
+func (f *Follower) pushesProof(since fresh.Proof) bool {
+	p, _ := f.currentProof()
+	return f.proofs.Bound > 0 && p.At-since.At >= minPushedRenewal
+}
+
+// adoptOrFetch adopts a stated proof, and first fetches a newer view if it is for a newer document.
+func (f *Follower) adoptOrFetch(ctx context.Context, asked time.Duration, s fresh.Statement) {
+	if f.adopt(asked, s) || f.peers == nil {
+		return
+	}
+	if view, ok := f.peers.FetchNewer(ctx, f.State().Revision); ok {
+		f.replaceView(view.List, !view.Stable)
+		f.adopt(asked, s)
+	}
+}
+
+// RunProof renews the proof while it is old: it reads the document's key and, while the store does
+// not answer, asks other fronts.
+func (f *Follower) RunProof(ctx context.Context) {
+	t := &f.proofs
+	t.mu.Lock()
+	t.started = t.SinceBoot()
+	t.mu.Unlock()
+	var group conc.WaitGroup
+	defer group.Wait()
+	asking := make(chan struct{}, 1)
+	for sleep.For(ctx, proofCheckInterval) {
+		if !f.State().usesAccounts() {
+			continue
+		}
+		f.logProof()
+		s := f.situation()
+		if s.ShouldRead() {
+			group.Go(func() {
+				if _, err := f.readDocument(ctx); err != nil {
+					f.log.Debugw("reading the document failed; asking other fronts for their proofs", "Error", err.Error())
+				}
+			})
+		}
+		if !s.ShouldAsk() || t.Source == nil {
+			continue
+		}
+		select {
+		case asking <- struct{}{}:
+			group.Go(func() {
+				f.askProofs(ctx)
+				<-asking
+			})
+		default:
+		}
+	}
+}
+
+// askProofs asks other fronts for their proofs and adopts them.
+func (f *Follower) askProofs(ctx context.Context) {
+	t := &f.proofs
+	asked := t.SinceBoot()
+	t.mu.Lock()
+	t.asked = asked
+	t.mu.Unlock()
+	t.Source.AskProofs(ctx, f.documentRevision(), func(s fresh.Statement) { f.adoptOrFetch(ctx, asked, s) })
+}
+
+// situation returns what the decisions to renew the proof depend on.
+func (f *Follower) situation() fresh.Situation {
+	followed, away := f.isFollowed(), f.Unavailable(0)
+	t := &f.proofs
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fresh.Situation{
+		Now: t.SinceBoot(), Bound: t.Bound, Proof: t.proof, Followed: followed, ReadSent: t.readSent, Reading: t.reading > 0,
+		StoreAway: away || t.readFailed, Asked: t.asked,
+	}
+}
+
+// logProof logs when the proof has become older than the bound, and when there is a younger one again.
+func (f *Follower) logProof() {
+	t := &f.proofs
+	now := t.SinceBoot()
+	t.mu.Lock()
+	p, wasLost := t.proof, t.isLost
+	// A front that starts has a bound's time to get its first proof before the lack is logged.
+	t.isLost = !p.Admits(now, t.Bound) && now-t.started >= t.Bound
+	isLost := t.isLost
+	t.mu.Unlock()
+	age, known := p.Age(now)
+	switch {
+	case isLost && !wasLost:
+		f.log.Warnw("document proof lost", "Age", age.String(), "Known", known, "Revision", p.Revision)
+	case wasLost && !isLost:
+		f.log.Infow("document proof regained", "Age", age.String(), "Revision", p.Revision)
+	}
+}
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -11,6 +11,7 @@
 
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/fresh"
 )
 
 const (
@@ -52,6 +53,11 @@
 	Keys map[string]int64
 	// Age is the time since the store last answered.
 	Age time.Duration
+	// AnswerAge is the time from the store's last answer until the question for the changes was received,
+	// nil if there was none.
+	AnswerAge *time.Duration `json:",omitempty"`
+	// Proof is the front's proof that its document is current, nil if it has none or needs none.
+	Proof *fresh.Statement `json:",omitempty"`
 	// Available is false while the front can't reach the store.
 	Available bool
 }
@@ -171,6 +177,7 @@
 
 // followOnce fetches changes from a parent, applies them and advances the cursor.
 func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
+	asked := f.proofs.SinceBoot()
 	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow})
 	if err != nil {
 		return err
@@ -191,6 +198,7 @@
 		f.applyBatch(store.Batch{Revision: changes.Revision, Events: changes.Events})
 	}
 	f.confirmedAt.Store(time.Now().Add(-changes.Age).UnixNano())
+	f.adoptFromParent(asked, changes)
 	*cursor = changes.Next
 	return nil
 }
@@ -242,13 +250,17 @@
 func (f *Follower) Changes(ctx context.Context, r ChangesRequest) Changes {
 	ctx, cancel := context.WithTimeout(ctx, min(r.Wait, relayWindow))
 	defer cancel()
+	received := f.proofs.SinceBoot()
+	first, renewed := f.currentProof()
 	for {
-		out, next := f.changesAfter(r)
-		if out.Keys != nil || len(out.Events) > 0 || !out.Available {
+		out, next := f.changesAfter(r, received)
+		if out.Keys != nil || len(out.Events) > 0 || !out.Available || f.pushesProof(first) {
 			return out
 		}
 		select {
 		case <-next:
+		case <-renewed:
+			_, renewed = f.currentProof()
 		case <-ctx.Done():
 			return out
 		}
@@ -256,7 +268,7 @@
 }
 
 // changesAfter returns the changes after a cursor, and a channel that is closed with the next change.
-func (f *Follower) changesAfter(r ChangesRequest) (Changes, <-chan struct{}) {
+func (f *Follower) changesAfter(r ChangesRequest, received time.Duration) (Changes, <-chan struct{}) {
 	f.updateMu.Lock()
 	defer f.updateMu.Unlock()
 	s := f.state.Load()
@@ -264,6 +276,9 @@
 		Next: Cursor{Epoch: f.epoch, Number: f.changeNumber}, Revision: s.Revision,
 		Age: time.Since(time.Unix(0, f.confirmedAt.Load())), Available: !f.Unavailable(0) && s.Document != nil,
 	}
+	if s.usesAccounts() {
+		out.AnswerAge, out.Proof = f.statements(received)
+	}
 	oldest := f.changeNumber + 1
 	if len(f.changes) > 0 {
 		oldest = f.changes[0].number
