plat/follow: no periodic read after another one of the document

The read of every 5 s is left out if the document's key was read within that time, as it is while revocation is strict.

--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -254,7 +254,7 @@
 // RunReread reads the document linearizably every rereadInterval, in case the watch drops changes.
 func (f *Follower) RunReread(ctx context.Context) {
 	for round := 1; sleep.For(ctx, rereadInterval); round++ {
-		if !f.rereadDue(round) {
+		if !f.rereadDue(round) || f.hasReadDocument(rereadInterval) {
 			continue
 		}
 		known := f.documentRevision()
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -262,6 +262,8 @@
 		case <-renewed:
 			_, renewed = f.currentProof()
 		case <-ctx.Done():
+			// The proof may have been renewed a moment ago.
+			out, _ = f.changesAfter(r, received)
 			return out
 		}
 	}
