policy/fresh: room for the error of clocks, fewer questions once a proof is lost

A proof must be younger than 99.8 % of the bound: two clocks slewed by 500 ppm in opposite directions differ by 0.1 %. Once the proof is older than the bound, other fronts are asked every second instead of twice.

--- a/internal/policy/fresh/fresh_test.go
+++ b/internal/policy/fresh/fresh_test.go
@@ -37,8 +37,8 @@
 		now   time.Duration
 		want  bool
 	}{
-		{"young", Proof{10 * time.Second, 1}, 15*time.Second - 1, true},
-		{"as old as the bound", Proof{10 * time.Second, 1}, 15 * time.Second, false},
+		{"young", Proof{10 * time.Second, 1}, 15*time.Second - bound/500 - 1, true},
+		{"as old as the bound but for the error of clocks", Proof{10 * time.Second, 1}, 15*time.Second - bound/500, false},
 		{"from the future", Proof{10 * time.Second, 1}, 9 * time.Second, false},
 		{"clock failed", Proof{time.Second, 1}, 0, false},
 		{"none", Proof{}, time.Second, false},
@@ -90,7 +90,9 @@
 		{"old, read not answered at once", Situation{Now: at(9), ReadSent: at(8.8), Reading: true}, false, false},
 		{"old, read not answered for long", Situation{Now: at(9), ReadSent: at(8.7), Reading: true}, false, true},
 		{"old, store away", Situation{Now: at(9), ReadSent: at(8.7), StoreAway: true}, false, true},
-		{"old, store away, asked lately", Situation{Now: at(9), ReadSent: at(8.7), StoreAway: true, Asked: at(8.6)}, false, false},
+		{"old, store away, asked lately", Situation{Now: at(9), Proof: Proof{at(7), 1}, ReadSent: at(8.7), StoreAway: true, Asked: at(8.6)}, false, false},
+		{"old, store away, asked before", Situation{Now: at(9), Proof: Proof{at(7), 1}, ReadSent: at(8.7), StoreAway: true, Asked: at(8.5)}, false, true},
+		{"lost, store away, asked before", Situation{Now: at(9), Proof: Proof{at(4), 1}, ReadSent: at(8.7), StoreAway: true, Asked: at(8.5)}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/policy/fresh/proof.go
+++ b/internal/policy/fresh/proof.go
@@ -34,10 +34,14 @@
 	return now - p.At, true
 }
 
-// Admits reports whether the proof is younger than the bound.
+// clockErrorDivisor is the divisor of the bound that gives the part left for the error of clocks: two
+// that are slewed by 500 ppm in opposite directions differ by half of it.
+const clockErrorDivisor = 500
+
+// Admits reports whether the proof is younger than the bound, whatever the error of the clocks.
 func (p Proof) Admits(now, bound time.Duration) bool {
 	age, ok := p.Age(now)
-	return ok && age < bound
+	return ok && age < bound-bound/clockErrorDivisor
 }
 
 // Statement is a proof as one front states it to another one.
--- a/internal/policy/fresh/renew.go
+++ b/internal/policy/fresh/renew.go
@@ -15,8 +15,10 @@
 	// askDelay is how long an answer of the store is awaited before other fronts are asked; a slow store
 	// answers in 240 ms.
 	askDelay = 300 * time.Millisecond
-	// askInterval is the time between two questions to other fronts.
-	askInterval = 500 * time.Millisecond
+	// askInterval is the time between two questions to other fronts. Once the proof is older than the
+	// bound, the store is likely away for all of them, and questions are sent every lostAskInterval.
+	askInterval     = 500 * time.Millisecond
+	lostAskInterval = time.Second
 )
 
 // Situation is what the decisions to renew a proof depend on; moments are 0 if there were none.
@@ -53,5 +55,9 @@
 // ShouldAsk reports whether to ask other fronts for their proofs, since the store does not answer.
 func (s Situation) ShouldAsk() bool {
 	silent := s.StoreAway || s.Reading && s.Now-s.ReadSent >= askDelay
-	return s.Bound > 0 && s.isOld() && silent && (s.Asked == 0 || s.Now-s.Asked >= askInterval)
+	interval := askInterval
+	if !s.Proof.Admits(s.Now, s.Bound) {
+		interval = lostAskInterval
+	}
+	return s.Bound > 0 && s.isOld() && silent && (s.Asked == 0 || s.Now-s.Asked >= interval)
 }
