plat/follow: a watch's answer proves nothing before its document is applied

Removing the order of applying and recording was caught by no test. The proof now carries the revision in the answer, so that recording it too early fails.

--- a/internal/plat/follow/proof.go
+++ b/internal/plat/follow/proof.go
@@ -118,7 +118,8 @@
 	t.answered = max(t.answered, now)
 }
 
-// proveByWatch records that a watch call was answered, after its changes have been applied.
+// proveByWatch records that a watch call was answered, after its changes have been applied. It proves
+// nothing if a document in the answer has not been.
 func (f *Follower) proveByWatch(b store.Batch) {
 	if b.SentAt <= 0 {
 		return
@@ -126,14 +127,15 @@
 	f.proofs.mu.Lock()
 	absent := f.proofs.absent
 	f.proofs.mu.Unlock()
+	revision := f.documentRevision()
 	for _, e := range b.Events {
 		if e.Key == f.layout.DocumentKey {
-			absent = e.Deleted
+			absent, revision = e.Deleted, max(revision, e.Revision)
 		}
 	}
 	f.recordAnswer(b.SentAt, absent)
 	if !absent {
-		f.prove(fresh.Proof{At: b.SentAt, Revision: f.documentRevision()})
+		f.prove(fresh.Proof{At: b.SentAt, Revision: revision})
 	}
 }
 
