node/front: answers from before a suspension

Trial removals of guards showed that no test of the whole front caught a read or a full read that counts from its answer.

--- a/internal/node/front/gate_test.go
+++ b/internal/node/front/gate_test.go
@@ -23,6 +23,8 @@
 	storeHeld
 	// storeLosesAnswers ends calls with an error after the store has carried them out.
 	storeLosesAnswers
+	// storeReleases delivers the answers held for one path, and lets only further ranges pass.
+	storeReleases
 	// storeSlow delivers answers after slowAnswer.
 	storeSlow
 )
@@ -30,6 +32,13 @@
 // slowAnswer is the time for which a slow store holds its answers.
 const slowAnswer = 600 * time.Millisecond
 
+// The paths of calls to the store.
+const (
+	readPath  = "/api/kv-key"
+	rangePath = "/api/kv-range"
+	watchPath = "/api/kv-watch"
+)
+
 var errGate = errors.New("cut off")
 
 // gate is a front's access to the store and to other fronts, and its clock.
@@ -46,10 +55,13 @@
 	peersCut bool
 	// reads counts the reads of single keys.
 	reads int
+	// held counts the answers held by path, and released is the path of storeReleases.
+	held     map[string]int
+	released string
 }
 
 func newGate(base http.RoundTripper) *gate {
-	return &gate{base: base, began: time.Now().Add(-time.Hour), changed: make(chan struct{})}
+	return &gate{base: base, began: time.Now().Add(-time.Hour), changed: make(chan struct{}), held: map[string]int{}}
 }
 
 // set changes what the gate does.
@@ -61,6 +73,28 @@
 	g.changed = make(chan struct{})
 }
 
+// release delivers the answers held for a path.
+func (g *gate) release(path string) {
+	g.mu.Lock()
+	g.released = path
+	g.mu.Unlock()
+	g.set(storeReleases, true)
+}
+
+func (g *gate) releasedPath() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.released
+}
+
+// addHeld adds n to the number of answers held for a path, and returns the sum.
+func (g *gate) addHeld(path string, n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held[path] += n
+	return g.held[path]
+}
+
 // suspend lets the clock run ahead of the front's timers.
 func (g *gate) suspend(d time.Duration) {
 	g.mu.Lock()
@@ -93,29 +127,31 @@
 // RoundTrip makes a call to the store.
 func (g *gate) RoundTrip(r *http.Request) (*http.Response, error) {
 	g.mu.Lock()
-	if r.URL.Path == "/api/kv-key" {
+	if r.URL.Path == readPath {
 		g.reads++
 	}
 	g.mu.Unlock()
-	switch mode, _, _ := g.now(); mode {
-	case storeCut:
+	switch mode, _, _ := g.now(); {
+	case mode == storeCut, mode == storeReleases && r.URL.Path != rangePath:
 		<-r.Context().Done()
 		return nil, errGate
-	case storeRefused:
+	case mode == storeRefused:
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
 	}
 	res, err := g.base.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
+	g.addHeld(r.URL.Path, 1)
+	defer g.addHeld(r.URL.Path, -1)
 	for {
 		mode, _, changed := g.now()
-		switch mode {
-		case storeOpen, storeRefused:
+		switch {
+		case mode == storeOpen, mode == storeRefused, mode == storeReleases && r.URL.Path == g.releasedPath():
 			return res, nil
-		case storeLosesAnswers:
+		case mode == storeLosesAnswers:
 			return nil, errors.Join(errGate, res.Body.Close())
-		case storeSlow:
+		case mode == storeSlow:
 			time.Sleep(slowAnswer)
 			return res, nil
 		}
--- a/internal/node/front/revocation_test.go
+++ b/internal/node/front/revocation_test.go
@@ -260,6 +260,36 @@
 	})
 }
 
+// TestAnswersFromBeforeASuspensionProveNothing guards against answers that count from their arrival: the
+// store answers, the process is suspended, the key is withdrawn, and then the process reads the answer.
+func TestAnswersFromBeforeASuspensionProveNothing(t *testing.T) {
+	for _, c := range []struct {
+		path      string
+		restarted bool
+	}{{readPath, false}, {watchPath, false}, {rangePath, true}} {
+		t.Run(c.path, func(t *testing.T) {
+			withKeys(t, 1, revocationBound, func(r *keyRig) {
+				const name = "front-1"
+				g := r.gates[name]
+				g.set(storeHeld, true)
+				if c.restarted {
+					r.stops[name]()
+					r.startStrict(name, revocationBound)
+				}
+				for g.addHeld(c.path, 0) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				r.withdraw("a", "b")
+				g.suspend(revocationBound)
+				g.release(c.path)
+				time.Sleep(10 * time.Millisecond)
+				r.g.Expect(r.ask(name, "/key/x", "a", "late")).To(Equal(http.StatusServiceUnavailable))
+				r.g.Expect(r.executions.Runs("late")).To(BeEmpty())
+			})
+		})
+	}
+}
+
 // TestKeysWithdrawnInQuickSuccession guards against proofs of one document that count for another.
 func TestKeysWithdrawnInQuickSuccession(t *testing.T) {
 	withKeys(t, 3, revocationBound, func(r *keyRig) {
