front/lender, policy/quota: quotas of client accounts over all fronts

Cause: an account's ratePerS and burst were decoded and not applied; the limit holds for all fronts together, and clients are distributed unevenly over them. Change: the first front by rendezvous hashing (policy/pace, which now also gives the second) keeps an account's token bucket and lends tokens for 250 ms; the second one passes requests on to it and lends at half the rate where it does not answer; a front that reaches neither uses rate / (4 x fronts). The proxy charges after authentication, answers 429 with a time to come back, and gives the cost of requests that have not run back once. quotaWindowS, quotaExcess and quotaSlack are decoded into conf.Bounds; platform_test's settings hold them now. All tests of the touched packages pass.

--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -39,6 +39,17 @@
 	Contact time.Duration
 	// Drain is how long a draining instance may still be sent requests.
 	Drain time.Duration
+	// Quota bounds what client accounts may get beyond their quotas.
+	Quota QuotaBounds
+}
+
+// QuotaBounds bounds what an account may get of all fronts in any window: what its quota allows
+// times 1+Excess, and Slack. Fields that are 0 are not configured.
+type QuotaBounds struct {
+	Window time.Duration
+	Excess float64
+	// Slack is in tokens.
+	Slack float64
 }
 
 // Front holds the settings of a front: an entry that serves callers by the configuration of a whole deployment.
--- /dev/null
+++ b/internal/front/lender/account.go
@@ -0,0 +1,153 @@
+package lender
+
+import (
+	"time"
+
+	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/policy/pace"
+	"foxtailcroft/internal/policy/quota"
+)
+
+// role is what a front is for an account.
+type role int
+
+const (
+	// borrower asks other fronts for tokens.
+	borrower role = iota
+	// issuer keeps the tokens.
+	issuer
+	// deputy lends while the issuer does not answer.
+	deputy
+)
+
+// balance is what this front has borrowed ahead.
+type balance struct {
+	tokens float64
+	// run is the process that gave the lease with this number.
+	run   string
+	lease int64
+	end   time.Duration
+}
+
+// take takes the cost of a request; false if there is not enough or the lease has ended.
+func (b *balance) take(now time.Duration, cost float64) bool {
+	if cost > b.tokens || now >= b.end {
+		return false
+	}
+	b.tokens -= cost
+	return true
+}
+
+// account is what this front knows of an account's tokens.
+type account struct {
+	name    string
+	limit   quota.Limit
+	version int64
+	usedAt  time.Duration
+	demand  quota.Demand
+	// fleetNumber is that of the fleet for which first, second and role hold.
+	fleetNumber   int
+	first, second string
+	role          role
+	// bucket is nil unless this front has been asked as issuer or deputy.
+	bucket *quota.Bucket
+	// deputyHeard is when the deputy last took this front for the issuer.
+	deputyHeard time.Duration
+	balance     balance
+	// refund is to be returned to the issuer.
+	refund    float64
+	share     *quota.Bucket
+	shareUsed time.Duration
+	// asking is true while a waiter has the turn to ask for all.
+	asking  bool
+	waiting []*waiter
+}
+
+// applyLimit applies the limit of a document unless it is older than the one in force.
+func (a *account) applyLimit(limit quota.Limit, version int64) {
+	if version < a.version || version == a.version && limit == a.limit {
+		return
+	}
+	a.limit, a.version = limit, version
+	if a.bucket != nil {
+		a.bucket.SetLimit(limit)
+	}
+}
+
+// account returns what is known of an account, refreshed; the caller holds the lock.
+func (l *Lender) account(name string, now time.Duration) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name, fleetNumber: -1}
+		l.accounts[name] = a
+	}
+	l.refresh(a, now)
+	// A deputy that was not checked because there were no requests counts as heard.
+	if now > a.usedAt+checkedTime {
+		a.deputyHeard = now
+	}
+	a.usedAt = now
+	return a
+}
+
+// checkedTime is how long after its last request an account's deputy is still checked.
+const checkedTime = 3 * time.Second
+
+// refresh determines the account's issuer and deputy if the fronts have changed; the caller holds the lock.
+func (l *Lender) refresh(a *account, now time.Duration) {
+	l.fleet.update(l.view.State(), now)
+	if a.fleetNumber == l.fleet.number {
+		return
+	}
+	a.fleetNumber = l.fleet.number
+	before := a.role
+	a.first, a.second = pace.Issuers(a.name, l.fleet.names)
+	switch l.self.Name {
+	case a.first:
+		a.role = issuer
+	case a.second:
+		a.role = deputy
+	default:
+		a.role = borrower
+	}
+	a.deputyHeard = now
+	if a.role == issuer && before != issuer && a.bucket != nil {
+		a.bucket.StartAnew(now)
+	}
+	if a.role == borrower {
+		a.bucket = nil
+	}
+}
+
+// bucket returns the account's bucket at this front, advanced to now; the caller holds the lock.
+func (l *Lender) bucket(a *account, now time.Duration) *quota.Bucket {
+	if a.bucket == nil {
+		start := now
+		if a.role == issuer {
+			start = l.fleet.issuerSince(a.name, l.self.Name, now)
+		}
+		a.bucket = quota.NewBucket(a.limit, start, now, time.Now().UnixNano())
+	}
+	a.bucket.Advance(now, l.standing(a, now).Share())
+	return a.bucket
+}
+
+// standing returns this front's right to lend an account's tokens; the caller holds the lock.
+func (l *Lender) standing(a *account, now time.Duration) quota.Standing {
+	s := quota.Standing{IsDeputy: a.role != issuer, Confirmed: l.view.ConfirmedAge(), Fronts: l.fleet.size()}
+	if a.second != "" {
+		s.Heard = now - a.deputyHeard
+	}
+	return s
+}
+
+// lendOwn lends tokens of this front's bucket; the caller holds the lock.
+func (l *Lender) lendOwn(a *account, now time.Duration, r peers.LendRequest) peers.LendReply {
+	a.applyLimit(quota.Limit{PerSecond: r.PerSecond, Burst: r.Burst}, r.Version)
+	ask := quota.Ask{Needs: r.Needs, Ahead: r.Ahead, Unit: r.Unit, Refund: r.Refund}
+	if r.Run == l.self.Run {
+		ask.Lease, ask.Unused = r.Lease, r.Unused
+	}
+	g := l.bucket(a, now).Lend(ask)
+	return peers.LendReply{IsDeputy: a.role == deputy, Waits: g.Waits, Ahead: g.Ahead, Run: l.self.Run, Lease: g.Lease}
+}
--- /dev/null
+++ b/internal/front/peers/lend.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"foxtailcroft/internal/link/peer"
+	"foxtailcroft/internal/plat/follow"
+)
+
+const (
+	methodLend      = "Lend"
+	methodLendCheck = "LendCheck"
+)
+
+// LendRequest asks the front that keeps an account's tokens to lend some, and returns others.
+type LendRequest struct {
+	Account string
+	// PerSecond and Burst are the account's limits in the document of a version.
+	PerSecond float64
+	Burst     float64
+	Version   int64
+	// Needs are the costs of requests that wait.
+	Needs []float64 `json:",omitempty"`
+	// Ahead is what the front expects to use during a lease, in multiples of Unit.
+	Ahead float64 `json:",omitempty"`
+	Unit  float64 `json:",omitempty"`
+	// Lease is the number of the lease that ends with this request, Run the process that gave it, and
+	// Unused what is left of it.
+	Run    string  `json:",omitempty"`
+	Lease  int64   `json:",omitempty"`
+	Unused float64 `json:",omitempty"`
+	// Refund is the cost of requests that were counted and have not run.
+	Refund float64 `json:",omitempty"`
+	// Relayed is true if a deputy asks the issuer for another front.
+	Relayed bool `json:",omitempty"`
+}
+
+// LendReply is what a front lends.
+type LendReply struct {
+	// Refused is true if the front does not keep the account's tokens.
+	Refused bool `json:",omitempty"`
+	// IsDeputy is true if the deputy lends in place of an issuer that does not answer.
+	IsDeputy bool `json:",omitempty"`
+	// Waits has for each need 0 if it was granted, or else the time after which the request may come back.
+	Waits []time.Duration `json:",omitempty"`
+	Ahead float64         `json:",omitempty"`
+	Run   string          `json:",omitempty"`
+	Lease int64           `json:",omitempty"`
+}
+
+// LendCheck asks the deputy of an account whether it takes the asking front for the issuer.
+type LendCheck struct {
+	Account string
+	Issuer  string
+}
+
+// TokenLender keeps the tokens of the client accounts whose issuer or deputy this front is.
+type TokenLender interface {
+	Lend(ctx context.Context, r LendRequest) LendReply
+	ConfirmIssuer(c LendCheck) bool
+}
+
+// registerLending registers the handlers of the calls about client accounts' tokens.
+func registerLending(mux *peer.Mux, l TokenLender) {
+	peer.OnCall(mux, methodLend, func(ctx context.Context, _ *peer.Conn, r LendRequest) (LendReply, error) {
+		return l.Lend(ctx, r), nil
+	})
+	peer.OnCall(mux, methodLendCheck, func(_ context.Context, _ *peer.Conn, c LendCheck) (bool, error) {
+		return l.ConfirmIssuer(c), nil
+	})
+}
+
+// RequestTokens asks another front to lend tokens.
+func (m *Client) RequestTokens(ctx context.Context, to follow.Front, r LendRequest) (LendReply, error) {
+	var reply LendReply
+	err := m.call(ctx, to.Address, methodLend, callTimeout, r, &reply)
+	return reply, err
+}
+
+// CheckDeputy asks the deputy of an account whether it takes this front for the issuer.
+func (m *Client) CheckDeputy(ctx context.Context, to follow.Front, c LendCheck) (bool, error) {
+	var ok bool
+	err := m.call(ctx, to.Address, methodLendCheck, callTimeout, c, &ok)
+	return ok, err
+}
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -246,6 +246,7 @@
 	Outages OutageWitness
 	// Evidence collects evidence where this front is the planner.
 	Evidence EvidenceCollector
+	Tokens   TokenLender
 }
 
 // Client calls the other fronts.
@@ -311,6 +312,7 @@
 	peer.OnCall(mux, methodPace, func(_ context.Context, _ *peer.Conn, r PaceRequest) (PaceReply, error) {
 		return h.Paces.Reserve(r), nil
 	})
+	registerLending(mux, h.Tokens)
 	peer.OnCall(mux, methodOutage, func(_ context.Context, _ *peer.Conn, fence int64) (bool, error) {
 		return h.Outages.ConfirmOutage(fence), nil
 	})
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -9,6 +9,7 @@
 
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/proof"
 )
@@ -39,9 +40,11 @@
 	// key; nil if it needs none.
 	usesAccounts bool
 	account      *site.Account
-	service      string
-	body         []byte
-	tried        map[site.InstanceKey]bool
+	// charge is what the request was charged to its account; zero if nothing.
+	charge  lender.Charge
+	service string
+	body    []byte
+	tried   map[site.InstanceKey]bool
 	// usedConns are the connections that have carried attempts of the request.
 	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -49,7 +49,7 @@
 	if c.outcome != outcomeAnswered && c.status != http.StatusNotFound {
 		log = c.server.log.Warnw
 	}
-	log("request", "Request", c.request.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
+	log("request", "Request", c.request.ID, "Route", route.Name, "Account", c.accountName(), "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
 		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Basis", string(c.attempts.Last()), "InstanceStatus", c.instanceStatus, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
 		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "InFlight", c.lastChoice.InFlight, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount, "Limit", c.lastChoice.limit,
--- /dev/null
+++ b/internal/front/proxy/quota_test.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/lender"
+	"foxtailcroft/platform/fake"
+)
+
+// quotaRecorder admits up to a cost and records what is charged and given back.
+type quotaRecorder struct {
+	left    float64
+	charged []float64
+	refunds []float64
+}
+
+func (q *quotaRecorder) Admit(c lender.Charge) lender.Verdict {
+	if c.Cost > q.left {
+		return lender.Verdict{Wait: 1500 * time.Millisecond, Source: lender.FromIssuer}
+	}
+	q.left -= c.Cost
+	q.charged = append(q.charged, c.Cost)
+	return lender.Verdict{Admitted: true}
+}
+
+func (q *quotaRecorder) Refund(c lender.Charge) { q.refunds = append(q.refunds, c.Cost) }
+
+// TestQuotaIsChargedAndRefunded guards against requests beyond a quota that are sent, requests that
+// are charged although none asked for it, and costs that are given back twice or for requests that
+// may have run.
+func TestQuotaIsChargedAndRefunded(t *testing.T) {
+	tokens := site.Quota{PerSecond: 100, Burst: 100, CountsTokens: true, PlainTokens: 7}
+	cases := []struct {
+		name    string
+		quota   site.Quota
+		path    string
+		left    float64
+		counts  string
+		faults  fake.Faults
+		status  int
+		charged []float64
+		refunds []float64
+	}{
+		{"requests", site.Quota{PerSecond: 1}, "/unsafe/x", 1, "10,25", fake.Faults{}, 200, []float64{1}, nil},
+		{"tokens", tokens, "/unsafe/x", 35, "10,25", fake.Faults{}, 200, []float64{35}, nil},
+		{"no tokens declared", tokens, "/unsafe/x", 7, "", fake.Faults{}, 200, []float64{7}, nil},
+		{"negative tokens", tokens, "/unsafe/x", 0, "-50,1", fake.Faults{}, 200, []float64{0}, nil},
+		{"unlimited", site.Quota{CountsTokens: true}, "/unsafe/x", 0, "10,25", fake.Faults{}, 200, nil, nil},
+		{"keyless route", tokens, "/stream/x", 0, "10,25", fake.Faults{}, 200, nil, nil},
+		{"exceeded", tokens, "/unsafe/x", 34, "10,25", fake.Faults{}, 429, nil, nil},
+		{"refused by all instances", tokens, "/unsafe/x", 35, "10,25", fake.Faults{RejectedAsFull: 99}, 503, []float64{35}, []float64{35}},
+		{"may have run", tokens, "/unsafe/x", 35, "10,25", fake.Faults{LostResponses: 9}, 502, []float64{35}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 1, func(r *harness) {
+				accounts, err := site.NewAccounts([]site.Account{{Name: "a1", Keys: []site.KeyDigest{site.DigestKey("k1")}, Quota: c.quota}})
+				r.g.Expect(err).NotTo(HaveOccurred())
+				r.state.Document.Accounts = accounts
+				r.state.Document.Routes[3].Keyless = true
+				q := &quotaRecorder{left: c.left}
+				r.proxy.quotas = q
+				r.setFaults(c.faults)
+				header := http.Header{"Authorization": {"Token k1"}}
+				if c.counts != "" {
+					header.Set("Token-Counts", c.counts)
+				}
+				w, _ := r.serve(r.t.Context(), c.path, "id-1", header)
+				r.g.Expect(w.Code).To(Equal(c.status))
+				r.g.Expect(q.charged).To(Equal(c.charged))
+				r.g.Expect(q.refunds).To(Equal(c.refunds))
+				if c.status == http.StatusTooManyRequests {
+					r.g.Expect(w.Header().Get("Retry-After")).To(Equal("1.500"))
+					r.g.Expect(r.executions.Runs("id-1")).To(BeEmpty())
+					r.g.Expect(r.log.String()).To(ContainSubstring(`"Message":"quota exceeded"`))
+				}
+			})
+		})
+	}
+}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -21,6 +21,7 @@
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
+	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/retry"
@@ -82,6 +83,13 @@
 	Reserve(ctx context.Context, k site.InstanceKey, perSecond float64, maxWait time.Duration) (wait time.Duration, ok bool)
 }
 
+// Quotas charges requests to the quotas of client accounts, over all fronts.
+type Quotas interface {
+	Admit(c lender.Charge) lender.Verdict
+	// Refund gives back the cost of an admitted request that has not run.
+	Refund(c lender.Charge)
+}
+
 // IdentityFinder finds out which instance runs at an address in place of the one that the view names.
 type IdentityFinder interface {
 	Suspect(in site.Instance)
@@ -93,6 +101,7 @@
 	Crashes    CrashWatch
 	Pacer      Pacer
 	Identities IdentityFinder
+	Quotas     Quotas
 }
 
 // StateSource returns the newest known state of the deployment.
@@ -112,9 +121,12 @@
 	crashes     CrashWatch
 	pacer       Pacer
 	identities  IdentityFinder
+	quotas      Quotas
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
+	// quotaRefusals counts the requests beyond their accounts' quotas.
+	quotaRefusals *metrics.Counter
 	// answerMemory is the memory that is left for long answers.
 	answerMemory *semaphore.Weighted
 	// stopTime is when the requests in flight are ended; nil unless the process is stopping.
@@ -134,8 +146,8 @@
 	stopped, endAll := context.WithCancel(context.Background())
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, tracker: newInstanceTracker(),
-		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, quotas: helpers.Quotas, tracker: newInstanceTracker(),
+		log: log, meters: meters, quotaRefusals: meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="quota"}`), answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
 
@@ -172,6 +184,7 @@
 	c := &call{server: s, w: w, r: r, arrivedAt: time.Now(), state: s.stateSource.State(), request: s.dialect.DecodeRequest(r.Header), tried: map[site.InstanceKey]bool{}, overLimit: map[site.InstanceKey]time.Duration{}}
 	defer c.logRequest()
 	defer c.endTrial()
+	defer c.refundQuota()
 	doc := c.state.Document
 	if doc == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet", unconfiguredRetryAfter)
@@ -187,7 +200,7 @@
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
-	if !c.authenticate(doc.Accounts) {
+	if !c.authenticate(doc.Accounts) || !c.chargeQuota() {
 		return
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -18,6 +18,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/ident"
+	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/front/pacer"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/proxy"
@@ -72,6 +73,7 @@
 	candidate      *sched.Candidate
 	planner        *sched.Planner
 	crashes        *crash.Watcher
+	quotas         *lender.Lender
 	peers          *peers.Client
 	reverseProxy   *proxy.Server
 	pool           *conns.Pool
@@ -103,7 +105,9 @@
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	issuer := pacer.NewIssuer()
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector()})
+	quotas := lender.New(candidate.Self, follower, o.Metrics, log.Named("Quota"))
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector(), Tokens: quotas})
+	quotas.SetCaller(frontPeers)
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
@@ -111,9 +115,9 @@
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	crashes.SetClaims(frontPeers)
 	f := &Front{
-		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
+		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, quotas: quotas, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Quotas: quotas,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
@@ -173,6 +177,8 @@
 	t.KeepRunning("Reports", f.planner.RunReports)
 	t.KeepRunning("Crashes", f.crashes.Run)
 	t.KeepRunning("Uses", f.reportUsage)
+	t.KeepRunning("Quotas", f.quotas.Run)
+	t.KeepRunning("Deputies", f.quotas.RunChecks)
 	t.KeepRunning("Sweep", f.closeIdleConnections)
 }
 
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -49,11 +49,22 @@
 // Issuer returns the front that keeps an instance's schedule for all, "" if there is no
 // front. Where fronts come or go, few instances change their issuer.
 func Issuer(instance string, fronts []string) string {
-	best, highest := "", uint64(0)
+	first, _ := Issuers(instance, fronts)
+	return first
+}
+
+// Issuers returns the front that decides for all fronts on what has a name, and the front that
+// does so while the first one does not answer; "" for those that do not exist.
+func Issuers(name string, fronts []string) (first, second string) {
+	var highest, next uint64
 	for _, f := range fronts {
-		if h := xxhash.Sum64String(f + "/" + instance); best == "" || h > highest || h == highest && f < best {
-			best, highest = f, h
+		h := xxhash.Sum64String(f + "/" + name)
+		switch {
+		case first == "" || h > highest || h == highest && f < first:
+			first, second, highest, next = f, first, h, highest
+		case second == "" || h > next || h == next && f < second:
+			second, next = f, h
 		}
 	}
-	return best
+	return first, second
 }
