policy/quota: saved-up tokens after changes of the issuer

Cause: more orders of events, with times without requests, found two bursts in one window (15 to 20 % above the limit): a front that was cut off kept its own burst beside its successor's, and a front that led twice earned for the time between. Change: an issuer that takes itself to be cut off drops its tokens then, not on its return; a deputy that becomes the issuer earns from then on only; a second time as issuer begins with an empty bucket. While the store does not confirm the view, the deputies of accounts without requests are checked as well.

--- a/internal/front/lender/account.go
+++ b/internal/front/lender/account.go
@@ -51,9 +51,13 @@
 	role          role
 	// keeper is nil unless this front is the issuer or deputy.
 	keeper *quota.Keeper
+	// issuerSince is when this front became the issuer, if it is.
+	issuerSince time.Duration
 	// deputyHeard is when the deputy last took this front for the issuer.
 	deputyHeard time.Duration
-	balance     balance
+	// checkedAt is when the deputy was last to be checked.
+	checkedAt time.Duration
+	balance   balance
 	// refund is to be returned to the issuer.
 	refund    float64
 	share     *quota.Share
@@ -83,7 +87,7 @@
 	if now > l.ranAt+maxPause {
 		l.fleet.forget()
 		for _, a := range l.accounts {
-			a.keeper, a.balance = nil, balance{}
+			a.keeper, a.balance, a.role = nil, balance{}, borrower
 		}
 	}
 	l.ranAt = now
@@ -98,16 +102,31 @@
 		l.accounts[name] = a
 	}
 	l.refresh(a, now)
-	// A deputy that was not checked because there were no requests counts as heard.
-	if now > a.usedAt+checkedTime {
-		a.deputyHeard = now
-	}
+	l.beginChecks(a, now)
 	a.usedAt = now
 	return a
 }
 
-// checkedTime is how long after its last request an account's deputy is still checked.
-const checkedTime = 3 * time.Second
+const (
+	// checkedTime is how long after its last request an account's deputy is still checked.
+	checkedTime = 3 * time.Second
+	// unconfirmedTime is the time without word from the store from which the deputies of all accounts
+	// are checked, so that a front that is cut off notices it before the others turn away from it.
+	unconfirmedTime = quota.ConfirmTime / 2
+)
+
+// isChecked reports whether the account's deputy is to be checked; the caller holds the lock.
+func (l *Lender) isChecked(a *account, now time.Duration) bool {
+	return a.role == issuer && (now <= a.usedAt+checkedTime || l.view.ConfirmedAge() > unconfirmedTime)
+}
+
+// beginChecks lets a deputy count as heard that has not been checked until now.
+func (*Lender) beginChecks(a *account, now time.Duration) {
+	if now > a.checkedAt+quota.HearTime {
+		a.deputyHeard = now
+		a.checkedAt = now
+	}
+}
 
 // refresh determines the account's issuer and deputy if the fronts have changed; the caller holds the lock.
 func (l *Lender) refresh(a *account, now time.Duration) {
@@ -116,6 +135,7 @@
 		return
 	}
 	a.fleetNumber = l.fleet.number
+	before := a.role
 	a.first, a.second = pace.Issuers(a.name, l.fleet.names)
 	switch l.self.Name {
 	case a.first:
@@ -126,19 +146,20 @@
 		a.role = borrower
 	}
 	a.deputyHeard = now
-	if a.role == borrower {
+	switch {
+	case a.role == borrower:
 		a.keeper = nil
+	case a.role == issuer && before != issuer:
+		a.issuerSince = l.fleet.issuerSince(a.name, l.self.Name, now)
 	}
 }
 
 // bucket returns the account's bucket at this front, advanced to now; the caller holds the lock.
 func (l *Lender) bucket(a *account, now time.Duration) *quota.Bucket {
-	since := now
 	if a.keeper == nil {
 		a.keeper = quota.NewKeeper(l.bounds, a.limit)
-		since = l.fleet.issuerSince(a.name, l.self.Name, now)
 	}
-	return a.keeper.Open(now, l.standing(a, now), since, time.Now().UnixNano())
+	return a.keeper.Open(now, l.standing(a, now), a.issuerSince, time.Now().UnixNano())
 }
 
 // standing returns this front's right to lend an account's tokens; the caller holds the lock.
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -113,7 +113,7 @@
 	var out []tokenReturn
 	for name, a := range l.accounts {
 		l.refresh(a, now)
-		if a.role == issuer && a.keeper != nil && now <= a.usedAt+checkedTime {
+		if a.keeper != nil && l.isChecked(a, now) {
 			// Notices that this front is cut off, also without requests meanwhile.
 			l.bucket(a, now)
 		}
@@ -145,14 +145,16 @@
 	}
 }
 
-// deputies returns this front's accounts in use by their deputies.
+// deputies returns this front's accounts to check, by their deputies.
 func (l *Lender) deputies() map[string][]*account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	out := map[string][]*account{}
 	for _, a := range l.accounts {
-		if a.role == issuer && a.second != "" && now <= a.usedAt+checkedTime {
+		if a.second != "" && l.isChecked(a, now) {
+			l.beginChecks(a, now)
+			a.checkedAt = now
 			out[a.second] = append(out[a.second], a)
 		}
 	}
--- a/internal/policy/quota/keeper.go
+++ b/internal/policy/quota/keeper.go
@@ -52,6 +52,8 @@
 	// isolated is true if the front took itself to be cut off as it last used the bucket.
 	isolated bool
 	usedAt   time.Duration
+	// since is when the front became the issuer, as the bucket was last used.
+	since time.Duration
 	// lentAsDeputy is what the buckets before this one lent for a deputy.
 	lentAsDeputy float64
 	// settledRun and settled are the deputy's process and what it had lent at the last settlement.
@@ -73,7 +75,7 @@
 }
 
 // Open returns the bucket as of now. An issuer's first one was empty when the front became the
-// issuer, at since; its leases are numbered from firstNumber on.
+// issuer, at since; that of a deputy earned nothing until then. Leases are numbered from firstNumber on.
 func (k *Keeper) Open(now time.Duration, s Standing, since time.Duration, firstNumber int64) *Bucket {
 	isolated := s.isolated()
 	if k.bucket != nil && k.isDeputy {
@@ -87,16 +89,20 @@
 	case s.IsDeputy:
 		// The issuer lent what this bucket could have earned while it was not used.
 		k.bucket.at = max(k.bucket.at, now-LeaseTime)
-	case k.bucket == nil:
+	case k.bucket == nil || !s.IsDeputy && !k.isDeputy && since != k.since:
+		// Also if another front was the issuer meanwhile.
 		k.bucket = NewBucket(k.limit, since, now, firstNumber)
 	case !s.IsDeputy && k.isDeputy:
+		k.bucket.at = max(k.bucket.at, min(since, now))
 		k.bucket.StartAnew(now)
 	case k.isolated && !isolated:
-		// Others lent while this front was cut off.
-		k.bucket.Drain()
 		k.bucket.StartAnew(now)
 	}
-	k.isDeputy, k.isolated, k.usedAt = s.IsDeputy, isolated, now
+	if isolated && !k.isolated {
+		// Others may have saved up a burst as well.
+		k.bucket.Drain()
+	}
+	k.isDeputy, k.isolated, k.usedAt, k.since = s.IsDeputy, isolated, now, since
 	k.bucket.Advance(now, s.Share(k.bounds))
 	return k.bucket
 }
