--- a/internal/front/proxy/quota_test.go
+++ b/internal/front/proxy/quota_test.go
@@ -1,14 +1,19 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/lender"
+	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/platform/fake"
 )
 
@@ -83,3 +88,36 @@
 		})
 	}
 }
+
+// TestAccountsCostFewAllocations guards against a request path that becomes dearer with accounts: at
+// most 3 more allocations a request.
+func TestAccountsCostFewAllocations(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		r.proxy.log = zap.NewNop().Sugar()
+		count := func() float64 {
+			n := 0
+			return testing.AllocsPerRun(300, func() {
+				n++
+				w, _ := r.serve(r.t.Context(), "/unsafe/x", fmt.Sprint("id-", n), http.Header{"Authorization": {"Token k1"}})
+				r.g.Expect(w.Code).To(Equal(http.StatusOK))
+			})
+		}
+		without := count()
+		accounts, err := site.NewAccounts([]site.Account{{Name: "a1", Keys: []site.KeyDigest{site.DigestKey("k1")}, Quota: site.Quota{PerSecond: 1e9, Burst: 1e9}}})
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.state.Document.Accounts = accounts
+		l := lender.New(follow.Front{Name: "f"}, r, conf.QuotaBounds{}, metrics.NewSet(), zap.NewNop().Sugar())
+		r.proxy.quotas = l
+		r.state.Fronts = map[string]follow.Front{"f": {Name: "f"}}
+		for range 4 {
+			l.Admit(lender.Charge{Account: &accounts.All()[0], Version: 3, Cost: 1})
+			time.Sleep(time.Second)
+		}
+		with := count()
+		t.Logf("allocations a request: %.1f without accounts, %.1f with", without, with)
+		r.g.Expect(with - without).To(BeNumerically("<=", 3))
+	})
+}
+
+// ConfirmedAge tells the lender that the store has just confirmed the state.
+func (r *harness) ConfirmedAge() time.Duration { return 0 }
