--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -43,6 +43,8 @@
 	// acknowledged a document without its key; a Revocation of 0 is no bound.
 	StrictRevocation bool
 	Revocation       time.Duration
+	// Quota bounds what client accounts may get beyond their quotas.
+	Quota QuotaBounds
 }
 
 // RevocationBound returns the age of a proof up to which keys are admitted, 0 if revocation is not strict.
@@ -53,6 +55,15 @@
 	return b.Revocation
 }
 
+// QuotaBounds bounds what an account may get of all fronts in any window: what its quota allows
+// times 1+Excess, and Slack. Fields that are 0 are not configured.
+type QuotaBounds struct {
+	Window time.Duration
+	Excess float64
+	// Slack is in tokens.
+	Slack float64
+}
+
 // Front holds the settings of a front: an entry that serves callers by the configuration of a whole deployment.
 type Front struct {
 	Node   Node
