front/proxy: account refusals are counted in one place

Cause: the counter of quota refusals was registered before the first one, so a front without accounts showed it. Result: go test ./internal/front/proxy.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -24,7 +24,7 @@
 	accounts := c.state.Document.Accounts
 	c.usesAccounts = accounts != nil
 	if !admits {
-		c.refuseKey("no proof", http.StatusServiceUnavailable, "no proof that the document is current", unprovenRetryAfter)
+		c.refuseAccount("no proof", http.StatusServiceUnavailable, "no proof that the document is current", unprovenRetryAfter)
 		return false
 	}
 	c.account = accounts.Find(c.request.Key)
@@ -32,15 +32,15 @@
 	case c.account != nil || accounts == nil:
 		return true
 	case !current:
-		c.refuseKey("no proof", http.StatusServiceUnavailable, "key not found, but the document may not be current", unprovenRetryAfter)
+		c.refuseAccount("no proof", http.StatusServiceUnavailable, "key not found, but the document may not be current", unprovenRetryAfter)
 	default:
-		c.refuseKey("unknown key", http.StatusUnauthorized, "unknown key", 0)
+		c.refuseAccount("unknown key", http.StatusUnauthorized, "unknown key", 0)
 	}
 	return false
 }
 
-// refuseKey refuses the request on account of its key, and counts it under the metric's reason.
-func (c *call) refuseKey(metric string, status int, reason string, retryAfter time.Duration) {
+// refuseAccount refuses the request for its key or its account's quota, and counts it under the metric's reason.
+func (c *call) refuseAccount(metric string, status int, reason string, retryAfter time.Duration) {
 	c.server.meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="` + metric + `"}`).Inc()
 	c.refuse(status, reason, retryAfter)
 }
@@ -75,9 +75,8 @@
 		c.charge = charge
 		return true
 	}
-	c.server.quotaRefusals.Inc()
 	c.server.log.Infow("quota exceeded", "Account", c.account.Name, "Request", c.request.ID, "Cost", charge.Cost, "Wait", v.Wait.String(), "Source", string(v.Source))
-	c.refuse(http.StatusTooManyRequests, "quota exceeded", v.Wait)
+	c.refuseAccount("quota", http.StatusTooManyRequests, "quota exceeded", v.Wait)
 	return false
 }
 
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -135,8 +135,6 @@
 	tracker     *instanceTracker
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
-	// quotaRefusals counts the requests beyond their accounts' quotas.
-	quotaRefusals *metrics.Counter
 	// answerMemory is the memory that is left for long answers.
 	answerMemory *semaphore.Weighted
 	// stopTime is when the requests in flight are ended; nil unless the process is stopping.
@@ -157,7 +155,7 @@
 	return &Server{
 		stopped: stopped, endAll: endAll,
 		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, quotas: helpers.Quotas, tracker: newInstanceTracker(),
-		log: log, meters: meters, quotaRefusals: meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="quota"}`), answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
+		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
 
