policy/score, platform: instances that are slow for the moment

Cause: a load header with a fourth figure, the current slowdown in percent, was ignored whole, and the choice took all servers for equally fast. A server that turned slow went on getting long prompts until streams had paused there, and then got none for half a minute after it had recovered. Change: the figure is decoded and bounded; it multiplies the forecast of prefill, pending prefill and pauses, and decays to 1 with a half-life of 300 ms. Prefill speeds and pauses are learned as at the usual speed; the planner's placement goes on with the pauses as they were. Ruled out: learning each server's relative speed where nothing reports it. On servers that are alike the samples differ through other fronts' prompts, so the choice there would not have stayed the same.

--- a/internal/core/site/request.go
+++ b/internal/core/site/request.go
@@ -47,4 +47,7 @@
 	Running            int
 	Waiting            int
 	ConcurrentRequests int
+	// Slowdown is how long work takes on the server at the moment, as a multiple of the usual time;
+	// 0 if the server does not report it.
+	Slowdown float64
 }
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -150,6 +150,8 @@
 type StreamPause struct {
 	Instance site.InstanceKey
 	Longest  time.Duration
+	// Usual is what the longest pause would have been at the instance's usual speed.
+	Usual time.Duration
 }
 
 // RequestCount is the number of requests for a model or adapter, fractional if decayed.
@@ -165,7 +167,7 @@
 	Requests int
 	// Age is the age of the report.
 	Age time.Duration
-	// Pause is the longest pause in a stream at the instance, decaying over time.
+	// Pause is the longest pause in a stream at the instance at its usual speed, decaying over time.
 	Pause time.Duration
 }
 
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -161,10 +161,14 @@
 		return c.handleNoAnswer(ctx, in, err)
 	}
 	c.usedConns = append(c.usedConns, res.Conn())
-	answered()
-	if load, ok := c.server.dialect.DecodeLoad(res.Header); ok {
+	load, hasLoad := c.server.dialect.DecodeLoad(res.Header)
+	answered(load.Slowdown)
+	if hasLoad {
 		t.recordLoad(in.InstanceKey, load.Running+load.Waiting, time.Now())
 	}
+	if load.Slowdown > 0 {
+		t.recordSlowdown(in.InstanceKey, load.Slowdown, time.Now())
+	}
 	if limit := c.server.dialect.DecodeLimit(res.Header); limit > 0 || c.server.dialect.IsSigned(res.Header) {
 		t.recordLimit(in.InstanceKey, limit)
 	}
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -45,6 +45,9 @@
 			MissingPrefill: t.prefillSpeeds[r.Target.Model].Duration(s.uncachedTokens(r)), LongPrefill: score.LongPrefill(maxGap), FailureShare: s.currentFailureShare(now), TimeToAnswer: s.meanAnswerTime,
 			PauseRisk: score.PauseRisk(s.longestPause.Value(now), maxGap),
 		}
+		if c.Slowdown = s.currentSlowdown(now); c.Slowdown > 0 {
+			c.PauseRisk = score.PauseRisk(time.Duration(c.Slowdown*float64(s.longestPause.Value(now))), maxGap)
+		}
 		if s.limit > 0 {
 			c.LimitWait = max(0, s.limitFreeAt.Sub(now))
 		}
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -8,6 +8,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/decay"
+	"foxtailcroft/internal/policy/score"
 	"foxtailcroft/internal/policy/speed"
 	"foxtailcroft/internal/policy/split"
 )
@@ -56,6 +57,9 @@
 	// reportedRequests are the running and waiting requests of the newest load report.
 	reportedRequests int
 	reportedAt       time.Time
+	// slowdown is the newest slowdown that the instance reported, at slowdownAt; 0 if it reported none.
+	slowdown   float64
+	slowdownAt time.Time
 	// limit is the number of requests a second that the instance takes from all fronts, 0 if it names none.
 	limit float64
 	// limitAt is when limit was named, and limitIsNew is set until it was reported.
@@ -68,10 +72,13 @@
 	failureShareAt time.Time
 	// meanAnswerTime is the moving average of the time until a buffered answer begins.
 	meanAnswerTime time.Duration
-	// longestPause is the decaying longest pause between events of streams, other fronts' streams included.
+	// longestPause is the decaying longest pause between events of streams at the instance's usual speed,
+	// other fronts' streams included.
 	longestPause decay.Peak
 	// newLongestPause is the longest pause in this front's streams since the last usage report, 0 if none was recorded.
 	newLongestPause time.Duration
+	// newUsualPause is the longest of these pauses at the instance's usual speed.
+	newUsualPause time.Duration
 	// promptParts are the prompt parts sent to the instance, with the time of the last use.
 	promptParts map[string]time.Time
 	// excludedUntil is the time until which no request is sent, after a refused connection or request.
@@ -109,9 +116,9 @@
 }
 
 // beginRequest records a request that is sent, and returns the functions that record
-// the beginning of its answer and its end. The answer counts in meanAnswerTime if
+// the beginning of its answer, with the slowdown that it reports (0 for none), and its end. The answer counts in meanAnswerTime if
 // buffered is set, that is, if it is not streamed.
-func (t *instanceTracker) beginRequest(k site.InstanceKey, r *site.RequestInfo, buffered bool) (answered func(), ended func()) {
+func (t *instanceTracker) beginRequest(k site.InstanceKey, r *site.RequestInfo, buffered bool) (answered func(slowdown float64), ended func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
@@ -124,19 +131,24 @@
 	s.pendingPrefill += prefill
 	s.newPrefill[r.Target] += prefill
 	s.rememberPrompt(r, began)
-	answered = sync.OnceFunc(func() {
+	isAnswered := false
+	answered = func(slowdown float64) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if isAnswered {
+			return
+		}
+		isAnswered = true
 		s.pendingPrefill -= prefill
 		if isOnlyPrompt && r.Target.Model != "" {
-			t.prefillSpeeds[r.Target.Model] = t.prefillSpeeds[r.Target.Model].Add(uncached, time.Since(began))
+			t.prefillSpeeds[r.Target.Model] = t.prefillSpeeds[r.Target.Model].Add(uncached, score.AtUsualSpeed(time.Since(began), slowdown))
 		}
 		if buffered {
 			s.meanAnswerTime += (time.Since(began) - s.meanAnswerTime) / 4
 		}
-	})
+	}
 	return answered, func() {
-		answered()
+		answered(0)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		s.inFlight[r.Target]--
@@ -182,6 +194,20 @@
 	}
 }
 
+// recordSlowdown records the slowdown that an instance reported at a time, unless a newer one is known.
+func (t *instanceTracker) recordSlowdown(k site.InstanceKey, slowdown float64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.statsOf(k); at.After(s.slowdownAt) {
+		s.slowdown, s.slowdownAt = slowdown, at
+	}
+}
+
+// currentSlowdown returns the expected slowdown of the instance, 0 if it has reported none.
+func (s *instanceStats) currentSlowdown(now time.Time) float64 {
+	return score.CurrentSlowdown(s.slowdown, now.Sub(s.slowdownAt))
+}
+
 // recordLimit records the requests a second that an instance takes from all fronts, as its
 // newest answer names them, 0 for none.
 func (t *instanceTracker) recordLimit(k site.InstanceKey, perSecond float64) {
@@ -214,8 +240,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
-	s.longestPause = s.longestPause.Add(gap, time.Now())
-	s.newLongestPause = max(s.newLongestPause, gap)
+	now := time.Now()
+	usual := score.AtUsualSpeed(gap, s.currentSlowdown(now))
+	s.longestPause = s.longestPause.Add(usual, now)
+	s.newLongestPause, s.newUsualPause = max(s.newLongestPause, gap), max(s.newUsualPause, usual)
 }
 
 // recordStreamEnd records that a stream from an instance ended, and whether it paused for longer than its route allows.
@@ -398,8 +426,8 @@
 			s.limitIsNew = false
 		}
 		if s.newLongestPause > 0 {
-			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause})
-			s.newLongestPause = 0
+			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause, Usual: s.newUsualPause})
+			s.newLongestPause, s.newUsualPause = 0, 0
 		}
 		if s.totalInFlight == 0 && !live(k) {
 			delete(t.stats, k)
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -39,6 +39,8 @@
 	reportedAt time.Time
 	// pausePeak is the longest pause between two events of a stream, decaying over time.
 	pausePeak decay.Peak
+	// usualPausePeak is what the pauses would have been at the server's usual speed.
+	usualPausePeak decay.Peak
 	// limit is the number of requests a second that the server takes from all fronts, 0 for any, as
 	// it said at limitAt.
 	limit   float64
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -59,6 +59,7 @@
 	for _, x := range u.Pauses {
 		if s := p.servers[x.Instance]; s != nil {
 			s.pausePeak = s.pausePeak.Add(x.Longest, now)
+			s.usualPausePeak = s.usualPausePeak.Add(x.Usual, now)
 		}
 	}
 	for _, x := range u.Limits {
@@ -114,7 +115,7 @@
 	var serverLoads []peers.ServerLoad
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			serverLoads = append(serverLoads, peers.ServerLoad{Instance: s.inst.InstanceKey, Requests: s.requests, Age: now.Sub(s.reportedAt), Pause: s.pausePeak.Value(now)})
+			serverLoads = append(serverLoads, peers.ServerLoad{Instance: s.inst.InstanceKey, Requests: s.requests, Age: now.Sub(s.reportedAt), Pause: s.usualPausePeak.Value(now)})
 		}
 	}
 	slices.SortFunc(serverLoads, func(a, b peers.ServerLoad) int {
--- a/internal/lab/emul/server.go
+++ b/internal/lab/emul/server.go
@@ -51,9 +51,11 @@
 
 // server is one emulated server.
 type server struct {
-	spec        *ServerSpec
-	id          string
-	timeFactor  float64
+	spec       *ServerSpec
+	id         string
+	timeFactor float64
+	// slowdown multiplies the step time at the moment; 0 is as 1.
+	slowdown    float64
 	batch       []*sequence
 	loaded      map[string]*loadedModel
 	onDisk      []string
@@ -89,7 +91,11 @@
 		r.prefillLeft, r.prefilled, prefillBudget = r.prefillLeft-n, r.prefilled+n, prefillBudget-n
 	}
 	baseTime := time.Duration(batchFactor*float64(s.spec.StepTime)) + time.Duration(len(s.batch))*s.spec.StepTimePerRequest + time.Duration(contextTokens/1000)*s.spec.StepTimePerThousandTokens
-	return time.Duration(s.timeFactor * float64(prefillTime+baseTime))
+	took := time.Duration(s.timeFactor * float64(prefillTime+baseTime))
+	if s.slowdown > 0 {
+		took = time.Duration(s.slowdown * float64(took))
+	}
+	return took
 }
 
 // emitTokens generates one token for each sequence whose prompt is prefilled
--- a/internal/lab/emul/simulation.go
+++ b/internal/lab/emul/simulation.go
@@ -23,6 +23,10 @@
 	Work bool
 	// Pauses enables the longest recent stream pause of each server.
 	Pauses bool
+	// Slowdown enables the slowdown that a server reports with the head of each answer.
+	Slowdown bool
+	// Inquiries makes a front ask the two best servers for their slowdowns before it sends a long prompt.
+	Inquiries bool
 	// Chance routes each request to a random server that has the model.
 	Chance bool
 }
@@ -33,10 +37,23 @@
 	Models  int
 	// ModelsPerServer is how many models fit in a server's memory.
 	ModelsPerServer int
-	Duration        time.Duration
+	// AllLoaded makes every server hold every model from the beginning, so that only routing differs.
+	AllLoaded bool
+	Duration  time.Duration
 	// LoadFactor multiplies the request rates of the site.
 	LoadFactor float64
 	Seed       uint64
+	// Fronts is how many fronts route the requests, each with its own knowledge of slowdowns; 0 for one.
+	Fronts int
+	// SlowTimes are the times at which servers are slow.
+	SlowTimes []SlowTime
+}
+
+// SlowTime is a time in which work takes Factor times as long on a server.
+type SlowTime struct {
+	Server      int
+	From, Until time.Duration
+	Factor      float64
 }
 
 // SparesOptions returns the options of the spares desk, whose servers can hold nearly
@@ -91,7 +108,11 @@
 	prefillSeconds map[string]decay.Count
 	prefillSpeeds  map[string]speed.Prefill
 	// pausePeaks holds the longest recent stream pause of each server; it decays with time.
-	pausePeaks     map[string]decay.Peak
+	pausePeaks map[string]decay.Peak
+	// usualPausePeaks holds what the pauses would have been at the servers' usual speeds.
+	usualPausePeaks map[string]decay.Peak
+	// slowdowns holds the newest slowdown that each front knows of each server.
+	slowdowns      map[slowdownKey]reportedSlowdown
 	loadsFromStore int
 	// scheduled counts the events scheduled so far.
 	scheduled int
@@ -99,9 +120,15 @@
 
 // Simulate runs one day and returns the outcomes of its requests.
 func Simulate(o Options, k Knowledge) Result {
+	requests, loadsFromStore := simulate(o, k)
+	return summarize(requests, loadsFromStore)
+}
+
+// simulate runs one day and returns its requests and the number of loads from the weight store.
+func simulate(o Options, k Knowledge) ([]*request, int) {
 	p := &simulation{
 		options: o, knowledge: k, spec: DefaultSpec(), rnd: rand.New(rand.NewPCG(o.Seed, 2)), arrivals: map[string]decay.Count{}, sentRequests: map[string]decay.Count{},
-		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{},
+		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{}, usualPausePeaks: map[string]decay.Peak{}, slowdowns: map[slowdownKey]reportedSlowdown{},
 		engine: &site.Engine{ConcurrentRequests: 64, WeightsMB: float64(o.ModelsPerServer*modelMB + adapterMB), StoreLoadsPerSecond: 2.1},
 	}
 	for i := range o.Models {
@@ -110,8 +137,10 @@
 		})
 	}
 	p.placeModels()
+	p.scheduleSlowTimes()
 	requests := generateRequests(o.Duration, o.LoadFactor, o.Models, o.Seed)
-	for _, q := range requests {
+	for i, q := range requests {
+		q.front = i % max(1, o.Fronts)
 		p.schedule(q.arrivedAt, func() { p.arrive(q) })
 	}
 	for t := time.Duration(0); t < o.Duration; t += planInterval {
@@ -122,7 +151,7 @@
 		p.now = e.at
 		e.run()
 	}
-	return summarize(requests, p.loadsFromStore)
+	return requests, p.loadsFromStore
 }
 
 // placeModels loads the busy models on several servers and the others on one
@@ -130,12 +159,17 @@
 func (p *simulation) placeModels() {
 	next := busyModels
 	for i := range p.options.Servers {
-		s := &server{spec: &p.spec, id: fmt.Sprintf("s%02d", i), timeFactor: p.spec.TimeFactors[i%len(p.spec.TimeFactors)], loaded: map[string]*loadedModel{}, prefixCache: map[string]bool{}}
+		s := &server{spec: &p.spec, id: fmt.Sprintf("s%02d", i), timeFactor: p.spec.TimeFactors[i%len(p.spec.TimeFactors)], slowdown: 1, loaded: map[string]*loadedModel{}, prefixCache: map[string]bool{}}
 		s.loaded[modelName(i%busyModels)] = &loadedModel{loadedAt: -time.Minute}
 		for len(s.loaded) < p.options.ModelsPerServer && next < p.options.Models {
 			s.loaded[modelName(next)] = &loadedModel{loadedAt: -time.Minute}
 			next++
 		}
+		for m := range p.options.Models {
+			if p.options.AllLoaded {
+				s.loaded[modelName(m)] = &loadedModel{loadedAt: -time.Minute}
+			}
+		}
 		for m := range s.loaded {
 			s.onDisk = append(s.onDisk, m)
 		}
@@ -174,6 +208,9 @@
 	if len(holders) == 0 {
 		return false
 	}
+	if p.knowledge.Inquiries {
+		p.inquire(q, holders, candidates)
+	}
 	i := score.Best(candidates, p.rnd.Float64)
 	if p.knowledge.Chance {
 		i = p.rnd.IntN(len(holders))
@@ -201,8 +238,12 @@
 			c.PendingPrefill += r.req.expectedPrefill
 		}
 	}
+	pause := p.usualPausePeaks[s.id].Value(p.policyTime())
+	if c.Slowdown = p.knownSlowdown(q.front, s); c.Slowdown > 0 {
+		pause = time.Duration(c.Slowdown * float64(pause))
+	}
 	if p.knowledge.Pauses {
-		c.PauseRisk = score.PauseRisk(p.pausePeaks[s.id].Value(p.policyTime()), q.class.maxGap)
+		c.PauseRisk = score.PauseRisk(pause, q.class.maxGap)
 	}
 	return c
 }
@@ -234,13 +275,18 @@
 	q := r.req
 	if r.generated == 1 {
 		q.firstEventAt = p.now
+		p.reportSlowdown(q.front, q.server)
 		if q.noOtherPrefill {
-			p.prefillSpeeds[q.model] = p.prefillSpeeds[q.model].Add(q.uncachedTokens, p.now-q.sentAt)
+			took := score.AtUsualSpeed(p.now-q.sentAt, p.knownSlowdown(q.front, q.server))
+			p.prefillSpeeds[q.model] = p.prefillSpeeds[q.model].Add(q.uncachedTokens, took)
 		}
 	}
 	q.longestGap = max(q.longestGap, gap)
 	if gap > q.class.maxGap/2 {
-		p.pausePeaks[q.server.id] = p.pausePeaks[q.server.id].Add(min(gap, q.class.maxGap*5/4), p.policyTime())
+		pause := min(gap, q.class.maxGap*5/4)
+		usual := score.AtUsualSpeed(pause, p.knownSlowdown(q.front, q.server))
+		p.pausePeaks[q.server.id] = p.pausePeaks[q.server.id].Add(pause, p.policyTime())
+		p.usualPausePeaks[q.server.id] = p.usualPausePeaks[q.server.id].Add(usual, p.policyTime())
 	}
 	q.completed = r.generated >= q.outputTokens
 }
--- a/internal/lab/emul/workload.go
+++ b/internal/lab/emul/workload.go
@@ -58,6 +58,8 @@
 // request is one request of a day and its measured outcome.
 type request struct {
 	class *requestClass
+	// front is the number of the front that routes the request.
+	front int
 	// arrivedAt, sentAt and firstEventAt are times since the start of the day; sentAt and
 	// firstEventAt are 0 until then.
 	arrivedAt      time.Duration
--- a/internal/policy/score/score.go
+++ b/internal/policy/score/score.go
@@ -18,6 +18,8 @@
 	PendingPrefill time.Duration
 	// MissingPrefill is the prefill time of the part of this request's prompt that the instance has not cached.
 	MissingPrefill time.Duration
+	// Slowdown multiplies both prefill times, which are those of an instance at its usual speed; 0 if not known.
+	Slowdown float64
 	// LongPrefill is the uninterrupted prefill time above which other streams on
 	// the instance may pause for too long, 0 if streams may pause.
 	LongPrefill time.Duration
@@ -63,7 +65,7 @@
 // milliseconds, with penalties for load, failures and pauses.
 func (c Candidate) CostMs() float64 {
 	running := max(c.InFlight, c.Reported)
-	cost := float64((c.MissingPrefill + c.PendingPrefill + c.LimitWait).Milliseconds()) + concurrentCostMs*float64(running) + failureCostMs*c.FailureShare
+	cost := float64((c.prefill() + c.LimitWait).Milliseconds()) + concurrentCostMs*float64(running) + failureCostMs*c.FailureShare
 	if c.Slots > 0 && running >= c.Slots {
 		cost += queuedCostMs * float64(running-c.Slots+1)
 	}
@@ -85,7 +87,7 @@
 // expectedPauses returns the expected number of streams that pause for too long
 // if the request goes there, among the running ones and its own.
 func (c Candidate) expectedPauses(running int) float64 {
-	if c.MissingPrefill+c.PendingPrefill > c.LongPrefill {
+	if c.prefill() > c.LongPrefill {
 		return max(defaultPauseRisk, c.PauseRisk, c.lengthRisk()) * float64(1+running)
 	}
 	return overlapProbability * c.PauseRisk
@@ -94,7 +96,20 @@
 // lengthRisk returns the probability that the prompt alone makes streams pause:
 // each prefill step takes longer the more of the prompt was read before it.
 func (c Candidate) lengthRisk() float64 {
-	return min(maxLengthRisk, max(0, float64(c.MissingPrefill)/float64(c.LongPrefill)-longPromptRatio))
+	return min(maxLengthRisk, max(0, float64(slowed(c.MissingPrefill, c.Slowdown))/float64(c.LongPrefill)-longPromptRatio))
+}
+
+// prefill returns the time to read this request's prompt and those before it at the instance's current speed.
+func (c Candidate) prefill() time.Duration {
+	return slowed(c.MissingPrefill+c.PendingPrefill, c.Slowdown)
+}
+
+// slowed returns the time that work takes at a slowdown, 0 if none is known.
+func slowed(d time.Duration, slowdown float64) time.Duration {
+	if slowdown <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * slowdown)
 }
 
 // PauseRisk returns the probability of a pause longer than allowed at a server with
