--- a/internal/core/site/document.go
+++ b/internal/core/site/document.go
@@ -81,7 +81,10 @@
 	MaxLoadedAdapters int
 	// StoreLoadsPerSecond bounds the rate of loads from the weight store over all servers.
 	StoreLoadsPerSecond float64
-	Models              []Model
+	// MaxKeptEventCalls bounds the calls for events of its prompt cache that one server holds waiting;
+	// 0 if servers publish no such events.
+	MaxKeptEventCalls int
+	Models            []Model
 }
 
 // Model returns the engine's model with the name, or nil if there is none.
