policy/reuse: what an instance still holds of a prompt

Cause: a front took every prompt part that it had once sent to an instance for held there, however long ago.

--- /dev/null
+++ b/internal/policy/reuse/doc.go
@@ -0,0 +1,3 @@
+// Package reuse estimates how much of a prompt an instance still has in its prompt cache when it
+// reads the prompt.
+package reuse
