front/kept: fronts follow the instances' prompt caches

Cause: each front knew only the prompt parts that it had sent itself, and not what instances had evicted since. Change: one front polls the cache events of each instance, by the rendezvous hash that already assigns schedules, with one long poll of 1 s at a time; gaps, new epochs and silence drop that instance's index. What is shared between requests goes with the usage reports to the planner, which returns what a front lacks from a log of 96 KB. Off where no engine declares maxAllowed.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -92,6 +92,8 @@
 	// names the newest that it has from the planner.
 	Successors      []follow.Successor
 	SuccessorsAfter follow.Cursor
+	// Kept is nil where instances publish no events of their prompt caches.
+	Kept *KeptReport `json:",omitempty"`
 }
 
 // Evidence is a crash record or a harmless prompt part that the store has not taken, under the
@@ -169,6 +171,8 @@
 	Age time.Duration
 	// Pause is the longest pause in a stream at the instance at its usual speed, decaying over time.
 	Pause time.Duration
+	// UsedTokens is the used memory for running requests and kept prompts; 0 if not known.
+	UsedTokens int `json:",omitempty"`
 }
 
 // PlannerStatus is the planner's reply to a usage report: the load of the busiest
@@ -193,6 +197,8 @@
 	// Successors are those that the planner has learned of after the cursor in the report.
 	Successors     []follow.Successor
 	SuccessorsNext follow.Cursor
+	// Kept is nil where the report had none.
+	Kept *KeptReply `json:",omitempty"`
 }
 
 // PendingLoad is a model that an instance is loading; In is the expected time until it
@@ -248,6 +254,8 @@
 	Outages OutageWitness
 	// Evidence collects evidence where this front is the planner.
 	Evidence EvidenceCollector
+	// Kept passes on what fronts know of prompt caches where this front is the planner.
+	Kept KeptLog
 }
 
 // Client calls the other fronts.
@@ -281,6 +289,7 @@
 		status.Run = self.Run
 		status.Successors, status.SuccessorsNext = f.SuccessorsAfter(u.SuccessorsAfter)
 		status.Leaving = f.MarkedDraining()
+		status.Kept = h.Kept.Exchange(u.Front, u.Kept)
 		status.Evidence = h.Evidence.Exchange(u.Evidence, f.Unavailable(evidenceHold))
 		return status
 	}
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -37,6 +37,8 @@
 	// read at reportedAt.
 	requests   int
 	reportedAt time.Time
+	// usedTokens is the used memory for running requests and kept prompts in that report.
+	usedTokens int
 	// pausePeak is the longest pause between two events of a stream, decaying over time.
 	pausePeak decay.Peak
 	// usualPausePeak is what the pauses would have been at the server's usual speed.
@@ -135,7 +137,7 @@
 	}
 	s.models, s.adapters = models, adapters
 	s.known, s.sequence, s.busy, s.outcomeUnknown, s.resync = true, r.Sequence, busy, false, false
-	s.requests, s.reportedAt = r.Running+r.Waiting, now
+	s.requests, s.reportedAt, s.usedTokens = r.Running+r.Waiting, now, r.UsedTokens
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	s.clearEndedLoad()
 	s.notifyChanged()
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -115,7 +115,7 @@
 	var serverLoads []peers.ServerLoad
 	for _, s := range p.servers {
 		if s.known && !s.lost {
-			serverLoads = append(serverLoads, peers.ServerLoad{Instance: s.inst.InstanceKey, Requests: s.requests, Age: now.Sub(s.reportedAt), Pause: s.usualPausePeak.Value(now)})
+			serverLoads = append(serverLoads, peers.ServerLoad{Instance: s.inst.InstanceKey, Requests: s.requests, Age: now.Sub(s.reportedAt), Pause: s.usualPausePeak.Value(now), UsedTokens: s.usedTokens})
 		}
 	}
 	slices.SortFunc(serverLoads, func(a, b peers.ServerLoad) int {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -18,6 +18,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/ident"
+	"foxtailcroft/internal/front/kept"
 	"foxtailcroft/internal/front/pacer"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/front/proxy"
@@ -32,6 +33,7 @@
 	proxy.Dialect
 	sched.Dialect
 	ident.Dialect
+	kept.Dialect
 	follow.Decoder
 }
 
@@ -72,6 +74,7 @@
 	candidate      *sched.Candidate
 	planner        *sched.Planner
 	crashes        *crash.Watcher
+	kept           *kept.Watcher
 	peers          *peers.Client
 	reverseProxy   *proxy.Server
 	pool           *conns.Pool
@@ -103,15 +106,16 @@
 	hello := func() peer.Hello { return peer.Hello{Node: settings.Node.Name} }
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	issuer := pacer.NewIssuer()
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector()})
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector(), Kept: kept.NewLog()})
 	follower.SetPeers(frontPeers)
 	follower.SetRelay(frontPeers, settings.Node.Domain, min(settings.Bounds.InForce, settings.Bounds.Drain)*maxParentAgePercent/100)
 	candidate.SetRelay(frontPeers)
 	candidate.SetWitnesses(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	crashes.SetClaims(frontPeers)
+	caches := kept.New(settings.Node.Name, follower.State, pool, o.Dialect, o.Metrics, log.Named("Kept"))
 	f := &Front{
-		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
+		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, kept: caches, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
 			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
 		}, o.Metrics, log.Named("Relay")),
@@ -172,6 +176,7 @@
 	t.KeepRunning("Planner", f.planner.Run)
 	t.KeepRunning("Reports", f.planner.RunReports)
 	t.KeepRunning("Crashes", f.crashes.Run)
+	t.KeepRunning("Kept", f.kept.Run)
 	t.KeepRunning("Uses", f.reportUsage)
 	t.KeepRunning("Sweep", f.closeIdleConnections)
 }
@@ -214,8 +219,10 @@
 			continue
 		}
 		reportedAt = time.Now()
+		usage.Kept = f.kept.Report()
 		status, err := f.peers.ReportUsage(ctx, usage)
 		if err != nil {
+			f.kept.ReportFailed(usage.Kept)
 			f.log.Debugw("usage report to the planner failed; sending the next one after the usual interval", "Error", err.Error())
 			if isNewPlanner {
 				reportedFence = 0
@@ -235,6 +242,8 @@
 		}
 		sent, received = next, status.SuccessorsNext
 		f.crashes.ApplyEvidence(status.Evidence)
+		f.kept.ApplyReply(status.Run, status.Kept)
+		f.kept.RecordLoads(status.Loads)
 		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
 	}
