front/proxy: weighs kept prompts in the choice of an instance

Cause: the choice took every prompt part that this front had once sent to an instance for held there, and knew nothing of what other fronts had sent. Change: where the document declares cache events, the prefill of a candidate comes from the index and, for what that lacks, from the front's own record, by the probability that each part is still held when the request is read; the cost is the mean over the possible prefill times, so that waits and pauses count for each. Without cache events no part is hashed and the choice is as before (TestPromptsAreHashedOnlyWithEvents, and a case of TestChoiceUsesWhatInstancesKeep). Result: go test ./internal/front/proxy -run 'Keep|Hashed'.

--- a/internal/core/site/request.go
+++ b/internal/core/site/request.go
@@ -21,6 +21,8 @@
 	// DeclaresTokens is true if the request declares its tokens.
 	DeclaresTokens bool
 	PromptParts    []PromptPart
+	// PartHashes identify PromptParts in the index of the instances' prompt caches; nil if there is none.
+	PartHashes []uint64
 	// LastEventID is the ID of the last event that the caller received, from which a stream resumes.
 	LastEventID string
 	// Key is the key of a client account, empty if the request has none or more than one.
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -46,6 +46,10 @@
 		c.server.meters.GetOrCreateCounter(`foxtailcroft_promises_not_run_total{basis="` + string(c.attempts.Last()) + `"}`).Inc()
 	}
 	c.server.meters.GetOrCreateHistogram("foxtailcroft_request_seconds").Update(took.Seconds())
+	if len(c.request.PartHashes) > 0 && c.attempts.PossibleRuns() > 0 {
+		c.server.meters.GetOrCreateCounter("foxtailcroft_prompt_tokens_total").Add(c.request.PromptTokens)
+		c.server.meters.GetOrCreateCounter("foxtailcroft_saved_prompt_tokens_total").Add(c.lastChoice.savedTokens)
+	}
 	log := c.server.log.Infow
 	if c.outcome != outcomeAnswered && c.status != http.StatusNotFound {
 		log = c.server.log.Warnw
@@ -53,7 +57,7 @@
 	log("request", "Request", c.request.ID, "Route", route.Name, "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
 		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Basis", string(c.attempts.Last()), "InstanceStatus", c.instanceStatus, "Outcome", c.outcome, "Status", c.status,
 		"Reason", c.reason, "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
-		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "InFlight", c.lastChoice.InFlight, "Slowdown", math.Round(100*c.lastChoice.Slowdown)/100, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount, "Limit", c.lastChoice.limit,
+		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "SavedTokens", c.lastChoice.savedTokens, "InFlight", c.lastChoice.InFlight, "Slowdown", math.Round(100*c.lastChoice.Slowdown)/100, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount, "Limit", c.lastChoice.limit,
 		"GoalMs", route.ResponseGoal.Milliseconds(), "MaxGapMs", route.MaxTokenGap.Milliseconds(),
 		"Patience", c.request.Timeout.Milliseconds(), "Version", version, "Revision", c.state.Revision)
 }
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -23,6 +23,8 @@
 	inquiries []site.Instance
 	// limit is the number of requests a second that the instance takes from all fronts, 0 for any.
 	limit float64
+	// savedTokens is the expected number of tokens of the prompt that need not be read; it is set where prompt caches are indexed.
+	savedTokens int
 	// lead is how much longer the next best instance is expected to take, negative if there is none;
 	// it is set where limit is.
 	lead time.Duration
@@ -44,9 +46,10 @@
 		s := t.statsOf(in.InstanceKey)
 		c := score.Candidate{
 			ID: in.ID, SameDomain: in.Domain == domain, Connected: connected(conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}), Slots: in.ConcurrentRequests, InFlight: s.totalInFlight, PendingPrefill: s.pendingPrefill,
-			MissingPrefill: t.prefillSpeeds[r.Target.Model].Duration(s.uncachedTokens(r)), LongPrefill: score.LongPrefill(maxGap), FailureShare: s.currentFailureShare(now), TimeToAnswer: s.meanAnswerTime,
+			LongPrefill: score.LongPrefill(maxGap), FailureShare: s.currentFailureShare(now), TimeToAnswer: s.meanAnswerTime,
 			PauseRisk: score.PauseRisk(s.longestPause.Value(now), maxGap),
 		}
+		c.MissingPrefill, c.Prefills = t.missingPrefill(in.InstanceKey, s, r, now)
 		if c.Slowdown = s.currentSlowdown(now); c.Slowdown > 0 {
 			c.PauseRisk = score.PauseRisk(time.Duration(c.Slowdown*float64(s.longestPause.Value(now))), maxGap)
 		}
@@ -68,6 +71,9 @@
 	if s.limit > 0 {
 		chosen.limit, chosen.lead = s.limit, lead(candidates, i)
 	}
+	if len(r.PartHashes) > 0 {
+		chosen.savedTokens = r.PromptTokens - t.missingTokens(chosen.InstanceKey, s, r, now)
+	}
 	if !s.reportedAt.IsZero() {
 		chosen.reportedLoadAge = now.Sub(s.reportedAt)
 	}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -97,6 +97,7 @@
 	Crashes    CrashWatch
 	Pacer      Pacer
 	Identities IdentityFinder
+	Caches     PromptCaches
 }
 
 // StateSource returns the newest known state of the deployment.
@@ -136,9 +137,11 @@
 // New returns a server without statistics of instances and with full retry budgets.
 func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, helpers Helpers, meters *metrics.Set, log *zap.SugaredLogger) *Server {
 	stopped, endAll := context.WithCancel(context.Background())
+	tracker := newInstanceTracker()
+	tracker.caches = helpers.Caches
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, tracker: tracker,
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
@@ -195,6 +198,7 @@
 		return
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
+	c.hashParts()
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	if !c.readBody(doc.Limits.BodyBytes) || c.refuseIfTooLong() {
 		return
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/kept"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/decay"
+	"foxtailcroft/internal/policy/reuse"
 	"foxtailcroft/internal/policy/score"
 	"foxtailcroft/internal/policy/speed"
 	"foxtailcroft/internal/policy/split"
@@ -42,6 +44,11 @@
 	longShare float64
 	// slowdownsSeenAt is when an instance of a service last reported its slowdown.
 	slowdownsSeenAt map[string]time.Time
+	// caches tells what instances keep of prompts; it is used for requests with part hashes only.
+	caches PromptCaches
+	// partStates and keptParts are buffers.
+	partStates []kept.PartState
+	keptParts  []reuse.Part
 }
 
 // instanceStats is what this front knows of one instance.
@@ -127,7 +134,7 @@
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
 	began := time.Now()
-	uncached := s.uncachedTokens(r)
+	uncached := t.missingTokens(k, s, r, began)
 	prefill, isOnlyPrompt := t.prefillSpeeds[r.Target.Model].Duration(uncached), s.pendingPrefill == 0
 	s.inFlight[r.Target]++
 	s.newRequests[r.Target]++
@@ -350,7 +357,7 @@
 func (t *instanceTracker) countPrompt(k site.InstanceKey, r *site.RequestInfo, maxGap time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	work := t.prefillSpeeds[r.Target.Model].Duration(t.statsOf(k).uncachedTokens(r))
+	work := t.prefillSpeeds[r.Target.Model].Duration(t.missingTokens(k, t.statsOf(k), r, time.Now()))
 	if t.isLongPrompt(r, maxGap) {
 		t.newPrompts = t.newPrompts.Plus(split.Mix{Long: 1, LongWork: work})
 		return
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -117,7 +117,7 @@
 	f := &Front{
 		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, kept: caches, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities,
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Caches: caches,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
--- a/internal/policy/reuse/reuse.go
+++ b/internal/policy/reuse/reuse.go
@@ -88,7 +88,7 @@
 			break
 		}
 		saved := last.SavedTokens + min(p.Kept, p.Tokens)
-		if held == last.Probability {
+		if last.Probability-held < minProbability {
 			last.SavedTokens = saved
 		} else {
 			last.Probability -= held
@@ -101,7 +101,8 @@
 	return out
 }
 
-// minProbability is the probability below which a part counts as evicted, to bound the outcomes.
+// minProbability is the probability below which a part counts as evicted, and the difference
+// below which two probabilities count as equal, to bound the outcomes.
 const minProbability = 0.02
 
 // Expected returns the expected number of saved tokens.
--- a/internal/policy/score/score.go
+++ b/internal/policy/score/score.go
@@ -18,6 +18,8 @@
 	PendingPrefill time.Duration
 	// MissingPrefill is the prefill time of the part of this request's prompt that the instance has not cached.
 	MissingPrefill time.Duration
+	// Prefills are the possible values of MissingPrefill, which is then their mean; nil if only one is possible.
+	Prefills []Prefill
 	// Slowdown multiplies both prefill times, which are those of an instance at its usual speed; 0 if not known.
 	Slowdown float64
 	// LongPrefill is the uninterrupted prefill time above which other streams on
@@ -35,6 +37,12 @@
 	TimeToAnswer time.Duration
 }
 
+// Prefill is one possible prefill time of a prompt.
+type Prefill struct {
+	Probability float64
+	Time        time.Duration
+}
+
 const (
 	// concurrentCostMs is the cost of each request already running on the instance.
 	concurrentCostMs = 1.0
@@ -62,8 +70,21 @@
 )
 
 // CostMs returns the expected time to serve the request on this instance in
-// milliseconds, with penalties for load, failures and pauses.
+// milliseconds, with penalties for load, failures and pauses; the mean over Prefills.
 func (c Candidate) CostMs() float64 {
+	if len(c.Prefills) == 0 {
+		return c.costMs()
+	}
+	sum := 0.0
+	for _, p := range c.Prefills {
+		c.MissingPrefill = p.Time
+		sum += p.Probability * c.costMs()
+	}
+	return sum
+}
+
+// costMs returns the cost if the prefill takes MissingPrefill.
+func (c Candidate) costMs() float64 {
 	running := max(c.InFlight, c.Reported)
 	cost := float64((c.prefill() + c.LimitWait).Milliseconds()) + concurrentCostMs*float64(running) + failureCostMs*c.FailureShare
 	if c.Slots > 0 && running >= c.Slots {
