lab/emul: bounded prompt caches and what fronts know of them

Cause: the emulation had caches without a bound and one front that knew them exactly, so that it could not show what an index is worth. Change: least recently used caches beside the running requests, events with delay and losses, fronts with their own records. Without CacheTokens, Own and Index the plays are as before.

--- a/internal/lab/emul/simulation.go
+++ b/internal/lab/emul/simulation.go
@@ -19,6 +19,10 @@
 	Name string
 	// Parts enables prefix awareness: which prompt parts each server has cached.
 	Parts bool
+	// Own enables what each front has sent to each server by itself; it ignores evictions.
+	Own bool
+	// Index enables what the servers publish of their prompt caches, with delays and losses, beside Own.
+	Index bool
 	// Work enables the mean prefill time of each model's requests.
 	Work bool
 	// Pauses enables the longest recent stream pause of each server.
@@ -43,6 +47,8 @@
 	// LoadFactor multiplies the request rates of the site.
 	LoadFactor float64
 	Seed       uint64
+	// CacheTokens bounds a server's memory for running requests and cached prompt parts; 0 for no bound.
+	CacheTokens int
 	// Fronts is how many fronts route the requests, each with its own knowledge of slowdowns; 0 for one.
 	Fronts int
 	// SlowTimes are the times at which servers are slow.
@@ -113,6 +119,7 @@
 	usualPausePeaks map[string]decay.Peak
 	// slowdowns holds the newest slowdown that each front knows of each server.
 	slowdowns      map[slowdownKey]reportedSlowdown
+	kept           keptParts
 	loadsFromStore int
 	// scheduled counts the events scheduled so far.
 	scheduled int
@@ -128,7 +135,7 @@
 func simulate(o Options, k Knowledge) ([]*request, int) {
 	p := &simulation{
 		options: o, knowledge: k, spec: DefaultSpec(), rnd: rand.New(rand.NewPCG(o.Seed, 2)), arrivals: map[string]decay.Count{}, sentRequests: map[string]decay.Count{},
-		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{}, usualPausePeaks: map[string]decay.Peak{}, slowdowns: map[slowdownKey]reportedSlowdown{},
+		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{}, usualPausePeaks: map[string]decay.Peak{}, slowdowns: map[slowdownKey]reportedSlowdown{}, kept: newKeptParts(o.Seed),
 		engine: &site.Engine{ConcurrentRequests: 64, WeightsMB: float64(o.ModelsPerServer*modelMB + adapterMB), StoreLoadsPerSecond: 2.1},
 	}
 	for i := range o.Models {
@@ -220,14 +227,18 @@
 	p.sentRequests[q.model] = p.sentRequests[q.model].Add(1, p.policyTime())
 	p.prefillSeconds[q.model] = p.prefillSeconds[q.model].Add(q.expectedPrefill.Seconds(), p.policyTime())
 	s.admit(q, p.timeFactor(q.model), p.now)
+	p.keepParts(s, q)
 	p.startStep(s)
 	return true
 }
 
 func (p *simulation) candidate(s *server, q *request) score.Candidate {
 	uncached := q.promptTokens
-	if p.knowledge.Parts {
+	switch {
+	case p.knowledge.Parts:
 		uncached = s.uncachedTokens(q)
+	case p.knowledge.Own:
+		uncached = p.ownUncached(s, q)
 	}
 	c := score.Candidate{
 		ID: s.id, SameDomain: true, Connected: true, Slots: p.engine.ConcurrentRequests, InFlight: len(s.batch),
@@ -238,6 +249,9 @@
 			c.PendingPrefill += r.req.expectedPrefill
 		}
 	}
+	if p.knowledge.Index {
+		p.indexedPrefill(&c, s, q)
+	}
 	pause := p.usualPausePeaks[s.id].Value(p.policyTime())
 	if c.Slowdown = p.knownSlowdown(q.front, s); c.Slowdown > 0 {
 		pause = time.Duration(c.Slowdown * float64(pause))
