--- a/internal/front/kept/poller.go
+++ b/internal/front/kept/poller.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -84,17 +86,14 @@
 func (w *Watcher) assign(state *follow.State) map[site.InstanceKey]site.Instance {
 	totals, assigned := map[site.InstanceKey]int{}, map[site.InstanceKey]site.Instance{}
 	if state.Document != nil {
-		names := make([]string, 0, len(state.Fronts))
-		for name := range state.Fronts {
-			names = append(names, name)
-		}
+		issuer := w.issuers.of(slices.Sorted(maps.Keys(state.Fronts)))
 		for _, in := range state.Instances {
 			svc := state.Document.Services[in.Service]
 			if svc == nil || svc.Engine == nil || svc.Engine.MaxKeptEventCalls <= 0 || in.Draining {
 				continue
 			}
 			totals[in.InstanceKey] = svc.Engine.KVCacheTokens
-			if pace.Issuer(in.ID, names) == w.self && len(assigned) < maxPolled {
+			if issuer(in.ID) == w.self && len(assigned) < maxPolled {
 				assigned[in.InstanceKey] = in
 			}
 		}
@@ -105,6 +104,31 @@
 	return assigned
 }
 
+// issuers remembers the front that polls each instance, as hashing all pairs of instances and
+// fronts takes about a millisecond on large sites.
+type issuers struct {
+	fronts     []string
+	byInstance map[string]string
+}
+
+// of returns the function that names the front of an instance among the given ones.
+func (i *issuers) of(fronts []string) func(instance string) string {
+	if !slices.Equal(fronts, i.fronts) || len(i.byInstance) > maxIssuers {
+		i.fronts, i.byInstance = fronts, map[string]string{}
+	}
+	return func(instance string) string {
+		front, ok := i.byInstance[instance]
+		if !ok {
+			front = pace.Issuer(instance, fronts)
+			i.byInstance[instance] = front
+		}
+		return front
+	}
+}
+
+// maxIssuers is the number of instances, gone ones included, from which issuers are determined anew.
+const maxIssuers = 4096
+
 // poll polls one instance until the context ends.
 func (w *Watcher) poll(ctx context.Context, in site.Instance) {
 	next, epoch, answeredAt := "", "", time.Now()
--- a/internal/front/kept/watcher.go
+++ b/internal/front/kept/watcher.go
@@ -34,6 +34,7 @@
 	pool    *conns.Pool
 	dialect Dialect
 	index   *index
+	issuers issuers
 	log     *zap.SugaredLogger
 	meters  *metrics.Set
 	// active is true while any instance publishes the events of its cache, and fronts is the number of fronts.
@@ -119,7 +120,7 @@
 		r.New = w.index.takeNews(left, now)
 	}
 	n := totalBytes(r.New)
-	w.send.AllowN(now, min(n, sentBurst))
+	w.send.ReserveN(now, min(n, sentBurst))
 	w.bytesSent.Add(n)
 	return r
 }
@@ -160,7 +161,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := totalBytes(reply.Changes)
-	w.receive.AllowN(now, min(n, receivedBurst))
+	w.receive.ReserveN(now, min(n, receivedBurst))
 	w.bytesReceived.Add(n)
 	w.cursor, w.repliedAt = reply.Next, now
 	for name := range w.silentSince {
