--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -152,8 +152,8 @@
 type StreamPause struct {
 	Instance site.InstanceKey
 	Longest  time.Duration
-	// Usual is what the longest pause would have been at the instance's usual speed.
-	Usual time.Duration
+	// Usual is what the longest pause would have been at the instance's usual speed; 0 if it was as usual.
+	Usual time.Duration `json:",omitempty"`
 }
 
 // RequestCount is the number of requests for a model or adapter, fractional if decayed.
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -396,6 +396,16 @@
 	return out
 }
 
+// takePause returns the longest pause since the last call.
+func (s *instanceStats) takePause(k site.InstanceKey) peers.StreamPause {
+	pause := peers.StreamPause{Instance: k, Longest: s.newLongestPause}
+	if s.newUsualPause != s.newLongestPause {
+		pause.Usual = s.newUsualPause
+	}
+	s.newLongestPause, s.newUsualPause = 0, 0
+	return pause
+}
+
 // takeUsage returns the usage since the last call, with the decayed weight of all
 // past requests if allRecent is set, and forgets idle instances that are not live.
 func (t *instanceTracker) takeUsage(front string, allRecent bool, live func(site.InstanceKey) bool) peers.UsageReport {
@@ -423,8 +433,7 @@
 			s.limitIsNew = false
 		}
 		if s.newLongestPause > 0 {
-			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause, Usual: s.newUsualPause})
-			s.newLongestPause, s.newUsualPause = 0, 0
+			usage.Pauses = append(usage.Pauses, s.takePause(k))
 		}
 		if s.totalInFlight == 0 && !live(k) {
 			delete(t.stats, k)
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -59,7 +59,7 @@
 	for _, x := range u.Pauses {
 		if s := p.servers[x.Instance]; s != nil {
 			s.pausePeak = s.pausePeak.Add(x.Longest, now)
-			s.usualPausePeak = s.usualPausePeak.Add(x.Usual, now)
+			s.usualPausePeak = s.usualPausePeak.Add(cmp.Or(x.Usual, x.Longest), now)
 		}
 	}
 	for _, x := range u.Limits {
