front/kept: fewer calls to instances that answer at once

Cause: calls that wait less than 200 ms cost, and it is open whether that is the wait that the caller names or the one that it got; a busy instance answered 2.5 calls a second at once. Change: one call a second, and one every 400 ms only after an answer with 32 events or more, as instances retain the newest only. Result: go test ./internal/front/kept -count=15, ./internal/node/front -run FrontsShare -count=10

--- a/internal/front/kept/poller.go
+++ b/internal/front/kept/poller.go
@@ -23,8 +23,11 @@
 	pollWait = time.Second
 	// pollTimeout bounds a call.
 	pollTimeout = pollWait + 800*time.Millisecond
-	// minPollInterval bounds the calls to one instance that always has events.
-	minPollInterval = 400 * time.Millisecond
+	// pollInterval is the least time between two calls to an instance that answers at once, as such calls
+	// may cost, and busyPollInterval that after an answer with manyEvents, as an instance retains the newest only.
+	pollInterval     = time.Second
+	busyPollInterval = 400 * time.Millisecond
+	manyEvents       = 32
 	// retryInterval is the time after a failed call, and absentInterval that after an answer that the
 	// instance publishes no events.
 	retryInterval  = time.Second
@@ -134,7 +137,7 @@
 	next, epoch, answeredAt := "", "", time.Now()
 	for {
 		began := time.Now()
-		wait := minPollInterval
+		wait := pollInterval
 		events, status, err := w.call(ctx, in, next)
 		switch {
 		case ctx.Err() != nil:
@@ -147,6 +150,9 @@
 				next, events.Events = "", nil
 			}
 			epoch = events.Epoch
+			if len(events.Events) >= manyEvents {
+				wait = busyPollInterval
+			}
 			w.apply(in, events)
 		default:
 			w.failures.Inc()
--- a/internal/front/kept/poller_test.go
+++ b/internal/front/kept/poller_test.go
@@ -142,7 +142,7 @@
 		time.Sleep(24 * time.Second)
 		for _, s := range d.servers {
 			calls, refused := s.KeptCalls()
-			d.g.Expect(calls).To(BeNumerically("<=", 36), "one front polls a server, once a second where it is quiet")
+			d.g.Expect(calls).To(BeNumerically("<=", 32), "one front polls a server, once a second")
 			d.g.Expect(refused).To(BeZero())
 		}
 	})
