--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/kept"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/decay"
+	"foxtailcroft/internal/policy/reuse"
+	"foxtailcroft/internal/policy/score"
 	"foxtailcroft/internal/policy/speed"
 	"foxtailcroft/internal/policy/split"
 )
@@ -39,6 +42,13 @@
 	newPrompts split.Mix
 	// longShare is the share of a model's instances that get long prompts, 0 if all get prompts of any length.
 	longShare float64
+	// slowdownsSeenAt is when an instance of a service last reported its slowdown.
+	slowdownsSeenAt map[string]time.Time
+	// caches tells what instances keep of prompts; it is used for requests with part hashes only.
+	caches PromptCaches
+	// partStates and keptParts are buffers.
+	partStates []kept.PartState
+	keptParts  []reuse.Part
 }
 
 // instanceStats is what this front knows of one instance.
@@ -56,6 +66,11 @@
 	// reportedRequests are the running and waiting requests of the newest load report.
 	reportedRequests int
 	reportedAt       time.Time
+	// slowdown is the newest slowdown that the instance reported, at slowdownAt; 0 if it reported none.
+	slowdown   float64
+	slowdownAt time.Time
+	// inquiredAt is when the instance was last asked for its slowdown.
+	inquiredAt time.Time
 	// limit is the number of requests a second that the instance takes from all fronts, 0 if it names none.
 	limit float64
 	// limitAt is when limit was named, and limitIsNew is set until it was reported.
@@ -68,10 +83,13 @@
 	failureShareAt time.Time
 	// meanAnswerTime is the moving average of the time until a buffered answer begins.
 	meanAnswerTime time.Duration
-	// longestPause is the decaying longest pause between events of streams, other fronts' streams included.
+	// longestPause is the decaying longest pause between events of streams at the instance's usual speed,
+	// other fronts' streams included.
 	longestPause decay.Peak
 	// newLongestPause is the longest pause in this front's streams since the last usage report, 0 if none was recorded.
 	newLongestPause time.Duration
+	// newUsualPause is the longest of these pauses at the instance's usual speed.
+	newUsualPause time.Duration
 	// promptParts are the prompt parts sent to the instance, with the time of the last use.
 	promptParts map[string]time.Time
 	// excludedUntil is the time until which no request is sent, after a refused connection or request.
@@ -87,7 +105,7 @@
 }
 
 func newInstanceTracker() *instanceTracker {
-	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}}
+	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, slowdownsSeenAt: map[string]time.Time{}}
 }
 
 // statsOf returns the statistics of an instance and adds empty ones if there are none; the caller holds the lock.
@@ -109,14 +127,14 @@
 }
 
 // beginRequest records a request that is sent, and returns the functions that record
-// the beginning of its answer and its end. The answer counts in meanAnswerTime if
+// the beginning of its answer, with the slowdown that it reports (0 for none), and its end. The answer counts in meanAnswerTime if
 // buffered is set, that is, if it is not streamed.
-func (t *instanceTracker) beginRequest(k site.InstanceKey, r *site.RequestInfo, buffered bool) (answered func(), ended func()) {
+func (t *instanceTracker) beginRequest(k site.InstanceKey, r *site.RequestInfo, buffered bool) (answered func(slowdown float64), ended func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
 	began := time.Now()
-	uncached := s.uncachedTokens(r)
+	uncached := t.missingTokens(k, s, r, began)
 	prefill, isOnlyPrompt := t.prefillSpeeds[r.Target.Model].Duration(uncached), s.pendingPrefill == 0
 	s.inFlight[r.Target]++
 	s.newRequests[r.Target]++
@@ -124,19 +142,24 @@
 	s.pendingPrefill += prefill
 	s.newPrefill[r.Target] += prefill
 	s.rememberPrompt(r, began)
-	answered = sync.OnceFunc(func() {
+	isAnswered := false
+	answered = func(slowdown float64) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if isAnswered {
+			return
+		}
+		isAnswered = true
 		s.pendingPrefill -= prefill
 		if isOnlyPrompt && r.Target.Model != "" {
-			t.prefillSpeeds[r.Target.Model] = t.prefillSpeeds[r.Target.Model].Add(uncached, time.Since(began))
+			t.prefillSpeeds[r.Target.Model] = t.prefillSpeeds[r.Target.Model].Add(uncached, score.AtUsualSpeed(time.Since(began), slowdown))
 		}
 		if buffered {
 			s.meanAnswerTime += (time.Since(began) - s.meanAnswerTime) / 4
 		}
-	})
+	}
 	return answered, func() {
-		answered()
+		answered(0)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		s.inFlight[r.Target]--
@@ -214,8 +237,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.statsOf(k)
-	s.longestPause = s.longestPause.Add(gap, time.Now())
-	s.newLongestPause = max(s.newLongestPause, gap)
+	now := time.Now()
+	usual := score.AtUsualSpeed(gap, s.currentSlowdown(now))
+	s.longestPause = s.longestPause.Add(usual, now)
+	s.newLongestPause, s.newUsualPause = max(s.newLongestPause, gap), max(s.newUsualPause, usual)
 }
 
 // recordStreamEnd records that a stream from an instance ended, and whether it paused for longer than its route allows.
@@ -332,7 +357,7 @@
 func (t *instanceTracker) countPrompt(k site.InstanceKey, r *site.RequestInfo, maxGap time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	work := t.prefillSpeeds[r.Target.Model].Duration(t.statsOf(k).uncachedTokens(r))
+	work := t.prefillSpeeds[r.Target.Model].Duration(t.missingTokens(k, t.statsOf(k), r, time.Now()))
 	if t.isLongPrompt(r, maxGap) {
 		t.newPrompts = t.newPrompts.Plus(split.Mix{Long: 1, LongWork: work})
 		return
@@ -371,6 +396,16 @@
 	return out
 }
 
+// takePause returns the longest pause since the last call.
+func (s *instanceStats) takePause(k site.InstanceKey) peers.StreamPause {
+	pause := peers.StreamPause{Instance: k, Longest: s.newLongestPause}
+	if s.newUsualPause != s.newLongestPause {
+		pause.Usual = s.newUsualPause
+	}
+	s.newLongestPause, s.newUsualPause = 0, 0
+	return pause
+}
+
 // takeUsage returns the usage since the last call, with the decayed weight of all
 // past requests if allRecent is set, and forgets idle instances that are not live.
 func (t *instanceTracker) takeUsage(front string, allRecent bool, live func(site.InstanceKey) bool) peers.UsageReport {
@@ -398,8 +433,7 @@
 			s.limitIsNew = false
 		}
 		if s.newLongestPause > 0 {
-			usage.Pauses = append(usage.Pauses, peers.StreamPause{Instance: k, Longest: s.newLongestPause})
-			s.newLongestPause = 0
+			usage.Pauses = append(usage.Pauses, s.takePause(k))
 		}
 		if s.totalInFlight == 0 && !live(k) {
 			delete(t.stats, k)
