--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -51,6 +51,10 @@
 	DecodeRetryAfter(h http.Header) time.Duration
 	// DecodeLoad decodes the instance's load; false if the answer has none.
 	DecodeLoad(h http.Header) (site.ServerLoad, bool)
+	// IdentityRequest returns a request for the health page of an instance, whose response has its load.
+	IdentityRequest(address, healthPath, expected string) (*http.Request, error)
+	// NamesRequest reports whether an answer names the request that it belongs to.
+	NamesRequest(h http.Header) bool
 	// DecodeLimit decodes the requests a second that the instance takes from all fronts together; 0 if it names no limit.
 	DecodeLimit(h http.Header) float64
 	// SetRefusalHeaders sets the headers of the front's own refusals and errors; a zero
@@ -103,6 +107,7 @@
 	Identities IdentityFinder
 	Currency   Currency
 	Quotas     Quotas
+	Caches     PromptCaches
 }
 
 // Currency tells how current the document is. Its answers hold for a state that is loaded afterwards.
@@ -152,9 +157,11 @@
 // New returns a server without statistics of instances and with full retry budgets.
 func New(settings conf.Front, stateSource StateSource, pool *conns.Pool, d Dialect, helpers Helpers, meters *metrics.Set, log *zap.SugaredLogger) *Server {
 	stopped, endAll := context.WithCancel(context.Background())
+	tracker := newInstanceTracker()
+	tracker.caches = helpers.Caches
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, quotas: helpers.Quotas, tracker: newInstanceTracker(),
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, quotas: helpers.Quotas, tracker: tracker,
 		log: log, meters: meters, answerMemory: semaphore.NewWeighted(maxBufferedBytes), retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
@@ -212,6 +219,7 @@
 		return
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
+	c.hashParts()
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	if !c.readBody(doc.Limits.BodyBytes) || c.refuseIfTooLong() {
 		return
--- a/internal/lab/emul/simulation.go
+++ b/internal/lab/emul/simulation.go
@@ -19,10 +19,18 @@
 	Name string
 	// Parts enables prefix awareness: which prompt parts each server has cached.
 	Parts bool
+	// Own enables what each front has sent to each server by itself; it ignores evictions.
+	Own bool
+	// Index enables what the servers publish of their prompt caches, with delays and losses, beside Own.
+	Index bool
 	// Work enables the mean prefill time of each model's requests.
 	Work bool
 	// Pauses enables the longest recent stream pause of each server.
 	Pauses bool
+	// Slowdown enables the slowdown that a server reports with the head of each answer.
+	Slowdown bool
+	// Inquiries makes a front ask the two best servers for their slowdowns before it sends a long prompt.
+	Inquiries bool
 	// Chance routes each request to a random server that has the model.
 	Chance bool
 }
@@ -33,10 +41,25 @@
 	Models  int
 	// ModelsPerServer is how many models fit in a server's memory.
 	ModelsPerServer int
-	Duration        time.Duration
+	// AllLoaded makes every server hold every model from the beginning, so that only routing differs.
+	AllLoaded bool
+	Duration  time.Duration
 	// LoadFactor multiplies the request rates of the site.
 	LoadFactor float64
 	Seed       uint64
+	// CacheTokens bounds a server's memory for running requests and cached prompt parts; 0 for no bound.
+	CacheTokens int
+	// Fronts is how many fronts route the requests, each with its own knowledge of slowdowns; 0 for one.
+	Fronts int
+	// SlowTimes are the times at which servers are slow.
+	SlowTimes []SlowTime
+}
+
+// SlowTime is a time in which work takes Factor times as long on a server.
+type SlowTime struct {
+	Server      int
+	From, Until time.Duration
+	Factor      float64
 }
 
 // SparesOptions returns the options of the spares desk, whose servers can hold nearly
@@ -91,7 +114,12 @@
 	prefillSeconds map[string]decay.Count
 	prefillSpeeds  map[string]speed.Prefill
 	// pausePeaks holds the longest recent stream pause of each server; it decays with time.
-	pausePeaks     map[string]decay.Peak
+	pausePeaks map[string]decay.Peak
+	// usualPausePeaks holds what the pauses would have been at the servers' usual speeds.
+	usualPausePeaks map[string]decay.Peak
+	// slowdowns holds the newest slowdown that each front knows of each server.
+	slowdowns      map[slowdownKey]reportedSlowdown
+	kept           keptParts
 	loadsFromStore int
 	// scheduled counts the events scheduled so far.
 	scheduled int
@@ -99,9 +127,15 @@
 
 // Simulate runs one day and returns the outcomes of its requests.
 func Simulate(o Options, k Knowledge) Result {
+	requests, loadsFromStore := simulate(o, k)
+	return summarize(requests, loadsFromStore)
+}
+
+// simulate runs one day and returns its requests and the number of loads from the weight store.
+func simulate(o Options, k Knowledge) ([]*request, int) {
 	p := &simulation{
 		options: o, knowledge: k, spec: DefaultSpec(), rnd: rand.New(rand.NewPCG(o.Seed, 2)), arrivals: map[string]decay.Count{}, sentRequests: map[string]decay.Count{},
-		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{},
+		prefillSeconds: map[string]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, pausePeaks: map[string]decay.Peak{}, usualPausePeaks: map[string]decay.Peak{}, slowdowns: map[slowdownKey]reportedSlowdown{}, kept: newKeptParts(o.Seed),
 		engine: &site.Engine{ConcurrentRequests: 64, WeightsMB: float64(o.ModelsPerServer*modelMB + adapterMB), StoreLoadsPerSecond: 2.1},
 	}
 	for i := range o.Models {
@@ -110,8 +144,10 @@
 		})
 	}
 	p.placeModels()
+	p.scheduleSlowTimes()
 	requests := generateRequests(o.Duration, o.LoadFactor, o.Models, o.Seed)
-	for _, q := range requests {
+	for i, q := range requests {
+		q.front = i % max(1, o.Fronts)
 		p.schedule(q.arrivedAt, func() { p.arrive(q) })
 	}
 	for t := time.Duration(0); t < o.Duration; t += planInterval {
@@ -122,7 +158,7 @@
 		p.now = e.at
 		e.run()
 	}
-	return summarize(requests, p.loadsFromStore)
+	return requests, p.loadsFromStore
 }
 
 // placeModels loads the busy models on several servers and the others on one
@@ -130,12 +166,17 @@
 func (p *simulation) placeModels() {
 	next := busyModels
 	for i := range p.options.Servers {
-		s := &server{spec: &p.spec, id: fmt.Sprintf("s%02d", i), timeFactor: p.spec.TimeFactors[i%len(p.spec.TimeFactors)], loaded: map[string]*loadedModel{}, prefixCache: map[string]bool{}}
+		s := &server{spec: &p.spec, id: fmt.Sprintf("s%02d", i), timeFactor: p.spec.TimeFactors[i%len(p.spec.TimeFactors)], slowdown: 1, loaded: map[string]*loadedModel{}, prefixCache: map[string]bool{}}
 		s.loaded[modelName(i%busyModels)] = &loadedModel{loadedAt: -time.Minute}
 		for len(s.loaded) < p.options.ModelsPerServer && next < p.options.Models {
 			s.loaded[modelName(next)] = &loadedModel{loadedAt: -time.Minute}
 			next++
 		}
+		for m := range p.options.Models {
+			if p.options.AllLoaded {
+				s.loaded[modelName(m)] = &loadedModel{loadedAt: -time.Minute}
+			}
+		}
 		for m := range s.loaded {
 			s.onDisk = append(s.onDisk, m)
 		}
@@ -174,6 +215,9 @@
 	if len(holders) == 0 {
 		return false
 	}
+	if p.knowledge.Inquiries {
+		p.inquire(q, holders, candidates)
+	}
 	i := score.Best(candidates, p.rnd.Float64)
 	if p.knowledge.Chance {
 		i = p.rnd.IntN(len(holders))
@@ -183,14 +227,18 @@
 	p.sentRequests[q.model] = p.sentRequests[q.model].Add(1, p.policyTime())
 	p.prefillSeconds[q.model] = p.prefillSeconds[q.model].Add(q.expectedPrefill.Seconds(), p.policyTime())
 	s.admit(q, p.timeFactor(q.model), p.now)
+	p.keepParts(s, q)
 	p.startStep(s)
 	return true
 }
 
 func (p *simulation) candidate(s *server, q *request) score.Candidate {
 	uncached := q.promptTokens
-	if p.knowledge.Parts {
+	switch {
+	case p.knowledge.Parts:
 		uncached = s.uncachedTokens(q)
+	case p.knowledge.Own:
+		uncached = p.ownUncached(s, q)
 	}
 	c := score.Candidate{
 		ID: s.id, SameDomain: true, Connected: true, Slots: p.engine.ConcurrentRequests, InFlight: len(s.batch),
@@ -201,8 +249,15 @@
 			c.PendingPrefill += r.req.expectedPrefill
 		}
 	}
+	if p.knowledge.Index {
+		p.indexedPrefill(&c, s, q)
+	}
+	pause := p.usualPausePeaks[s.id].Value(p.policyTime())
+	if c.Slowdown = p.knownSlowdown(q.front, s); c.Slowdown > 0 {
+		pause = time.Duration(c.Slowdown * float64(pause))
+	}
 	if p.knowledge.Pauses {
-		c.PauseRisk = score.PauseRisk(p.pausePeaks[s.id].Value(p.policyTime()), q.class.maxGap)
+		c.PauseRisk = score.PauseRisk(pause, q.class.maxGap)
 	}
 	return c
 }
@@ -234,13 +289,18 @@
 	q := r.req
 	if r.generated == 1 {
 		q.firstEventAt = p.now
+		p.reportSlowdown(q.front, q.server)
 		if q.noOtherPrefill {
-			p.prefillSpeeds[q.model] = p.prefillSpeeds[q.model].Add(q.uncachedTokens, p.now-q.sentAt)
+			took := score.AtUsualSpeed(p.now-q.sentAt, p.knownSlowdown(q.front, q.server))
+			p.prefillSpeeds[q.model] = p.prefillSpeeds[q.model].Add(q.uncachedTokens, took)
 		}
 	}
 	q.longestGap = max(q.longestGap, gap)
 	if gap > q.class.maxGap/2 {
-		p.pausePeaks[q.server.id] = p.pausePeaks[q.server.id].Add(min(gap, q.class.maxGap*5/4), p.policyTime())
+		pause := min(gap, q.class.maxGap*5/4)
+		usual := score.AtUsualSpeed(pause, p.knownSlowdown(q.front, q.server))
+		p.pausePeaks[q.server.id] = p.pausePeaks[q.server.id].Add(pause, p.policyTime())
+		p.usualPausePeaks[q.server.id] = p.usualPausePeaks[q.server.id].Add(usual, p.policyTime())
 	}
 	q.completed = r.generated >= q.outputTokens
 }
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -18,6 +18,7 @@
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/ident"
+	"foxtailcroft/internal/front/kept"
 	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/front/pacer"
 	"foxtailcroft/internal/front/peers"
@@ -33,6 +34,7 @@
 	proxy.Dialect
 	sched.Dialect
 	ident.Dialect
+	kept.Dialect
 	follow.Decoder
 }
 
@@ -76,6 +78,7 @@
 	planner        *sched.Planner
 	crashes        *crash.Watcher
 	quotas         *lender.Lender
+	kept           *kept.Watcher
 	peers          *peers.Client
 	reverseProxy   *proxy.Server
 	pool           *conns.Pool
@@ -111,7 +114,7 @@
 	links, closeLinks := peer.NewPool(o.DialPeer, mux, hello)
 	issuer := pacer.NewIssuer()
 	quotas := lender.New(candidate.Self, follower, settings.Bounds.Quota, o.Metrics, log.Named("Quota"))
-	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector(), Tokens: quotas})
+	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector(), Tokens: quotas, Kept: kept.NewLog()})
 	quotas.SetCaller(frontPeers)
 	follower.SetPeers(frontPeers)
 	follower.SetProof(follow.ProofOptions{SinceBoot: o.SinceBoot, Bound: settings.Bounds.RevocationBound(), InForce: settings.Bounds.InForce, Source: frontPeers})
@@ -121,10 +124,11 @@
 	candidate.SetWitnesses(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	crashes.SetClaims(frontPeers)
+	caches := kept.New(settings.Node.Name, follower.State, pool, o.Dialect, o.Metrics, log.Named("Kept"))
 	f := &Front{
-		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, quotas: quotas, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
+		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, kept: caches, quotas: quotas, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Currency: follower, Quotas: quotas,
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Currency: follower, Quotas: quotas, Caches: caches,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
@@ -186,6 +190,7 @@
 	t.KeepRunning("Planner", f.planner.Run)
 	t.KeepRunning("Reports", f.planner.RunReports)
 	t.KeepRunning("Crashes", f.crashes.Run)
+	t.KeepRunning("Kept", f.kept.Run)
 	t.KeepRunning("Uses", f.reportUsage)
 	t.KeepRunning("Quotas", f.quotas.Run)
 	t.KeepRunning("Deputies", f.quotas.RunChecks)
@@ -230,8 +235,10 @@
 			continue
 		}
 		reportedAt = time.Now()
+		usage.Kept = f.kept.Report()
 		status, err := f.peers.ReportUsage(ctx, usage)
 		if err != nil {
+			f.kept.ReportFailed(usage.Kept)
 			f.log.Debugw("usage report to the planner failed; sending the next one after the usual interval", "Error", err.Error())
 			if isNewPlanner {
 				reportedFence = 0
@@ -251,6 +258,8 @@
 		}
 		sent, received = next, status.SuccessorsNext
 		f.crashes.ApplyEvidence(status.Evidence)
+		f.kept.ApplyReply(status.Run, status.Kept)
+		f.kept.RecordLoads(status.Loads)
 		f.reverseProxy.RecordStatus(status)
 		f.planner.InheritStatus(status)
 	}
