policy/quota: a grant without a field that nobody reads

Cause: Grant.Returned was set and never used. Change: it is gone; what is taken back is counted where the message arrives.

--- a/internal/policy/quota/lend.go
+++ b/internal/policy/quota/lend.go
@@ -25,15 +25,13 @@
 	Waits []time.Duration
 	Ahead float64
 	Lease int64
-	// Returned is what was taken back of a lease.
-	Returned float64
 }
 
 // Lend takes back what a front returns and lends it what it asks for, as far as there is enough.
 // Advance must have been called for the same time.
 func (b *Bucket) Lend(a Ask) Grant {
 	var g Grant
-	g.Returned = b.takeBack(a.Lease, a.Unused)
+	b.takeBack(a.Lease, a.Unused)
 	b.Refund(a.Refund)
 	for _, cost := range a.Needs {
 		wait, _ := b.Take(cost)
@@ -55,11 +53,11 @@
 	return g
 }
 
-// takeBack ends a lease and returns what was taken back: nothing if the lease has ended.
-func (b *Bucket) takeBack(number int64, unused float64) float64 {
+// takeBack ends a lease and takes back what is unused; nothing if the lease has ended.
+func (b *Bucket) takeBack(number int64, unused float64) {
 	i := number - b.firstNumber
 	if i < 0 || i >= int64(len(b.leases)) {
-		return 0
+		return
 	}
 	l := &b.leases[i]
 	back := max(0, min(unused, l.tokens))
@@ -67,5 +65,4 @@
 	b.level += back
 	b.spent -= back
 	l.tokens = 0
-	return back
 }
