--- /dev/null
+++ b/internal/base/memory/doc.go
@@ -0,0 +1,2 @@
+// Package memory bounds the memory that a process holds for its callers and servers.
+package memory
