base/serve, node/front, link/peer: connections are bounded below the descriptors

The peers' server, and with it the process, ended when accept failed for want of descriptors. Idle connections to the readiness page and the metrics were never closed. Change: limits.fileDescriptors is decoded; callers get 6/10 of what 200 files leave, at most a fifth of the memory at 32 KB each. Beyond that the longest idle connection is closed, then the longest without a header, then a stalled body is ended. Readiness and metrics take 16 connections each; peers without a handshake at most 512 or a sixteenth, the oldest goes first; accept is retried.

--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -54,6 +54,8 @@
 	Retry       RetryBudget
 	Bounds      Bounds
 	MemoryBytes int64
+	// FileDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	FileDescriptors int
 	// Processor is the number of CPU cores that the process may use, with fractions; 0 if unknown.
 	Processor float64
 }
--- a/internal/base/serve/server.go
+++ b/internal/base/serve/server.go
@@ -37,6 +37,11 @@
 	mu      sync.Mutex
 	// idleSince is when the idle connections became idle.
 	idleSince map[net.Conn]time.Time
+	// headerSince is when the connections without a whole header were opened or began to send one.
+	headerSince map[net.Conn]time.Time
+	limit       Limit
+	// open is the number of open connections.
+	open int
 	// listener is the one that Serve accepts connections from, nil before that.
 	listener       net.Listener
 	phase          stopPhase
@@ -54,6 +59,8 @@
 	// inRequest is set while the connection serves a request.
 	inRequest bool
 	closed    bool
+	// counted is true while the connection counts as open.
+	counted bool
 }
 
 // connKey is the context key of a request's connection.
@@ -62,7 +69,7 @@
 // New returns a server with the timeouts, limits and base context of h; its handler is served, and
 // its ConnState and ConnContext are replaced.
 func New(h *http.Server) *Server {
-	s := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
+	s := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, headerSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
 	h.Handler, h.ConnState = s, s.connStateChanged
 	h.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
@@ -78,11 +85,18 @@
 
 // Accept returns the next connection as a serverConn.
 func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &serverConn{Conn: conn, server: l.server}
+		if l.server.admit(c) {
+			return c, nil
+		}
+		// Nothing was read from it.
+		_ = conn.Close()
 	}
-	return &serverConn{Conn: conn, server: l.server}, nil
 }
 
 // Close closes the connection, unless it is serving a request and the server has not stopped.
@@ -93,6 +107,12 @@
 		return nil
 	}
 	c.closed = true
+	if c.counted {
+		c.counted = false
+		c.server.open--
+	}
+	delete(c.server.idleSince, c)
+	delete(c.server.headerSince, c)
 	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -120,6 +140,7 @@
 		return false, false
 	}
 	conn.inRequest = true
+	delete(s.headerSince, conn)
 	s.activeRequests++
 	s.begunRequests++
 	return s.phase >= closingConnections, true
@@ -166,9 +187,12 @@
 	defer s.mu.Unlock()
 	if state == http.StateIdle {
 		s.idleSince[conn] = time.Now()
-	} else {
-		delete(s.idleSince, conn)
+		return s.phase
+	}
+	if _, wasIdle := s.idleSince[conn]; wasIdle && state == http.StateActive {
+		s.headerSince[conn] = time.Now()
 	}
+	delete(s.idleSince, conn)
 	return s.phase
 }
 
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
+	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tasks"
 )
 
@@ -15,13 +17,16 @@
 	hello func() Hello
 	lis   net.Listener
 	mu    sync.Mutex
-	conns map[*Conn]struct{}
-	group tasks.Group
+	// conns are the connections that have not ended, and when they were accepted.
+	conns map[*Conn]time.Time
+	// maxUnknown bounds the connections without a handshake; 0 doesn't.
+	maxUnknown int
+	group      tasks.Group
 }
 
 // NewServer returns a server for the listener and the function that stops it and closes its connections.
 func NewServer(lis net.Listener, mux *Mux, hello func() Hello) (*Server, func()) {
-	s := &Server{mux: mux, hello: hello, lis: lis, conns: map[*Conn]struct{}{}}
+	s := &Server{mux: mux, hello: hello, lis: lis, conns: map[*Conn]time.Time{}}
 	OnCall(mux, methodHello, func(_ context.Context, c *Conn, h Hello) (Hello, error) {
 		c.remote.Store(&h)
 		return s.hello(), nil
@@ -29,6 +34,16 @@
 	return s, s.close
 }
 
+// acceptRetryDelay is the pause after a connection could not be accepted, for want of descriptors or
+// because its other end had gone.
+const acceptRetryDelay = 20 * time.Millisecond
+
+// SetMaxUnknown bounds the connections whose other end has not named itself in a handshake: the
+// oldest one is closed for a new one. It must be called before Serve.
+func (s *Server) SetMaxUnknown(n int) {
+	s.maxUnknown = n
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
@@ -36,12 +51,17 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		var temporary *net.OpError
+		if errors.As(err, &temporary) && sleep.For(ctx, acceptRetryDelay) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
+		s.closeOldestUnknown()
 		c := newConn(context.WithoutCancel(ctx), raw, raw.RemoteAddr().String(), s.mux)
 		s.mu.Lock()
-		s.conns[c] = struct{}{}
+		s.conns[c] = time.Now()
 		s.mu.Unlock()
 		if !s.group.Go(func() { s.removeWhenDone(c) }) {
 			c.disconnect()
@@ -49,6 +69,29 @@
 	}
 }
 
+// closeOldestUnknown closes the oldest connection without a handshake if there are too many.
+func (s *Server) closeOldestUnknown() {
+	s.mu.Lock()
+	var oldest *Conn
+	unknown := 0
+	for c, since := range s.conns {
+		if c.RemoteHello() != (Hello{}) {
+			continue
+		}
+		unknown++
+		if oldest == nil || since.Before(s.conns[oldest]) {
+			oldest = c
+		}
+	}
+	if unknown < s.maxUnknown || s.maxUnknown == 0 {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.conns, oldest)
+	s.mu.Unlock()
+	oldest.disconnect()
+}
+
 // removeWhenDone waits until a connection has ended and removes it.
 func (s *Server) removeWhenDone(c *Conn) {
 	<-c.Done()
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -117,6 +117,7 @@
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
+	f.callerServer.SetLimit(serve.Limit{Connections: callerConnections(settings), EndStalled: f.reverseProxy.EndStalledBody})
 	return f, func() {
 		closeLinks()
 		closeCrashes()
@@ -153,6 +154,7 @@
 // Start starts serving on the listeners, and all background tasks of the front.
 func (f *Front) Start(t *tree.Supervisor, l Listeners) {
 	peerServer, closePeerServer := peer.NewServer(l.Peers, f.mux, f.hello)
+	peerServer.SetMaxUnknown(unknownPeers(f.settings))
 	t.OnClose(closePeerServer)
 	t.Critical("Peers", peerServer.Serve)
 	t.Critical("Ready", f.auxiliaryServer(t, l.Ready, f.readyHandler()))
@@ -178,12 +180,10 @@
 
 // auxiliaryServer returns a function that serves a handler on its own listener, apart from callers' requests.
 func (f *Front) auxiliaryServer(t *tree.Supervisor, l net.Listener, h http.Handler) func(context.Context) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
-	t.OnClose(func() {
-		// The process is about to exit, which closes any connection that fails to close here.
-		_ = server.Close()
-	})
-	return func(context.Context) error { return ignoreServerClosed(server.Serve(l)) }
+	server := serve.New(&http.Server{Handler: h, ReadHeaderTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryIdleTimeout, MaxHeaderBytes: maxAuxiliaryHeaderBytes})
+	server.SetLimit(serve.Limit{Connections: auxiliaryConnections})
+	t.OnClose(server.Close)
+	return func(context.Context) error { return server.Serve(l) }
 }
 
 // reportUsage periodically reports this front's usage to the planner; without a planner it waits.
--- a/internal/node/front/ready.go
+++ b/internal/node/front/ready.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -64,11 +63,3 @@
 		f.log.Warnw("requests were cut off", "Error", err.Error())
 	}
 }
-
-// ignoreServerClosed returns nil for the error of a server that was closed, and other errors unchanged.
-func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
