--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -161,7 +161,12 @@
 
 // peakMemoryKb returns the peak of the process's resident memory, VmHWM.
 func (f *guardedFront) peakMemoryKb() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
+	return peakMemoryKb(f.cmd.Process.Pid)
+}
+
+// peakMemoryKb returns the peak of a process's resident memory, VmHWM.
+func peakMemoryKb(pid int) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	Expect(err).NotTo(HaveOccurred())
 	for line := range strings.Lines(string(status)) {
 		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
@@ -215,6 +220,8 @@
 type crowd struct {
 	addresses []string
 	size      int
+	// target is the method and path of the requests, those of the front's route if it is empty.
+	target string
 	// opened is done when each client has sent the part before the limit, or was cut off; sent is done
 	// when each has sent all of what it has to send.
 	opened, sent sync.WaitGroup
@@ -281,8 +288,12 @@
 const oneByteChunk = "1\r\nx\r\n"
 
 // head returns the head of a request with the given framing header.
-func head(index int, framing string) []byte {
-	return []byte(fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: crowd-%d\r\n%s\r\n\r\n", index, framing))
+func (c *client) head(framing string) []byte {
+	target := c.crowd.target
+	if target == "" {
+		target = "POST /unsafe/x"
+	}
+	return []byte(fmt.Sprintf("%s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: crowd-%d\r\n%s\r\n\r\n", target, c.index, framing))
 }
 
 const (
@@ -321,25 +332,25 @@
 // The ways of sending bodies that are not ended. Those over the limit wait below it until all
 // clients are there, so that what is read before they are refused is held at one time.
 func sendWhole(c *client) {
-	c.write(head(c.index, fmt.Sprintf("Content-Length: %d", bodyLimit)))
+	c.write(c.head(fmt.Sprintf("Content-Length: %d", bodyLimit)))
 	c.sendPieces(bodyLimit-1, 0)
 	c.opened()
 }
 
 func sendPiecewise(c *client) {
-	c.write(head(c.index, fmt.Sprintf("Content-Length: %d", bodyLimit)))
+	c.write(c.head(fmt.Sprintf("Content-Length: %d", bodyLimit)))
 	c.sendPieces(bodyLimit-1, 10*time.Millisecond)
 	c.opened()
 }
 
 func sendLargeChunks(c *client) {
-	c.write(head(c.index, chunked))
+	c.write(c.head(chunked))
 	c.sendChunks(bodyLimit)
 	c.opened()
 }
 
 func sendOneByteChunks(c *client) {
-	c.write(head(c.index, chunked))
+	c.write(c.head(chunked))
 	const perWrite = 4 << 10
 	block := bytes.Repeat([]byte(oneByteChunk), perWrite)
 	for n := perWrite; n < bodyLimit; n += perWrite {
@@ -349,14 +360,14 @@
 }
 
 func sendOverAnnounced(c *client) {
-	c.write(head(c.index, fmt.Sprintf("Content-Length: %d", farOver)))
+	c.write(c.head(fmt.Sprintf("Content-Length: %d", farOver)))
 	c.sendPieces(bodyLimit-1, 0)
 	c.awaitOthers()
 	c.sendPieces(overSent-bodyLimit, 0)
 }
 
 func sendOverInChunks(c *client) {
-	c.write(head(c.index, chunked))
+	c.write(c.head(chunked))
 	c.write([]byte(fmt.Sprintf("%x\r\n", farOver)))
 	c.sendPieces(bodyLimit-1, 0)
 	c.awaitOthers()
