base/intake: reading of bodies, apart from the front's requests

Cause: entries read bodies as the front did, and need the same rules. Change: the reading of bodies moves from front/proxy to base/intake, the sizes of blocks to base/memory; what callers get is unchanged.

--- a/internal/front/proxy/answer.go
+++ b/internal/front/proxy/answer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/site"
 )
 
@@ -45,7 +47,7 @@
 // instance can be tried where that is allowed if the answer is incomplete or an error.
 func (c *call) relayBuffered(ctx context.Context, in site.Instance, res *conns.Response) nextStep {
 	c.answerBegan = true
-	c.server.memory.Open(&c.answerMemory, c.callerAddress())
+	c.server.memory.Open(&c.answerMemory, intake.CallerAddress(c.r))
 	defer c.answerMemory.Close()
 	blocks, err := c.readAnswer(res)
 	res.Finish(err == nil)
@@ -101,12 +103,10 @@
 		}
 		limit = maxUnsignedBytes
 	}
-	size, read := int64(firstBlockBytes), int64(0)
-	for {
-		block := min(size, limit-read)
-		if read > 0 && block <= 0 {
-			return nil, fmt.Errorf("answer over %d bytes", limit)
-		}
+	var sizes memory.BlockSizes
+	for left := limit; left > 0; {
+		block := sizes.Next(left)
+		left -= block
 		if err := c.answerMemory.Grow(block); err != nil {
 			return nil, fmt.Errorf("answer not read: %w", err)
 		}
@@ -118,9 +118,8 @@
 		case err != nil:
 			return nil, err
 		}
-		read += block
-		size = min(size*blockGrowth, maxBlockBytes)
 	}
+	return nil, fmt.Errorf("answer over %d bytes", limit)
 }
 
 // readFull reads until a block is full. Unlike io.ReadFull it returns the reader's own error, so that
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/intake"
 	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/plat/follow"
@@ -41,12 +42,10 @@
 	usesAccounts bool
 	account      *site.Account
 	service      string
-	// body is the body or, if it is long, its first block, and moreBody the further ones.
-	body     []byte
-	moreBody [][]byte
-	// bodyMemory and answerMemory are what the body and the answer hold of the budget.
-	bodyMemory, answerMemory memory.Lease
-	tried                    map[site.InstanceKey]bool
+	body         intake.Body
+	// answerMemory is what the answer holds of the budget.
+	answerMemory memory.Lease
+	tried        map[site.InstanceKey]bool
 	// usedConns are the connections that have carried attempts of the request.
 	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
@@ -159,7 +158,7 @@
 		UsesAccounts: c.usesAccounts, Account: c.accountName(),
 	})
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, MoreBody: c.moreBody,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.First, MoreBody: c.body.More,
 		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
 	})
 	if err != nil {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/site"
 )
 
@@ -54,7 +56,7 @@
 	}
 	reader := bufio.NewReader(res.Body)
 	defer c.recordStreamEnd(in.InstanceKey)
-	c.server.memory.Open(&c.answerMemory, c.callerAddress())
+	c.server.memory.Open(&c.answerMemory, intake.CallerAddress(c.r))
 	defer c.answerMemory.Close()
 	for {
 		event, id, err := readEvent(reader)
@@ -86,7 +88,7 @@
 // holdEvent charges the memory of a long event until the caller has taken it, and returns what to
 // release; short ones fit into what each connection costs anyway.
 func (c *call) holdEvent(event []byte) (int64, error) {
-	if len(event) <= firstBlockBytes {
+	if len(event) <= memory.FirstBlockBytes {
 		return 0, nil
 	}
 	n := int64(cap(event))
