entry, node/entry, node/agent: bodies and connections are bounded

Cause: entry/caller and entry/admin read bodies whole without a bound on all of them; the callers' and metrics' connections were not bounded, nor those of peers that say nothing. Requests.MaxConnections (8192) bounds the callers' connections, 64 those to an agent's metrics, 512 those of peers without a handshake. A body that gives way gets Overloaded (429) with a Retry-After in the callers' API, 503 in the operators'; the callers' codes have no 503 for it.

--- a/cmd/foxtailcroft/entry.go
+++ b/cmd/foxtailcroft/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -39,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.Requests.MemoryBytes * softMemoryLimitPercent / 100)
 	node := plan.Node{Name: settings.Node.Name, Role: plan.Entry, Region: settings.Node.Region, Domain: settings.Node.Domain}
 	o, err := memberOptions(node, settings.Listen.Peers, settings.Platform, settings.Log.Level)
 	if err != nil {
--- a/internal/base/conf/settings.go
+++ b/internal/base/conf/settings.go
@@ -49,6 +49,10 @@
 	MaxHeaderBytes int            `yaml:"MaxHeaderBytes" validate:"gt=0"`
 	// MaxInFlight is the maximum number of concurrent requests.
 	MaxInFlight int `yaml:"MaxInFlight" validate:"gt=0"`
+	// MaxConnections is the maximum number of callers' connections.
+	MaxConnections int `yaml:"MaxConnections" validate:"gt=0"`
+	// MemoryBytes is the memory of the machine for this process, of which bodies get a share.
+	MemoryBytes int64 `yaml:"MemoryBytes" validate:"gt=0"`
 }
 
 // WeightStore holds the load limits of the platform's weight store.
@@ -116,6 +120,9 @@
 	defaultMaxBodyBytes   = 4 << 20
 	defaultMaxHeaderBytes = 64 << 10
 	defaultMaxInFlight    = 4096
+	// defaultMaxConnections leaves as many idle connections as there may be requests.
+	defaultMaxConnections = 2 * defaultMaxInFlight
+	defaultMemoryBytes    = 512 << 20
 	defaultOrderTimeout   = 10 * time.Minute
 	defaultDrainLimit     = 60 * time.Second
 	defaultDrainNotice    = time.Second
@@ -139,6 +146,7 @@
 		Requests: Requests{
 			DefaultTimeout: kinds.Duration(defaultTimeout), MaxTimeout: kinds.Duration(defaultMaxTimeout),
 			MaxBodyBytes: defaultMaxBodyBytes, MaxHeaderBytes: defaultMaxHeaderBytes, MaxInFlight: defaultMaxInFlight,
+			MaxConnections: defaultMaxConnections, MemoryBytes: defaultMemoryBytes,
 		},
 		WeightStore: WeightStore{LoadsPerSecond: 2, LoadsAtOnce: 4, AdaptersInFlight: 30},
 		GoneAfter:   kinds.Duration(defaultGoneAfter),
--- a/internal/entry/admin/server.go
+++ b/internal/entry/admin/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,8 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/core/view"
@@ -27,6 +28,9 @@
 // maxBodyBytes bounds the body of a PUT.
 const maxBodyBytes = 1 << 20
 
+// bodyTimeout bounds the reading of a PUT's body.
+const bodyTimeout = time.Minute
+
 // headerActor is the header in which operators give their name for the audit trail.
 const headerActor = "X-Operator"
 
@@ -36,12 +40,13 @@
 	writer   *Writer
 	reporter *Reporter
 	ledger   *ledger.Ledger
+	memory   *memory.Budget
 }
 
 // NewServer returns a server that reads resources from the holder, writes them
-// with w, and takes status from r and audit records from l.
-func NewServer(holder *view.Holder, w *Writer, r *Reporter, l *ledger.Ledger) *Server {
-	return &Server{holder: holder, writer: w, reporter: r, ledger: l}
+// with w, and takes status from r and audit records from l. Bodies are charged to the budget.
+func NewServer(holder *view.Holder, w *Writer, r *Reporter, l *ledger.Ledger, budget *memory.Budget) *Server {
+	return &Server{holder: holder, writer: w, reporter: r, ledger: l, memory: budget}
 }
 
 // Register adds the API to a router.
@@ -129,14 +134,30 @@
 	writeError(w, &fault.NotFoundError{Key: kinds.ResourceKey(kind, name)})
 }
 
+// readBody reads the body of a PUT; the caller closes it.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, body *intake.Body) error {
+	err := body.Read(s.memory, w, r, intake.Rules{MaxBytes: maxBodyBytes, IdleTimeout: intake.DefaultIdleTimeout, Deadline: time.Now().Add(bodyTimeout)})
+	if err == nil {
+		err = body.Join()
+	}
+	switch {
+	case errors.Is(err, memory.ErrShort):
+		return err
+	case err != nil:
+		return &fault.InvalidField{Path: "", Rule: fmt.Sprintf("body could not be read: %v", err)}
+	}
+	return nil
+}
+
 func (s *Server) servePut(w http.ResponseWriter, r *http.Request, kind kinds.Kind, name string) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		writeError(w, &fault.InvalidField{Path: "", Rule: fmt.Sprintf("body could not be read: %v", err)})
+	var body intake.Body
+	defer body.Close()
+	if err := s.readBody(w, r, &body); err != nil {
+		writeError(w, err)
 		return
 	}
 	var res kinds.Resource
-	if err := json.Unmarshal(body, &res); err != nil {
+	if err := json.Unmarshal(body.First, &res); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -291,6 +312,9 @@
 		status = http.StatusNotFound
 	case errors.As(err, &unavailable):
 		status = http.StatusServiceUnavailable
+	case errors.Is(err, memory.ErrShort):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "1")
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
+	"foxtailcroft/internal/base/intake"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/entry/calls"
@@ -24,7 +25,9 @@
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	began := time.Now()
-	req, body, err := s.parseChat(w, r)
+	var raw intake.Body
+	defer raw.Close()
+	req, body, err := s.parseChat(w, r, &raw)
 	if err != nil {
 		s.recordEnd(req, body.Model, calls.Result{}, began, err)
 		writeRefusal(w, req.ID, err)
@@ -45,13 +48,13 @@
 }
 
 // parseChat reads and checks a chat completion request.
-func (s *Server) parseChat(w http.ResponseWriter, r *http.Request) (calls.Request, chatBody, error) {
+func (s *Server) parseChat(w http.ResponseWriter, r *http.Request, raw *intake.Body) (calls.Request, chatBody, error) {
 	var chat chatBody
 	req, err := s.parseCommon(r)
 	if err != nil {
 		return req, chat, err
 	}
-	if req.Body, err = s.readBody(w, r, req.Deadline); err != nil {
+	if req.Body, err = s.readBody(w, r, req.Deadline, raw); err != nil {
 		return req, chat, err
 	}
 	if err := json.Unmarshal(req.Body, &chat); err != nil {
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,8 @@
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
+	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/core/view"
@@ -38,6 +39,8 @@
 	DefaultTimeout time.Duration
 	MaxTimeout     time.Duration
 	MaxBodyBytes   int64
+	// Memory is the budget for bodies.
+	Memory *memory.Budget
 }
 
 // Dispatcher dispatches a request and passes its answer to the sink. The error
@@ -108,20 +111,27 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// readBody reads the whole body within the size limit and the deadline.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
-	// A transport that doesn't support deadlines reads without one.
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, fault.NotRun(fault.BadRequest, "body exceeds %d bytes", tooLong.Limit)
+// shedRetryAfter is the Retry-After time of requests refused for want of memory: stalled bodies give
+// way after a second.
+const shedRetryAfter = time.Second
+
+// readBody reads the whole body within the size limit, the budget and the deadline; the caller closes it.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, body *intake.Body) ([]byte, error) {
+	err := body.Read(s.settings.Memory, w, r, intake.Rules{MaxBytes: s.settings.MaxBodyBytes, IdleTimeout: intake.DefaultIdleTimeout, Deadline: deadline})
+	if err == nil {
+		err = body.Join()
 	}
-	if err != nil {
-		return nil, fault.NotRun(fault.BadRequest, "body could not be read: %v", err)
+	switch {
+	case err == nil:
+		return body.First, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, fault.NotRun(fault.BadRequest, "body exceeds %d bytes", s.settings.MaxBodyBytes)
+	case errors.Is(err, memory.ErrShort):
+		refusal := fault.NotRun(fault.Overloaded, "%v", err)
+		refusal.RetryAfter = shedRetryAfter
+		return nil, refusal
 	}
-	return body, nil
+	return nil, fault.NotRun(fault.BadRequest, "body could not be read: %v", err)
 }
 
 // writeDeadlineGrace is how long past the request's deadline its answer may still be written to a slow caller.
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
+	"foxtailcroft/internal/base/intake"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/entry/calls"
 	"foxtailcroft/internal/entry/route"
@@ -32,7 +33,9 @@
 
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 	began := time.Now()
-	req, err := s.parseService(w, r, ps.ByName("name"), ps.ByName("path"))
+	var raw intake.Body
+	defer raw.Close()
+	req, err := s.parseService(w, r, ps.ByName("name"), ps.ByName("path"), &raw)
 	if err != nil {
 		s.recordEnd(req, req.Target.Service, calls.Result{}, began, err)
 		writeRefusal(w, req.ID, err)
@@ -57,7 +60,7 @@
 }
 
 // parseService parses and checks a call of a plain service.
-func (s *Server) parseService(w http.ResponseWriter, r *http.Request, name, path string) (calls.Request, error) {
+func (s *Server) parseService(w http.ResponseWriter, r *http.Request, name, path string, raw *intake.Body) (calls.Request, error) {
 	req, err := s.parseCommon(r)
 	if err != nil {
 		return req, err
@@ -70,7 +73,7 @@
 	if len(req.IdempotencyKey) > maxKeyBytes {
 		return req, fault.NotRun(fault.BadRequest, "header %s exceeds %d bytes", headerIdempotencyKey, maxKeyBytes)
 	}
-	if req.Body, err = s.readBody(w, r, req.Deadline); err != nil {
+	if req.Body, err = s.readBody(w, r, req.Deadline, raw); err != nil {
 		return req, err
 	}
 	req.PlainCall = &wire.PlainCall{
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -17,6 +17,7 @@
 	"foxtailcroft/internal/back/plain"
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/logs"
+	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/fault"
@@ -57,6 +58,9 @@
 	keyExpiryInterval = time.Minute
 )
 
+// maxConnections bounds the connections to the metrics and the health checks.
+const maxConnections = 64
+
 // New returns an agent that serves nothing until Start is called, and the function that closes it.
 func New(settings conf.Agent, o member.Options, backEnds BackEnds) (*Agent, func()) {
 	m, closeMember := member.New(o)
@@ -64,6 +68,7 @@
 		Member: m, HTTPServer: httpd.NewServer(o.Metrics, 0), Registry: runs.NewRegistry(), settings: settings, log: o.Log,
 		guard: fence.New(o.Store, o.Self.Name), deposed: make(chan struct{}),
 	}
+	a.HTTPServer.SetLimit(serve.Limit{Connections: maxConnections})
 	a.Worker = &worker.Worker{
 		Self: o.Self, Incarnation: m.Incarnation, Holder: m.Holder, Registry: a.Registry, Log: o.Log.Named("Work"), Store: o.Store,
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/memory"
+	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/entry/admin"
@@ -48,11 +50,15 @@
 			Pool: m.Pool, Log: o.Log.Named("Planner"), GoneAfter: settings.GoneAfter.Std(),
 		},
 	}
+	budget := memory.New(settings.Requests.MemoryBytes)
+	o.Metrics.GetOrCreateGauge("foxtailcroft_request_memory_bytes", func() float64 { return float64(budget.Held()) })
+	o.Metrics.GetOrCreateGauge("foxtailcroft_bodies_ended_total", func() float64 { return float64(budget.Ended()) })
+	e.HTTPServer.SetLimit(serve.Limit{Connections: settings.Requests.MaxConnections, EndStalled: budget.EndStalled})
 	caller.New(caller.Settings{
-		DefaultTimeout: settings.Requests.DefaultTimeout.Std(), MaxTimeout: settings.Requests.MaxTimeout.Std(), MaxBodyBytes: settings.Requests.MaxBodyBytes,
+		DefaultTimeout: settings.Requests.DefaultTimeout.Std(), MaxTimeout: settings.Requests.MaxTimeout.Std(), MaxBodyBytes: settings.Requests.MaxBodyBytes, Memory: budget,
 	}, m.Holder, dispatcher, e.InFlightLimit, o.Metrics, o.Log.Named("Caller")).Register(e.HTTPServer.Router)
 	reporter := admin.NewReporter(m.Holder, m.Pool, m.Relay)
-	admin.NewServer(m.Holder, admin.NewWriter(o.Store, m.Ledger, m.Holder), reporter, m.Ledger).Register(e.HTTPServer.Router)
+	admin.NewServer(m.Holder, admin.NewWriter(o.Store, m.Ledger, m.Holder), reporter, m.Ledger, budget).Register(e.HTTPServer.Router)
 	return e, func() {
 		closeMember()
 		closeDispatcher()
--- a/internal/node/httpd/server.go
+++ b/internal/node/httpd/server.go
@@ -52,6 +52,11 @@
 	return s
 }
 
+// SetLimit bounds the open connections.
+func (s *Server) SetLimit(l serve.Limit) {
+	s.server.SetLimit(l)
+}
+
 // SetReady turns readiness on or off.
 func (s *Server) SetReady(ready bool) {
 	s.ready.Store(ready)
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -56,6 +56,7 @@
 	hello := func() peer.Hello { return peer.Hello{Node: o.Self.Name, Epoch: m.Incarnation} }
 	pool, closePool := peer.NewPool(o.Dial, m.Mux, hello)
 	server, closeServer := peer.NewServer(o.Listener, m.Mux, hello)
+	server.SetMaxUnknown(maxUnknownPeers)
 	m.Pool, m.Server = pool, server
 	m.Relay = fanout.NewRelay(o.Self.Name, m.Holder, m.Mux)
 	m.Follower = &fanout.Follower{Self: o.Self, Holder: m.Holder, Relay: m.Relay, Store: o.Store, List: o.Instances, Pool: pool, Log: o.Log.Named("Spread")}
@@ -68,6 +69,10 @@
 	}
 }
 
+// maxUnknownPeers bounds the connections whose other end has not named itself. A node's handshake
+// takes milliseconds, also when hundreds connect at the same time.
+const maxUnknownPeers = 512
+
 // Start adds tasks to the tree that serve the other processes and follow the configuration.
 func (m *Member) Start(t *tree.Supervisor) {
 	t.Critical("PeerServer", m.Server.Serve)
--- a/test/procs/entry_test.go
+++ b/test/procs/entry_test.go
@@ -88,4 +88,4 @@
 })
 
 // entryLimits are the settings of an entry for a machine of machineMemoryMb.
-const entryLimits = ""
+const entryLimits = "Requests: {MaxBodyBytes: 1048576, MaxConnections: 300, MemoryBytes: 67108864}\n"
