base/serve, policy/shed: headers are bounded, slow bodies give way to connections

Cause: 1,800 connections with 60 KB of a header each took a front with 284 MB to 277 MB. With all connections taken by bodies that get a byte now and then, none counted as stalled, and new connections were closed. Change: bytes of headers that are not whole are counted as they are read; beyond 16 KB for each connection in all, the connection that has sent most is closed. Beyond the bound on connections, bodies below 1 KB/s for a second end too. Two more cases in test/procs, of small bodies beyond the descriptors.

--- a/internal/base/memory/budget.go
+++ b/internal/base/memory/budget.go
@@ -38,6 +38,12 @@
 	return int(processBytes / connectionsDivisor / ConnectionBytes)
 }
 
+// HeaderBytes returns how much of a process's memory is for headers that are not whole: half of what
+// connections get, 16 KB for each; 0 bytes is unknown.
+func HeaderBytes(processBytes int64) int64 {
+	return int64(MaxConnections(processBytes)) * ConnectionBytes / 2
+}
+
 // ErrShort reports that there is no memory for a holder, or that it was ended to make room for others.
 var ErrShort = errors.New("memory for requests is short")
 
@@ -280,15 +286,15 @@
 	l.ender.EndReading()
 }
 
-// EndStalled ends the unfinished body that gives way first, if it is stalled, and reports whether
-// there was one.
-func (b *Budget) EndStalled() bool {
+// EndSlow ends the unfinished body that gives way first, if it is stalled or slow, and reports
+// whether there was one.
+func (b *Budget) EndSlow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Since(b.began)
 	b.leases, b.candidates = b.leases[:0], b.candidates[:0]
 	for _, l := range b.unfinished {
-		if body := l.body(); !l.ended.Load() && shed.IsStalled(now, body) {
+		if body := l.body(); !l.ended.Load() && shed.IsSlow(now, body) {
 			b.leases, b.candidates = append(b.leases, l), append(b.candidates, body)
 		}
 	}
--- a/internal/base/serve/limit_test.go
+++ b/internal/base/serve/limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
 		return false
 	}
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
 	_, err := conn.Read(make([]byte, 1))
 	netErr, ok := err.(net.Error)
 	return ok && netErr.Timeout()
@@ -39,8 +41,8 @@
 	for _, c := range []struct {
 		name   string
 		states []string
-		// endStalled is the answer of the limit's EndStalled.
-		endStalled bool
+		// endSlow is the answer of the limit's EndSlow.
+		endSlow bool
 		// closed is the index of the connection that is closed, limit for the new one, -1 for none.
 		closed int
 	}{
@@ -61,7 +63,7 @@
 						<-release
 					}
 				})})
-				s.SetLimit(Limit{Connections: limit, EndStalled: func() bool { return c.endStalled }})
+				s.SetLimit(Limit{Connections: limit, EndSlow: func() bool { return c.endSlow }})
 				var group conc.WaitGroup
 				listener := network.Listen("front:1")
 				group.Go(func() { _ = s.Serve(listener) })
@@ -111,3 +113,44 @@
 		})
 	}
 }
+
+// TestHeadersWithoutEndAreBounded guards against connections that fill the memory with headers that
+// never become whole: beyond the limit, the one that has sent most is closed.
+func TestHeadersWithoutEndAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := memnet.New()
+		defer network.Close()
+		s := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+		s.SetLimit(Limit{HeaderBytes: 10_000})
+		var group conc.WaitGroup
+		listener := network.Listen("front:1")
+		group.Go(func() { _ = s.Serve(listener) })
+		var conns []net.Conn
+		for _, n := range []int{3000, 5000, 1900, 1000} {
+			conn, err := network.Dial(t.Context(), "front:1")
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: front\r\nX: "+strings.Repeat("x", n))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+			conns = append(conns, conn)
+		}
+		for i, conn := range conns {
+			g.Expect(isOpen(conn)).To(Equal(i != 1), "connection %d", i)
+		}
+		_, err := io.WriteString(conns[0], "\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(bufio.NewReader(conns[0]), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		g.Expect(s.headerBytes).To(BeZero())
+		s.mu.Unlock()
+		s.Close()
+		group.Wait()
+	})
+}
--- a/internal/base/serve/server.go
+++ b/internal/base/serve/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 	limit       Limit
 	// open is the number of open connections.
 	open int
+	// headerBytes is what they have sent of headers that are not whole.
+	headerBytes int64
 	// listener is the one that Serve accepts connections from, nil before that.
 	listener       net.Listener
 	phase          stopPhase
@@ -61,6 +64,10 @@
 	closed    bool
 	// counted is true while the connection counts as open.
 	counted bool
+	// headerBytes is what was read since the last request.
+	headerBytes int64
+	// serving is inRequest, read without the lock.
+	serving atomic.Bool
 }
 
 // connKey is the context key of a request's connection.
@@ -113,6 +120,7 @@
 	}
 	delete(c.server.idleSince, c)
 	delete(c.server.headerSince, c)
+	c.server.endHeader(c)
 	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -140,6 +148,8 @@
 		return false, false
 	}
 	conn.inRequest = true
+	conn.serving.Store(true)
+	s.endHeader(conn)
 	delete(s.headerSince, conn)
 	s.activeRequests++
 	s.begunRequests++
@@ -151,6 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conn.inRequest = false
+	conn.serving.Store(false)
 	s.activeRequests--
 	s.stopIfIdle()
 }
--- a/internal/front/proxy/body.go
+++ b/internal/front/proxy/body.go
@@ -56,10 +56,10 @@
 	c.answerMemory.Close()
 }
 
-// EndStalledBody ends an unfinished body that has stalled, to make room for other connections, and
-// reports whether there was one.
-func (s *Server) EndStalledBody() bool {
-	return s.memory.EndStalled()
+// EndSlowBody ends an unfinished body that has stalled or is slow, to make room for other connections,
+// and reports whether there was one.
+func (s *Server) EndSlowBody() bool {
+	return s.memory.EndSlow()
 }
 
 // HeldMemory returns the memory that bodies and answers hold.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -12,6 +12,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
@@ -117,7 +118,9 @@
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
-	f.callerServer.SetLimit(serve.Limit{Connections: callerConnections(settings), EndStalled: f.reverseProxy.EndStalledBody})
+	f.callerServer.SetLimit(serve.Limit{
+		Connections: callerConnections(settings), HeaderBytes: memory.HeaderBytes(settings.MemoryBytes), EndSlow: f.reverseProxy.EndSlowBody,
+	})
 	return f, func() {
 		closeLinks()
 		closeCrashes()
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -72,6 +72,15 @@
 	return now-b.LastAt >= stallTime
 }
 
+// slowBytesPerSecond is the rate below which a body is slow when connections are short.
+const slowBytesPerSecond = 1 << 10
+
+// IsSlow reports whether a body has stalled, or has come slowly since a while ago.
+func IsSlow(now time.Duration, b Body) bool {
+	elapsed := now - b.Began
+	return IsStalled(now, b) || elapsed >= minRateTime && float64(b.Received) < slowBytesPerSecond*elapsed.Seconds()
+}
+
 // MinBytesPerSecond is the mean rate below which a body is too slow. It is far below that of any
 // client that ends its body within a deadline of seconds: 960 bytes in a minute.
 const MinBytesPerSecond = 16
--- a/internal/policy/shed/shed_test.go
+++ b/internal/policy/shed/shed_test.go
@@ -42,6 +42,24 @@
 	g.Expect(Oldest([]Body{{Began: 3}, {Began: 1}, {Began: 2}})).To(Equal(1))
 }
 
+// TestIsSlow guards against bodies that keep their connections with a byte now and then, and against
+// ending those that come fast to accept others.
+func TestIsSlow(t *testing.T) {
+	const now = 10 * time.Second
+	for _, c := range []struct {
+		name string
+		body Body
+		want bool
+	}{
+		{"just begun", Body{Began: now, LastAt: now}, false},
+		{"stalled", Body{Received: 1 << 20, Began: 8 * time.Second, LastAt: 9 * time.Second}, true},
+		{"a byte now and then", Body{Received: 10, Began: 5 * time.Second, LastAt: now}, true},
+		{"70 KB a second", Body{Received: 350_000, Began: 5 * time.Second, LastAt: now}, false},
+	} {
+		NewWithT(t).Expect(IsSlow(now, c.body)).To(Equal(c.want), c.name)
+	}
+}
+
 // TestIsTooSlow guards against cutting off callers that are slow but steady.
 func TestIsTooSlow(t *testing.T) {
 	const grace = 15 * time.Second
--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -374,6 +374,23 @@
 	c.sendPieces(overSent-bodyLimit, 0)
 }
 
+// sendSmall sends a small body without its last byte.
+func sendSmall(c *client) {
+	c.write(c.head("Content-Length: 2000"))
+	c.write(piece[:1999])
+	c.awaitOthers()
+}
+
+// sendSlowly sends a byte of a small body now and then for a while.
+func sendSlowly(c *client) {
+	c.write(c.head("Content-Length: 2000"))
+	for range 15 {
+		c.write(piece[:1])
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.opened()
+}
+
 // opened tells that the client has sent all that it sends below the limit.
 func (c *client) opened() {
 	c.crowd.opened.Done()
@@ -436,6 +453,8 @@
 		Entry("a mix of them", bodyCrowd, bodyDescriptors, sendMix),
 		Entry("connections without a header", headerCrowd, headerDescriptors, sendNothing),
 		Entry("connections with half a header", headerCrowd, headerDescriptors, sendHalfHeader),
+		Entry("small bodies that stop one byte short, beyond the descriptors", headerCrowd, headerDescriptors, sendSmall),
+		Entry("small bodies that come slowly, beyond the descriptors", headerCrowd, headerDescriptors, sendSlowly),
 		Entry("connections without a header to the readiness page", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.ready }),
 		Entry("connections that send nothing to the other fronts' listener", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.control }),
 		Entry("connections without a header to the metrics", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.metrics }),
