--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -290,7 +290,7 @@
 	data, err := json.Marshal(map[string]any{
 		"node": f.name, "role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r", "seeds": seeds, "beatMs": 400,
 		"listenAddresses": map[string]string{"front": f.callers, "ready": f.ready, "control": f.control},
-		"internalPorts":   []int{metrics, metrics}, "limits": map[string]int{"memoryMb": 200},
+		"internalPorts":   []int{metrics, metrics}, "limits": map[string]int{"memoryMb": frontMemoryMb},
 		"bounds": map[string]any{
 			"graceS": 4, "configurationMs": 2000, "leaseMs": 1500, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58,
 			"fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,6 +98,9 @@
 	for i := range callerCount {
 		group.Go(func() { load.run(loadCtx, seed*100+uint64(i)) })
 	}
+	for i := range untrustedCount {
+		group.Go(func() { d.runUntrusted(loadCtx, seed*100+uint64(i)) })
+	}
 	injector := &faultInjector{d: d, rnd: rnd, kinds: kinds}
 	end := time.Now().Add(*faultTime)
 	for time.Now().Before(end) {
@@ -115,6 +118,7 @@
 		t.Errorf("seed %d: %d requests that crash servers were sent to them later than %s after the last fault", seed, n, blockLimit)
 	}
 	expectRecovery(t, load, rnd, "after the faults")
+	d.checkMemory(seed)
 	for _, b := range load.check() {
 		t.Errorf("seed %d: %s", seed, b)
 	}
