--- a/test/soak/untrusted_test.go
+++ b/test/soak/untrusted_test.go
@@ -50,7 +50,8 @@
 	case 4:
 		text = append([]byte(head+fmt.Sprintf("Content-Length: %d\r\n\r\n", 1<<30)), bytes.Repeat([]byte("x"), size)...)
 	}
-	dialer := net.Dialer{Timeout: time.Second}
+	// From another address, as their ports would be taken from those that fronts are about to listen on.
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
 	conn, err := dialer.DialContext(ctx, "tcp", d.fronts[rnd.IntN(len(d.fronts))].callers)
 	if err != nil {
 		time.Sleep(50 * time.Millisecond)
