node/front: test of a caller that takes nothing of a stream

Cause: the deadline of writes to callers had no test. Change: a caller sends a request and reads nothing; 6 s past the deadline its connection is closed and nothing is held.

--- a/internal/node/front/bodies_test.go
+++ b/internal/node/front/bodies_test.go
@@ -140,3 +140,26 @@
 		r.g.Expect(counts[503]+counts[408]).To(Equal(cap(statuses)), "%v", counts)
 	})
 }
+
+// TestCallerThatTakesNothingIsDropped guards against a caller that reads no byte of a stream and
+// keeps its request, the front's memory and a connection to an instance without end.
+func TestCallerThatTakesNothingIsDropped(t *testing.T) {
+	withHarness(t, func(r *harness) {
+		r.configure(1, "old")
+		server := r.startServer("i-1", "llm", "m")
+		f, end := r.start("front")
+		defer end()
+		time.Sleep(5 * time.Second)
+		conn, err := r.net.Dial(r.ctx, "front:1")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nModel: m\r\nToken-Counts: 10,300\r\nContent-Length: 0\r\n\r\n")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(15*time.Second + 6*time.Second)
+		n, err := conn.Read(make([]byte, 1))
+		r.g.Expect(n).To(BeZero())
+		r.g.Expect(err).To(MatchError(io.EOF))
+		r.g.Expect(f.reverseProxy.HeldMemory()).To(BeZero())
+		r.g.Expect(server.RunningRequests()).To(BeZero())
+	})
+}
