--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"foxtailcroft/internal/back/conns"
+	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/plat/follow"
@@ -43,8 +45,10 @@
 	// charge is what the request was charged to its account; zero if nothing.
 	charge  lender.Charge
 	service string
-	body    []byte
-	tried   map[site.InstanceKey]bool
+	body    intake.Body
+	// answerMemory is what the answer holds of the budget.
+	answerMemory memory.Lease
+	tried        map[site.InstanceKey]bool
 	// usedConns are the connections that have carried attempts of the request.
 	usedConns []conns.ConnID
 	// overLimit are the instances that would take the request too late for their limits, and the waits there.
@@ -159,7 +163,7 @@
 		UsesAccounts: c.usesAccounts, Account: c.accountName(),
 	})
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.First, MoreBody: c.body.More,
 		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
 	})
 	if err != nil {
@@ -291,6 +295,9 @@
 	if err != nil {
 		body = []byte("{}")
 	}
+	if c.deadline.IsZero() {
+		c.setWriteDeadline(c.arrivedAt)
+	}
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(body); err != nil {
 		c.outcome = outcome + ", caller left"
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -12,6 +12,7 @@
 	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
@@ -132,6 +133,9 @@
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
+	f.callerServer.SetLimit(serve.Limit{
+		Connections: callerConnections(settings), HeaderBytes: memory.HeaderBytes(settings.MemoryBytes), EndSlow: f.reverseProxy.EndSlowBody,
+	})
 	return f, func() {
 		closeLinks()
 		closeCrashes()
@@ -168,6 +172,7 @@
 // Start starts serving on the listeners, and all background tasks of the front.
 func (f *Front) Start(t *tree.Supervisor, l Listeners) {
 	peerServer, closePeerServer := peer.NewServer(l.Peers, f.mux, f.hello)
+	peerServer.SetMaxUnknown(unknownPeers(f.settings))
 	t.OnClose(closePeerServer)
 	t.Critical("Peers", peerServer.Serve)
 	t.Critical("Ready", f.auxiliaryServer(t, l.Ready, f.readyHandler()))
@@ -199,12 +204,10 @@
 
 // auxiliaryServer returns a function that serves a handler on its own listener, apart from callers' requests.
 func (f *Front) auxiliaryServer(t *tree.Supervisor, l net.Listener, h http.Handler) func(context.Context) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
-	t.OnClose(func() {
-		// The process is about to exit, which closes any connection that fails to close here.
-		_ = server.Close()
-	})
-	return func(context.Context) error { return ignoreServerClosed(server.Serve(l)) }
+	server := serve.New(&http.Server{Handler: h, ReadHeaderTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryIdleTimeout, MaxHeaderBytes: maxAuxiliaryHeaderBytes})
+	server.SetLimit(serve.Limit{Connections: auxiliaryConnections})
+	t.OnClose(server.Close)
+	return func(context.Context) error { return server.Serve(l) }
 }
 
 // reportUsage periodically reports this front's usage to the planner; without a planner it waits.
