--- a/internal/entry/caller/account_test.go
+++ b/internal/entry/caller/account_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/core/plan"
@@ -69,7 +70,7 @@
 	}
 	core, observed := observer.New(zap.DebugLevel)
 	r := &accountsRig{router: httprouter.New(), meters: metrics.NewSet(), logs: observed}
-	New(Settings{DefaultTimeout: time.Minute, MaxTimeout: time.Minute, MaxBodyBytes: 1 << 10}, holder, &r.recorder, admit.New(100), r.meters, zap.New(core)).Register(r.router)
+	New(Settings{DefaultTimeout: time.Minute, MaxTimeout: time.Minute, MaxBodyBytes: 1 << 10, Memory: memory.New(64 << 20)}, holder, &r.recorder, admit.New(100), r.meters, zap.New(core)).Register(r.router)
 	return r
 }
 
