policy/quota, front/proxy: bursts over the window, short waits for tokens

Cause: an account whose demand stays above its rate got its burst once and then the rate only, although the limit of a window holds rate times window and burst in every one; and requests that came a few milliseconds before their tokens were rejected and had to come back. Change: half of the burst is earned over each window instead (the sum that a window admits is unchanged); a request waits for tokens that come within a third of its response goal. The rule for priorities of accounts in excess, which nothing used, is gone.

--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -114,7 +114,7 @@
 	l.mu.Lock()
 	now := l.now()
 	a := l.account(c.Account.Name, now)
-	a.applyLimit(quota.Limit{PerSecond: c.Account.Quota.PerSecond, Burst: c.Account.Quota.Burst}, c.Version)
+	a.applyLimit(quota.Limit{PerSecond: c.Account.Quota.PerSecond, Burst: c.Account.Quota.Burst}.SpreadOver(l.bounds.Window), c.Version)
 	a.demand.Add(now, c.Cost)
 	if a.role == issuer {
 		wait, ok := l.bucket(a, now).Take(c.Cost)
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/front/lender"
 )
 
@@ -71,6 +72,13 @@
 	}
 	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: max(0, c.account.Quota.Cost(&c.request))}
 	v := c.server.quotas.Admit(charge)
+	for patience := c.quotaPatience(); !v.Admitted && v.Wait <= patience; v = c.server.quotas.Admit(charge) {
+		patience -= max(v.Wait, minQuotaWait)
+		c.waited += v.Wait
+		if !sleep.For(c.r.Context(), max(v.Wait, minQuotaWait)) {
+			break
+		}
+	}
 	if v.Admitted {
 		c.charge = charge
 		return true
@@ -80,6 +88,20 @@
 	return false
 }
 
+const (
+	// quotaPatienceDivisor divides the route's response goal: a request waits for its account's tokens
+	// for as long as the rest of the goal suffices to serve it.
+	quotaPatienceDivisor = 3
+	// minQuotaWait is the least wait between two charges of one request.
+	minQuotaWait = 5 * time.Millisecond
+)
+
+// quotaPatience returns how long the request waits for tokens of its account. Those that would
+// wait for longer are told at once when to come back.
+func (c *call) quotaPatience() time.Duration {
+	return min(c.route.ResponseGoal, c.timeLimit()/2) / quotaPatienceDivisor
+}
+
 // refundQuota gives the cost of a request that has not run back to its account, once.
 func (c *call) refundQuota() {
 	if c.charge.Cost > 0 && c.attempts.IsNotRun() {
--- a/internal/policy/fair/fair.go
+++ b/internal/policy/fair/fair.go
@@ -16,22 +16,3 @@
 	}
 	return total
 }
-
-const (
-	// lowestPriority is the number of the lowest priority.
-	lowestPriority = 9
-	// demotionLevel is the fill level of an account's token bucket below which the account has
-	// asked for more than its rate for some time.
-	demotionLevel = 0.5
-)
-
-// Priority returns the priority of an account's request, from 0 for the highest: its own, or one
-// lower while the account asks for more than its rate, which its token bucket's level, from 0 to
-// 1, shows.
-func Priority(own int, level float64) int {
-	own = max(0, min(lowestPriority, own))
-	if level < demotionLevel {
-		return min(lowestPriority, own+1)
-	}
-	return own
-}
--- a/internal/policy/fair/fair_test.go
+++ b/internal/policy/fair/fair_test.go
@@ -23,16 +23,3 @@
 	}
 	NewWithT(t).Expect(Weight(map[string]int{"": 3})).To(Equal(3.0), "deployments without accounts are served as before")
 }
-
-// TestPriorityOfAnAccountInExcess guards against demotions of accounts below their limits, and
-// past the lowest priority.
-func TestPriorityOfAnAccountInExcess(t *testing.T) {
-	cases := []struct {
-		own   int
-		level float64
-		want  int
-	}{{0, 1, 0}, {3, 0.5, 3}, {3, 0.49, 4}, {9, 0, 9}, {12, 1, 9}, {-1, 1, 0}, {2, -3, 3}}
-	for _, c := range cases {
-		NewWithT(t).Expect(Priority(c.own, c.level)).To(Equal(c.want))
-	}
-}
--- a/internal/policy/quota/bucket.go
+++ b/internal/policy/quota/bucket.go
@@ -23,6 +23,22 @@
 	Burst     float64
 }
 
+// spreadShare is the share of the burst that SpreadOver turns into rate. The rest admits a few
+// requests that arrive together.
+const spreadShare = 0.5
+
+// SpreadOver returns a limit that admits as much in a window, PerSecond times the window and Burst,
+// and of that a part of the burst in each window instead of once: an account whose demand stays a
+// little above its rate would otherwise get nothing of its burst after the first seconds. A window
+// of 0 changes nothing.
+func (l Limit) SpreadOver(window time.Duration) Limit {
+	if window <= 0 || l.PerSecond <= 0 {
+		return l
+	}
+	spread := spreadShare * l.Burst
+	return Limit{PerSecond: l.PerSecond + spread/window.Seconds(), Burst: l.Burst - spread}
+}
+
 // lease is a number of tokens that a front has borrowed ahead and not yet returned or used up.
 type lease struct {
 	tokens float64
