plat/follow: a proof renewed between two questions is told at once

A parent answers a waiting question at once when its proof is renewed, but one that came just after the renewal waited half a second, in which the follower's proof grew old and it read the store itself. Change: the question states the age of the follower's proof, and the parent compares with that.

--- a/internal/plat/follow/proof.go
+++ b/internal/plat/follow/proof.go
@@ -267,6 +267,16 @@
 	return &age, t.proof.Statement(received)
 }
 
+// proofAge returns the age of the proof, nil if there is none or keys need none.
+func (f *Follower) proofAge(now time.Duration) *time.Duration {
+	p, _ := f.currentProof()
+	age, ok := p.Age(now)
+	if !ok || f.proofs.Bound <= 0 {
+		return nil
+	}
+	return &age
+}
+
 // pushesProof reports whether the proof has been renewed since a moment so much that followers are told at once.
 func (f *Follower) pushesProof(since fresh.Proof) bool {
 	p, _ := f.currentProof()
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -68,6 +68,8 @@
 	// Revision is the revision of the asking front's view.
 	Revision int64
 	Wait     time.Duration
+	// ProofAge is the age of the asking front's proof that its document is current, nil if it has none.
+	ProofAge *time.Duration `json:",omitempty"`
 }
 
 // Relay fetches changes from other fronts.
@@ -178,7 +180,7 @@
 // followOnce fetches changes from a parent, applies them and advances the cursor.
 func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
 	asked := f.proofs.SinceBoot()
-	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow})
+	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked)})
 	if err != nil {
 		return err
 	}
@@ -251,10 +253,14 @@
 	ctx, cancel := context.WithTimeout(ctx, min(r.Wait, relayWindow))
 	defer cancel()
 	received := f.proofs.SinceBoot()
-	first, renewed := f.currentProof()
+	since, renewed := f.currentProof()
+	if r.ProofAge != nil {
+		// The proof may have been renewed between two questions.
+		since.At = min(since.At, received-*r.ProofAge)
+	}
 	for {
 		out, next := f.changesAfter(r, received)
-		if out.Keys != nil || len(out.Events) > 0 || !out.Available || f.pushesProof(first) {
+		if out.Keys != nil || len(out.Events) > 0 || !out.Available || out.Proof != nil && f.pushesProof(since) {
 			return out
 		}
 		select {
