core/kinds: errors of repeated keys show no part of a key

Cause: an operator's key that is given twice in place of its digest was also reported as repeated, with its first 8 characters. Change: only digests are reported as repeated; other texts break the rule on digests, whose error shows their length only.

--- a/internal/core/kinds/check.go
+++ b/internal/core/kinds/check.go
@@ -17,6 +17,9 @@
 // namePattern matches the names of resources.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,98}[a-z0-9])?$`)
 
+// digestPattern matches what the rule "sha256" allows.
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // validate returns the validator of the validate tags, with the project's rule "resourcename" added.
 var validate = sync.OnceValue(func() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
@@ -67,11 +70,12 @@
 	return list
 }
 
-// repeatedKeys returns the fields of digests that are listed earlier in the same list.
+// repeatedKeys returns the fields of digests that are listed earlier in the same list. Texts that are no
+// digests break another rule, and may be keys, which messages must not show.
 func repeatedKeys(keys []string) []fault.InvalidField {
 	var list []fault.InvalidField
 	for i, key := range keys {
-		if first := slices.Index(keys, key); first < i {
+		if first := slices.Index(keys, key); first < i && digestPattern.MatchString(key) {
 			list = append(list, fault.InvalidField{Path: keyPath(i), Value: shortDigest(key), Rule: "is the same as " + keyPath(first)})
 		}
 	}
--- a/internal/core/kinds/fuzz_test.go
+++ b/internal/core/kinds/fuzz_test.go
@@ -95,6 +95,8 @@
 		err := Validate(Resource{Kind: Account, Name: "c", Account: &AccountSpec{Keys: []string{testDigest, key}}})
 		g.Expect(err).To(MatchError(ContainSubstring("Spec.Keys[1]")))
 		g.Expect(key == "" || !strings.Contains(err.Error(), key)).To(BeTrue(), "%v", err)
+		err = Validate(Resource{Kind: Account, Name: "c", Account: &AccountSpec{Keys: []string{key, key}}})
+		g.Expect(key == "" || !strings.Contains(err.Error(), key[:8])).To(BeTrue(), "%v", err)
 	}
 }
 
