core/site: errors of shared keys show no part of a digest

Cause: a document with one key in two accounts was reported, also in logs, with the first 32 bits of the key's digest, enough to confirm a guess of a weak key. Change: the error names the account, the number of the key in it and the other account. Result: TestInvalidAccountsAreNamed fails without the change; go test ./platform passes.

--- a/internal/core/site/account.go
+++ b/internal/core/site/account.go
@@ -80,9 +80,9 @@
 			return nil, &InvalidAccount{account.Name, "Name", account.Name, "is also the name of another account"}
 		}
 		names[account.Name] = true
-		for _, key := range account.Keys {
+		for n, key := range account.Keys {
 			if other := a.byKey.Add(key, i); other != i {
-				return nil, &InvalidAccount{account.Name, "Keys", "(digest " + fmt.Sprintf("%x", key[:4]) + ")", "also belong to account " + a.list[other].Name}
+				return nil, &InvalidAccount{account.Name, "Keys", fmt.Sprintf("(number %d)", n+1), "is also a key of account " + a.list[other].Name}
 			}
 		}
 	}
