front/proxy: waits for tokens end with the caller or the process

Cause: a request whose caller left while it waited for its account's tokens was answered, logged and counted as beyond the quota, and the wait did not end when the process stopped. The time spent waiting was taken from what the lender named, not from what passed. Change: a caller that leaves ends the request as elsewhere; a stop is answered with 503; the time that passed is recorded. Result: TestWaitForTokensEndsWithItsReason fails without the change in the cases "caller leaves" and "process stops"; go test ./internal/front/proxy passes.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -73,10 +74,10 @@
 	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: max(0, c.account.Quota.Cost(&c.request))}
 	v := c.server.quotas.Admit(charge)
 	for patience := c.quotaPatience(); !v.Admitted && v.Wait <= patience; v = c.server.quotas.Admit(charge) {
-		patience -= max(v.Wait, minQuotaWait)
-		c.waited += v.Wait
-		if !sleep.For(c.r.Context(), max(v.Wait, minQuotaWait)) {
-			break
+		wait := max(v.Wait, minQuotaWait)
+		patience -= wait
+		if !c.waitForQuota(wait) {
+			return false
 		}
 	}
 	if v.Admitted {
@@ -88,6 +89,23 @@
 	return false
 }
 
+// waitForQuota waits for tokens of the account; false if the request ended because the process stops.
+func (c *call) waitForQuota(wait time.Duration) bool {
+	ctx, cancel := context.WithCancel(c.r.Context())
+	defer cancel()
+	defer context.AfterFunc(c.server.stopped, cancel)()
+	began := time.Now()
+	ok := sleep.For(ctx, wait)
+	c.waited += time.Since(began)
+	switch {
+	case c.r.Context().Err() != nil:
+		c.endCallerLeft()
+	case !ok:
+		c.refuse(http.StatusServiceUnavailable, "front is stopping", defaultRetryAfter)
+	}
+	return ok
+}
+
 const (
 	// quotaPatienceDivisor divides the route's response goal: a request waits for its account's tokens
 	// for as long as the rest of the goal suffices to serve it.
--- a/internal/front/proxy/quota_test.go
+++ b/internal/front/proxy/quota_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -90,6 +91,68 @@
 	}
 }
 
+// waitQuota rejects a number of charges with a short wait before it admits one.
+type waitQuota struct {
+	quotaRecorder
+	rejections int
+	wait       time.Duration
+}
+
+func (q *waitQuota) Admit(c lender.Charge) lender.Verdict {
+	if q.rejections > 0 {
+		q.rejections--
+		return lender.Verdict{Wait: q.wait, Source: lender.FromOwn}
+	}
+	return q.quotaRecorder.Admit(c)
+}
+
+// TestWaitForTokensEndsWithItsReason guards against requests that are rejected although their tokens come
+// soon, and against waits that go on, or count as rejections, after the caller has left or the process stops.
+func TestWaitForTokensEndsWithItsReason(t *testing.T) {
+	cases := []struct {
+		name          string
+		rejections    int
+		leaves, stops time.Duration
+		status        int
+		aborted       bool
+		charged       []float64
+		took          time.Duration
+	}{
+		{"tokens come", 2, 0, 0, 200, false, []float64{1}, 200 * time.Millisecond},
+		{"tokens come late", 9, 0, 0, 429, false, nil, 300 * time.Millisecond},
+		{"caller leaves", 9, 50 * time.Millisecond, 0, 200, true, nil, 50 * time.Millisecond},
+		{"process stops", 9, 0, 50 * time.Millisecond, 503, false, nil, 50 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 1, func(r *harness) {
+				accounts, err := site.NewAccounts([]site.Account{{Name: "a1", Keys: []site.KeyDigest{site.DigestKey("k1")}, Quota: site.Quota{PerSecond: 1}}})
+				r.g.Expect(err).NotTo(HaveOccurred())
+				r.state.Document.Accounts = accounts
+				q := &waitQuota{quotaRecorder: quotaRecorder{left: 1}, rejections: c.rejections, wait: 100 * time.Millisecond}
+				r.proxy.quotas = q
+				ctx, cancel := context.WithCancel(r.t.Context())
+				defer cancel()
+				if c.leaves > 0 {
+					time.AfterFunc(c.leaves, cancel)
+				}
+				if c.stops > 0 {
+					r.proxy.SetStopTime(time.Now().Add(c.stops))
+				}
+				began := time.Now()
+				w, aborted := r.serve(ctx, "/unsafe/x", "id-1", http.Header{"Authorization": {"Token k1"}})
+				r.g.Expect(w.Code).To(Equal(c.status))
+				r.g.Expect(aborted).To(Equal(c.aborted))
+				r.g.Expect(q.charged).To(Equal(c.charged))
+				r.g.Expect(q.refunds).To(BeEmpty())
+				r.g.Expect(time.Since(began)).To(BeNumerically("~", c.took, 30*time.Millisecond))
+				rejections := r.proxy.meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="quota"}`).Get()
+				r.g.Expect(rejections == 1).To(Equal(c.status == http.StatusTooManyRequests))
+			})
+		})
+	}
+}
+
 // TestAccountsCostFewAllocations guards against a request path that becomes dearer with accounts: at
 // most 3 more allocations a request.
 func TestAccountsCostFewAllocations(t *testing.T) {
