front/lender: a refund goes to one lender only

Cause: a borrower that had no answer from the issuer sent the same refund to the deputy, and a deputy kept the refund that it had passed on without an answer. If only the answer was lost, the cost came back twice. Unused tokens are not concerned: their lease is ended once, at the process that gave it. Change: a refund that was sent and not answered is not sent to another front. Result: TestRefundGoesToOneFront fails without the change; go test ./internal/front/lender passes.

--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -206,7 +206,7 @@
 		return reply, FromOwn
 	}
 	l.mu.Unlock()
-	if reply, ok := l.ask(first, second, issuerTimeout, r); ok {
+	if reply, ok := l.ask(first, second, issuerTimeout, &r); ok {
 		return l.keep(a, now, reply)
 	}
 	if role == deputy {
@@ -215,7 +215,7 @@
 		return l.lendOwn(a, l.now(), r), FromOwn
 	}
 	asked := l.now()
-	if reply, ok := l.ask(second, "", deputyTimeout, r); ok {
+	if reply, ok := l.ask(second, "", deputyTimeout, &r); ok {
 		return l.keep(a, asked, reply)
 	}
 	l.mu.Lock()
@@ -237,8 +237,8 @@
 }
 
 // ask asks a front for tokens; false if there is none of the name or it does not answer. The
-// front next is the one that is asked then.
-func (l *Lender) ask(name, next string, timeout time.Duration, r peers.LendRequest) (peers.LendReply, bool) {
+// front next is the one that is asked then; it gets no refund that the silent front may have taken.
+func (l *Lender) ask(name, next string, timeout time.Duration, r *peers.LendRequest) (peers.LendReply, bool) {
 	front, ok := l.view.State().Fronts[name]
 	if !ok || l.isSilent(front) {
 		return peers.LendReply{}, false
@@ -246,13 +246,14 @@
 	// Not ended with the caller's request, since the answer is for others as well.
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply, err := l.caller.RequestTokens(ctx, front, r)
+	reply, err := l.caller.RequestTokens(ctx, front, *r)
 	if err == nil && !reply.Refused && len(reply.Waits) == len(r.Needs) {
 		return reply, true
 	}
 	if err != nil {
 		l.log.Infow("issuer silent", "Account", r.Account, "Front", name, "Next", next, "Error", err.Error())
 		l.markSilent(front)
+		r.Refund = 0
 	}
 	return peers.LendReply{}, false
 }
--- a/internal/front/lender/lender_test.go
+++ b/internal/front/lender/lender_test.go
@@ -45,7 +45,7 @@
 	return peers.LendCheckReply{}, errors.New("no answer")
 }
 
-// newBorrower returns a lender of a front that is neither issuer nor deputy of the account.
+// newBorrower returns a lender of a front that is the account's issuer with role 0, its deputy with 2, and neither otherwise.
 func newBorrower(c Caller, role int) (*Lender, Charge) {
 	names := []string{"a", "b", "c"}
 	first, second := pace.Issuers("acct", names)
@@ -57,8 +57,11 @@
 			self = n
 		}
 	}
-	if role == 0 {
+	switch role {
+	case 0:
 		self = first
+	case 2:
+		self = second
 	}
 	l := New(state.Fronts[self], fixedView{state}, conf.QuotaBounds{}, metrics.NewSet(), zap.NewNop().Sugar())
 	l.SetCaller(c)
@@ -88,6 +91,26 @@
 	})
 }
 
+// TestRefundGoesToOneFront guards against costs that are given back at the deputy after an issuer may
+// have taken them whose answer was lost.
+func TestRefundGoesToOneFront(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := &scriptedCaller{}
+		l, charge := newBorrower(c, 1)
+		l.Refund(charge)
+		l.Admit(charge)
+		g.Expect(c.asked).To(HaveLen(2))
+		g.Expect(c.asked[0].Refund).To(Equal(1.0))
+		g.Expect(c.asked[1].Refund).To(BeZero())
+
+		l, _ = newBorrower(c, 2)
+		reply := l.Lend(t.Context(), peers.LendRequest{Account: "acct", PerSecond: 1, Burst: 100, Version: 1, Needs: []float64{20}, Refund: 50})
+		g.Expect(reply.IsDeputy).To(BeTrue())
+		g.Expect(reply.Waits).To(HaveExactElements(BeNumerically(">", 0)))
+	})
+}
+
 // TestUnlimitedAccountsAskNobody guards against calls and waits for accounts without a limit.
 func TestUnlimitedAccountsAskNobody(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -35,9 +35,10 @@
 	if role == deputy {
 		relayed := r
 		relayed.Relayed = true
-		if reply, ok := l.ask(first, l.self.Name, issuerTimeout, relayed); ok {
+		if reply, ok := l.ask(first, l.self.Name, issuerTimeout, &relayed); ok {
 			return reply
 		}
+		r.Refund = relayed.Refund
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,7 +92,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			l.ask(r.to, "", issuerTimeout, r.request)
+			l.ask(r.to, "", issuerTimeout, &r.request)
 		}
 	}
 }
