policy/quota, front/lender: issuers forget unused accounts

Cause: an issuer's bucket is advanced only until 3 s after its last use, so that one that was not full by then never counted as idle, and its account was kept for the life of the process, also after it had left the document. Change: whether a bucket is idle follows from what it has earned since, at half the rate. Deputies still keep theirs, as issuers settle by the sum of what these lent.

--- a/internal/front/lender/lender_test.go
+++ b/internal/front/lender/lender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,6 +112,24 @@
 	})
 }
 
+// TestUnusedAccountsAreForgotten guards against an issuer that keeps all accounts that it has ever
+// served, since the bucket of an account that is no longer used is not advanced.
+func TestUnusedAccountsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		state := &follow.State{Fronts: map[string]follow.Front{"a": {Name: "a", Run: "a"}}}
+		l := New(state.Fronts["a"], fixedView{state}, conf.QuotaBounds{}, metrics.NewSet(), zap.NewNop().Sugar())
+		for i := range maxAccounts + 50 {
+			l.Admit(Charge{Account: &site.Account{Name: fmt.Sprint("acct-", i), Quota: site.Quota{PerSecond: 1, Burst: 30}}, Version: 1, Cost: 30})
+		}
+		for range 2 * forgetTime / sweepInterval {
+			time.Sleep(sweepInterval)
+			l.takeReturns()
+		}
+		g.Expect(l.accounts).To(HaveLen(maxAccounts))
+	})
+}
+
 // TestUnlimitedAccountsAskNobody guards against calls and waits for accounts without a limit.
 func TestUnlimitedAccountsAskNobody(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -125,7 +125,7 @@
 			a.refund = 0
 		case a.role != issuer && (a.refund > 0 || a.balance.tokens > 0 && now > a.balance.end):
 			out = append(out, tokenReturn{to: a.first, request: l.request(a, nil)})
-		case len(l.accounts) > maxAccounts && now > a.usedAt+forgetTime && (a.keeper == nil || a.keeper.IsIdle()):
+		case len(l.accounts) > maxAccounts && now > a.usedAt+forgetTime && (a.keeper == nil || a.keeper.IsIdle(now)):
 			delete(l.accounts, name)
 		}
 	}
--- a/internal/policy/quota/bucket.go
+++ b/internal/policy/quota/bucket.go
@@ -199,7 +199,14 @@
 	}
 }
 
-// IsIdle reports whether the bucket is as full as a new one becomes.
-func (b *Bucket) IsIdle() bool {
-	return b.lent == 0 && b.promised == 0 && b.level >= b.limit.Burst*(1-roundingShare)
+// IsIdle reports whether the bucket is as full by now as a new one becomes, at half the rate since it
+// was last advanced, which is the least that an issuer earns unless it is cut off.
+func (b *Bucket) IsIdle(now time.Duration) bool {
+	since := b.at
+	if n := len(b.leases); n > 0 {
+		// What is earned before their end may be lost.
+		since = max(since, b.leases[n-1].end)
+	}
+	earned := b.limit.PerSecond * startShare * (now - since).Seconds()
+	return now >= since && b.promised <= earned && b.level+earned >= b.limit.Burst*(1-roundingShare)
 }
--- a/internal/policy/quota/keeper.go
+++ b/internal/policy/quota/keeper.go
@@ -128,7 +128,7 @@
 	k.settledRun, k.settled = run, lent
 }
 
-// IsIdle reports whether nothing would be lost with the keeper.
-func (k *Keeper) IsIdle() bool {
-	return k.bucket == nil || !k.isDeputy && !k.isolated && k.bucket.IsIdle()
+// IsIdle reports whether nothing would be lost with the keeper. It does not need to be opened before.
+func (k *Keeper) IsIdle(now time.Duration) bool {
+	return k.bucket == nil || !k.isDeputy && !k.isolated && k.bucket.IsIdle(now)
 }
