--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -69,14 +69,14 @@
 // Lender charges requests of this front to the quotas of accounts, and lends tokens of those
 // accounts to other fronts whose issuer or deputy this front is.
 type Lender struct {
-	self   follow.Front
-	view   View
-	bounds quota.Bounds
-	caller Caller
-	origin time.Time
-	log    *zap.SugaredLogger
-	lent   *metrics.FloatCounter
-	back   *metrics.FloatCounter
+	self     follow.Front
+	view     View
+	bounds   quota.Bounds
+	caller   Caller
+	origin   time.Time
+	log      *zap.SugaredLogger
+	lent     *metrics.FloatCounter
+	returned *metrics.FloatCounter
 
 	mu sync.Mutex
 	// ranAt is when the process was last seen to run.
@@ -91,7 +91,7 @@
 func New(self follow.Front, v View, b conf.QuotaBounds, meters *metrics.Set, log *zap.SugaredLogger) *Lender {
 	return &Lender{
 		self: self, view: v, bounds: quota.Bounds{Window: b.Window, Excess: b.Excess}, origin: time.Now(), log: log, accounts: map[string]*account{}, silentUntil: map[string]time.Duration{},
-		lent: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_lent_total"), back: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_returned_total"),
+		lent: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_lent_total"), returned: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_returned_total"),
 	}
 }
 
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -60,7 +60,7 @@
 		}
 	}
 	l.lent.Add(lent)
-	l.back.Add(r.Unused + r.Refund)
+	l.returned.Add(r.Unused + r.Refund)
 }
 
 // ConfirmIssuer tells an issuer for which accounts this front takes it for the issuer, and what this
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -73,9 +73,9 @@
 	}
 	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: max(0, c.account.Quota.Cost(&c.request))}
 	v := c.server.quotas.Admit(charge)
-	for patience := c.quotaPatience(); !v.Admitted && v.Wait <= patience; v = c.server.quotas.Admit(charge) {
+	for left := c.maxQuotaWait(); !v.Admitted && v.Wait <= left; v = c.server.quotas.Admit(charge) {
 		wait := max(v.Wait, minQuotaWait)
-		patience -= wait
+		left -= wait
 		if !c.waitForQuota(wait) {
 			return false
 		}
@@ -107,17 +107,17 @@
 }
 
 const (
-	// quotaPatienceDivisor divides the route's response goal: a request waits for its account's tokens
+	// quotaWaitDivisor divides the route's response goal: a request waits for its account's tokens
 	// for as long as the rest of the goal suffices to serve it.
-	quotaPatienceDivisor = 3
+	quotaWaitDivisor = 3
 	// minQuotaWait is the least wait between two charges of one request.
 	minQuotaWait = 5 * time.Millisecond
 )
 
-// quotaPatience returns how long the request waits for tokens of its account. Those that would
+// maxQuotaWait returns how long the request waits for tokens of its account. Those that would
 // wait for longer are told at once when to come back.
-func (c *call) quotaPatience() time.Duration {
-	return min(c.route.ResponseGoal, c.timeLimit()/2) / quotaPatienceDivisor
+func (c *call) maxQuotaWait() time.Duration {
+	return min(c.route.ResponseGoal, c.timeLimit()/2) / quotaWaitDivisor
 }
 
 // refundQuota gives the cost of a request that has not run back to its account, once.
