--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -69,14 +69,14 @@
 // Lender charges requests of this front to the quotas of accounts, and lends tokens of those
 // accounts to other fronts whose issuer or deputy this front is.
 type Lender struct {
-	self   follow.Front
-	view   View
-	bounds quota.Bounds
-	caller Caller
-	origin time.Time
-	log    *zap.SugaredLogger
-	lent   *metrics.FloatCounter
-	back   *metrics.FloatCounter
+	self     follow.Front
+	view     View
+	bounds   quota.Bounds
+	caller   Caller
+	origin   time.Time
+	log      *zap.SugaredLogger
+	lent     *metrics.FloatCounter
+	returned *metrics.FloatCounter
 
 	mu sync.Mutex
 	// ranAt is when the process was last seen to run.
@@ -91,7 +91,7 @@
 func New(self follow.Front, v View, b conf.QuotaBounds, meters *metrics.Set, log *zap.SugaredLogger) *Lender {
 	return &Lender{
 		self: self, view: v, bounds: quota.Bounds{Window: b.Window, Excess: b.Excess}, origin: time.Now(), log: log, accounts: map[string]*account{}, silentUntil: map[string]time.Duration{},
-		lent: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_lent_total"), back: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_returned_total"),
+		lent: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_lent_total"), returned: meters.GetOrCreateFloatCounter("foxtailcroft_quota_tokens_returned_total"),
 	}
 }
 
@@ -206,7 +206,7 @@
 		return reply, FromOwn
 	}
 	l.mu.Unlock()
-	if reply, ok := l.ask(first, second, issuerTimeout, r); ok {
+	if reply, ok := l.ask(first, second, issuerTimeout, &r); ok {
 		return l.keep(a, now, reply)
 	}
 	if role == deputy {
@@ -215,7 +215,7 @@
 		return l.lendOwn(a, l.now(), r), FromOwn
 	}
 	asked := l.now()
-	if reply, ok := l.ask(second, "", deputyTimeout, r); ok {
+	if reply, ok := l.ask(second, "", deputyTimeout, &r); ok {
 		return l.keep(a, asked, reply)
 	}
 	l.mu.Lock()
@@ -237,8 +237,8 @@
 }
 
 // ask asks a front for tokens; false if there is none of the name or it does not answer. The
-// front next is the one that is asked then.
-func (l *Lender) ask(name, next string, timeout time.Duration, r peers.LendRequest) (peers.LendReply, bool) {
+// front next is the one that is asked then; it gets no refund that the silent front may have taken.
+func (l *Lender) ask(name, next string, timeout time.Duration, r *peers.LendRequest) (peers.LendReply, bool) {
 	front, ok := l.view.State().Fronts[name]
 	if !ok || l.isSilent(front) {
 		return peers.LendReply{}, false
@@ -246,13 +246,14 @@
 	// Not ended with the caller's request, since the answer is for others as well.
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply, err := l.caller.RequestTokens(ctx, front, r)
+	reply, err := l.caller.RequestTokens(ctx, front, *r)
 	if err == nil && !reply.Refused && len(reply.Waits) == len(r.Needs) {
 		return reply, true
 	}
 	if err != nil {
 		l.log.Infow("issuer silent", "Account", r.Account, "Front", name, "Next", next, "Error", err.Error())
 		l.markSilent(front)
+		r.Refund = 0
 	}
 	return peers.LendReply{}, false
 }
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -35,9 +35,10 @@
 	if role == deputy {
 		relayed := r
 		relayed.Relayed = true
-		if reply, ok := l.ask(first, l.self.Name, issuerTimeout, relayed); ok {
+		if reply, ok := l.ask(first, l.self.Name, issuerTimeout, &relayed); ok {
 			return reply
 		}
+		r.Refund = relayed.Refund
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,7 +60,7 @@
 		}
 	}
 	l.lent.Add(lent)
-	l.back.Add(r.Unused + r.Refund)
+	l.returned.Add(r.Unused + r.Refund)
 }
 
 // ConfirmIssuer tells an issuer for which accounts this front takes it for the issuer, and what this
@@ -91,7 +92,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			l.ask(r.to, "", issuerTimeout, r.request)
+			l.ask(r.to, "", issuerTimeout, &r.request)
 		}
 	}
 }
@@ -124,7 +125,7 @@
 			a.refund = 0
 		case a.role != issuer && (a.refund > 0 || a.balance.tokens > 0 && now > a.balance.end):
 			out = append(out, tokenReturn{to: a.first, request: l.request(a, nil)})
-		case len(l.accounts) > maxAccounts && now > a.usedAt+forgetTime && (a.keeper == nil || a.keeper.IsIdle()):
+		case len(l.accounts) > maxAccounts && now > a.usedAt+forgetTime && (a.keeper == nil || a.keeper.IsIdle(now)):
 			delete(l.accounts, name)
 		}
 	}
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -72,11 +73,11 @@
 	}
 	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: max(0, c.account.Quota.Cost(&c.request))}
 	v := c.server.quotas.Admit(charge)
-	for patience := c.quotaPatience(); !v.Admitted && v.Wait <= patience; v = c.server.quotas.Admit(charge) {
-		patience -= max(v.Wait, minQuotaWait)
-		c.waited += v.Wait
-		if !sleep.For(c.r.Context(), max(v.Wait, minQuotaWait)) {
-			break
+	for left := c.maxQuotaWait(); !v.Admitted && v.Wait <= left; v = c.server.quotas.Admit(charge) {
+		wait := max(v.Wait, minQuotaWait)
+		left -= wait
+		if !c.waitForQuota(wait) {
+			return false
 		}
 	}
 	if v.Admitted {
@@ -88,18 +89,35 @@
 	return false
 }
 
+// waitForQuota waits for tokens of the account; false if the request ended because the process stops.
+func (c *call) waitForQuota(wait time.Duration) bool {
+	ctx, cancel := context.WithCancel(c.r.Context())
+	defer cancel()
+	defer context.AfterFunc(c.server.stopped, cancel)()
+	began := time.Now()
+	ok := sleep.For(ctx, wait)
+	c.waited += time.Since(began)
+	switch {
+	case c.r.Context().Err() != nil:
+		c.endCallerLeft()
+	case !ok:
+		c.refuse(http.StatusServiceUnavailable, "front is stopping", defaultRetryAfter)
+	}
+	return ok
+}
+
 const (
-	// quotaPatienceDivisor divides the route's response goal: a request waits for its account's tokens
+	// quotaWaitDivisor divides the route's response goal: a request waits for its account's tokens
 	// for as long as the rest of the goal suffices to serve it.
-	quotaPatienceDivisor = 3
+	quotaWaitDivisor = 3
 	// minQuotaWait is the least wait between two charges of one request.
 	minQuotaWait = 5 * time.Millisecond
 )
 
-// quotaPatience returns how long the request waits for tokens of its account. Those that would
+// maxQuotaWait returns how long the request waits for tokens of its account. Those that would
 // wait for longer are told at once when to come back.
-func (c *call) quotaPatience() time.Duration {
-	return min(c.route.ResponseGoal, c.timeLimit()/2) / quotaPatienceDivisor
+func (c *call) maxQuotaWait() time.Duration {
+	return min(c.route.ResponseGoal, c.timeLimit()/2) / quotaWaitDivisor
 }
 
 // refundQuota gives the cost of a request that has not run back to its account, once.
