front/proxy: quotas are charged once the body is complete

Cause: by review: a client could be charged over up to a minute with bodies that it holds back, and then have all of them run within one window; and a false declaration of 9e18 tokens would have blocked its account for good. Change: the charge follows the body; a request is charged at most what its quota admits in a window. Result: go test ./internal/front/proxy -run Quota.

--- a/internal/core/site/account.go
+++ b/internal/core/site/account.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // KeyDigest is the SHA-256 digest of a caller's key. Keys themselves are not kept.
@@ -29,6 +30,11 @@
 	return q.PerSecond > 0
 }
 
+// MostIn returns what the quota admits in a window at the most; without a window, in one second.
+func (q Quota) MostIn(window time.Duration) float64 {
+	return q.PerSecond*max(time.Second, window).Seconds() + q.Burst
+}
+
 // Cost returns what a request counts, in the quota's unit.
 func (q Quota) Cost(r *RequestInfo) float64 {
 	if !q.CountsTokens {
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -71,7 +71,7 @@
 	if c.account == nil || !c.account.Quota.IsLimited() {
 		return true
 	}
-	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: max(0, c.account.Quota.Cost(&c.request))}
+	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: c.quotaCost()}
 	v := c.server.quotas.Admit(charge)
 	for left := c.maxQuotaWait(); !v.Admitted && v.Wait <= left; v = c.server.quotas.Admit(charge) {
 		wait := max(v.Wait, minQuotaWait)
@@ -89,6 +89,14 @@
 	return false
 }
 
+// quotaCost returns what the request is charged: at most what the quota admits in a window, so that
+// a false declaration of tokens doesn't block its account for longer.
+func (c *call) quotaCost() float64 {
+	q := c.account.Quota
+	most := max(1, q.MostIn(c.server.settings.Bounds.Quota.Window))
+	return max(0, min(most, q.Cost(&c.request)))
+}
+
 // waitForQuota waits for tokens of the account; false if the request ended because the process stops.
 func (c *call) waitForQuota(wait time.Duration) bool {
 	ctx, cancel := context.WithCancel(c.r.Context())
--- a/internal/front/proxy/quota_test.go
+++ b/internal/front/proxy/quota_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,6 +60,7 @@
 		{"no tokens declared", tokens, "/unsafe/x", 7, "", fake.Faults{}, 200, []float64{7}, nil},
 		{"negative count", tokens, "/unsafe/x", 7, "-50,1", fake.Faults{}, 200, []float64{7}, nil},
 		{"text in place of counts", tokens, "/unsafe/x", 6, "a,b", fake.Faults{}, 429, nil, nil},
+		{"more than a window admits", tokens, "/unsafe/x", 1000, "9000000000000000000,1", fake.Faults{}, 200, []float64{200}, nil},
 		{"unlimited", site.Quota{CountsTokens: true}, "/unsafe/x", 0, "10,25", fake.Faults{}, 200, nil, nil},
 		{"keyless route", tokens, "/stream/x", 0, "10,25", fake.Faults{}, 200, nil, nil},
 		{"exceeded", tokens, "/unsafe/x", 34, "10,25", fake.Faults{}, 429, nil, nil},
@@ -185,3 +189,25 @@
 
 // ConfirmedAge tells the lender that the store has just confirmed the state.
 func (r *harness) ConfirmedAge() time.Duration { return 0 }
+
+// TestQuotaIsChargedOnceTheBodyIsComplete guards against requests that are charged over a long time,
+// with bodies that are held back, and then run within one window.
+func TestQuotaIsChargedOnceTheBodyIsComplete(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		accounts, err := site.NewAccounts([]site.Account{{Name: "a1", Keys: []site.KeyDigest{site.DigestKey("k1")}, Quota: site.Quota{PerSecond: 1}}})
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.state.Document.Accounts = accounts
+		q := &quotaRecorder{left: 1}
+		r.proxy.quotas = q
+		body, sender := io.Pipe()
+		req := httptest.NewRequestWithContext(r.t.Context(), http.MethodPost, "http://h.example/unsafe/x", body)
+		req.RequestURI = "/unsafe/x"
+		req.Header = http.Header{"Authorization": {"Token k1"}, "Request-Id": {"id-1"}, "Deadline-Milliseconds": {"4000"}}
+		r.group.Go(func() { r.proxy.ServeHTTP(httptest.NewRecorder(), req) })
+		synctest.Wait()
+		r.g.Expect(q.charged).To(BeEmpty())
+		r.g.Expect(sender.Close()).To(Succeed())
+		synctest.Wait()
+		r.g.Expect(q.charged).To(Equal([]float64{1}))
+	})
+}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -216,14 +216,16 @@
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
-	if !c.authenticate() || !c.chargeQuota() {
+	if !c.authenticate() {
 		return
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
 	c.hashParts()
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	c.setWriteDeadline(c.deadline)
-	if !c.readBody(doc.Limits) || c.refuseIfTooLong() {
+	// The quota is charged once the body is complete: what clients that hold bodies back have been
+	// charged over a long time would otherwise run within one window.
+	if !c.readBody(doc.Limits) || c.refuseIfTooLong() || !c.chargeQuota() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
