base/serve: bodies that handlers leave unread hold no connection

net/http reads up to 256 KB of a body that a handler has not read, before it writes the answer and without a deadline. A request with an unknown key or path, or refused for want of memory, whose body stopped one byte short held its connection for good: it got no answer, and as neither idle nor an unfinished body of the budget it could not be closed for a new connection.

The rest of such a body is now read for a second at most. Bodies that were read to their end set no deadline.

TestUnreadBodiesDoNotHoldConnections: before, the first case got no answer within a minute of virtual time and left a blocked goroutine; now all pass.

--- a/internal/base/serve/limit_test.go
+++ b/internal/base/serve/limit_test.go
@@ -154,3 +154,54 @@
 		group.Wait()
 	})
 }
+
+// TestUnreadBodiesDoNotHoldConnections guards against requests that are refused before their bodies
+// are read: net/http reads the rest first, and one that never comes held the connection for good,
+// without an answer and beyond the reach of the limit. A request whose body was read keeps its connection.
+func TestUnreadBodiesDoNotHoldConnections(t *testing.T) {
+	const chunkedBody = "Transfer-Encoding: chunked\r\n\r\n5\r\nabcd"
+	for _, c := range []struct {
+		name, path, body string
+		// keeps is true if the connection stays open.
+		keeps bool
+	}{
+		{"one byte short", "/refused", "Content-Length: 5\r\n\r\nabcd", false},
+		{"chunk one byte short", "/refused", chunkedBody, false},
+		{"refused after a part", "/part", "Content-Length: 5\r\n\r\nabcd", false},
+		{"whole and not read", "/refused", "Content-Length: 5\r\n\r\nabcde", true},
+		{"whole and read", "/read", "Content-Length: 5\r\n\r\nabcde", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				network := memnet.New()
+				defer network.Close()
+				s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					switch r.URL.Path {
+					case "/part":
+						_, _ = r.Body.Read(make([]byte, 2))
+					case "/read":
+						_, _ = io.ReadAll(r.Body)
+					}
+					w.WriteHeader(http.StatusUnauthorized)
+				})})
+				var group conc.WaitGroup
+				listener := network.Listen("front:1")
+				group.Go(func() { _ = s.Serve(listener) })
+				conn, err := network.Dial(t.Context(), "front:1")
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: front\r\n"+c.body)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(conn.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+				res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(res.StatusCode).To(Equal(http.StatusUnauthorized))
+				time.Sleep(5 * time.Second)
+				g.Expect(isOpen(conn)).To(Equal(c.keeps))
+				_ = conn.Close()
+				s.Close()
+				group.Wait()
+			})
+		})
+	}
+}
--- a/internal/base/serve/server.go
+++ b/internal/base/serve/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -66,6 +67,8 @@
 	counted bool
 	// headerBytes is what was read since the last request.
 	headerBytes int64
+	// body is that of the current request; it is not guarded by the lock.
+	body requestBody
 	// serving is inRequest, read without the lock.
 	serving atomic.Bool
 }
@@ -136,7 +139,34 @@
 	if last {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength == 0 {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	conn.body = requestBody{ReadCloser: r.Body}
+	r.Body = &conn.body
 	s.handler.ServeHTTP(w, r)
+	if !conn.body.atEnd {
+		// The only expected error is that the connection is closed.
+		_ = conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
+// unreadBodyTimeout bounds the time for which net/http reads the rest of a body that a handler has
+// not read to its end, as with a refusal. It does so before it writes the answer, without a deadline.
+const unreadBodyTimeout = time.Second
+
+// requestBody is a request's body that records whether it was read to its end.
+type requestBody struct {
+	io.ReadCloser
+	atEnd bool
+}
+
+// Read reads from the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.atEnd = b.atEnd || errors.Is(err, io.EOF)
+	return n, err
 }
 
 // beginRequest marks a connection as serving a request; last is true if it closes
