front/proxy: names of models that callers choose don't add up

Prefill speeds were kept for each model that any caller named, and an instance's records of absent models and adapters for good. Services whose models are not managed take requests with any name of up to the size of a header, so memory grew with each new one.

At most 512 speeds are kept, and only where something was learned; outdated records of absence are deleted from 64 on.

--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,11 @@
 	newestOutcomeWeight = 0.25
 	// failureShareHalvingTime is the time in which an instance's failure share falls to one half without new outcomes.
 	failureShareHalvingTime = 2 * time.Second
+	// maxLearnedModels bounds the models whose prefill speeds are learned, as callers may name any model
+	// to a service whose models are not managed.
+	maxLearnedModels = 512
+	// maxAbsentTargets is the number of targets that an instance was recorded to lack from which outdated records are deleted.
+	maxAbsentTargets = 64
 	// maxPromptParts bounds the prompt parts remembered per instance, apart from those of the last second.
 	maxPromptParts = 512
 )
@@ -152,7 +158,7 @@
 		isAnswered = true
 		s.pendingPrefill -= prefill
 		if isOnlyPrompt && r.Target.Model != "" {
-			t.prefillSpeeds[r.Target.Model] = t.prefillSpeeds[r.Target.Model].Add(uncached, score.AtUsualSpeed(time.Since(began), slowdown))
+			t.learnPrefill(r.Target.Model, uncached, score.AtUsualSpeed(time.Since(began), slowdown))
 		}
 		if buffered {
 			s.meanAnswerTime += (time.Since(began) - s.meanAnswerTime) / 4
@@ -167,6 +173,22 @@
 	}
 }
 
+// learnPrefill updates a model's prefill speed with the time that reading the number of prompt tokens took; the caller holds the lock.
+func (t *instanceTracker) learnPrefill(model string, tokens int, took time.Duration) {
+	before, known := t.prefillSpeeds[model]
+	after := before.Add(tokens, took)
+	if after == before {
+		return
+	}
+	if !known && len(t.prefillSpeeds) >= maxLearnedModels {
+		for other := range t.prefillSpeeds {
+			delete(t.prefillSpeeds, other)
+			break
+		}
+	}
+	t.prefillSpeeds[model] = after
+}
+
 // rememberPrompt adds a request's prompt parts to those that the instance has read.
 func (s *instanceStats) rememberPrompt(r *site.RequestInfo, now time.Time) {
 	for _, p := range r.PromptParts {
@@ -315,7 +337,11 @@
 func (t *instanceTracker) recordAbsence(k site.InstanceKey, target site.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.statsOf(k).absentAt[target] = time.Now()
+	now, absentAt := time.Now(), t.statsOf(k).absentAt
+	if len(absentAt) >= maxAbsentTargets {
+		maps.DeleteFunc(absentAt, func(_ site.Target, at time.Time) bool { return now.Sub(at) >= absenceValidity })
+	}
+	absentAt[target] = now
 	delete(t.holders[target], k)
 }
 
