entry/caller: refusals and the list of models have a write deadline

Only answers of admitted requests had one. A caller that sends requests and never reads blocked the write of a refusal for good once the buffers of its connection were full, and the connection was neither idle nor without a header, so that it could not be closed for a new one.

TestCallersThatDoNotReadHoldNoConnection: before, both connections were still open after 10 s of virtual time; now they are closed.

--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -106,6 +106,7 @@
 		writeRefusal(w, requestID(r.Header), err)
 		return
 	}
+	setWriteDeadline(w, time.Now())
 	type model struct {
 		ID     string `json:"id"`
 		Object string `json:"object"`
--- a/internal/entry/caller/refuse.go
+++ b/internal/entry/caller/refuse.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"foxtailcroft/internal/core/fault"
 )
@@ -61,6 +62,7 @@
 
 // writeRefusal writes the response of a request that was refused before any part of its answer was written.
 func writeRefusal(w http.ResponseWriter, id string, err error) {
+	setWriteDeadline(w, time.Now())
 	r := fault.AsRefusal(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -151,8 +151,8 @@
 // writeDeadlineGrace is how long past the request's deadline its answer may still be written to a slow caller.
 const writeDeadlineGrace = 5 * time.Second
 
-// setWriteDeadline sets the connection's write deadline, so a caller that
-// doesn't read can't block the answer forever.
+// setWriteDeadline sets the connection's write deadline for an answer or refusal, so a caller that
+// doesn't read can't block it forever.
 func setWriteDeadline(w http.ResponseWriter, deadline time.Time) {
 	// A transport that doesn't support deadlines writes without one.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeDeadlineGrace))
