front/proxy: usage reports fit a message

Cause: by review, not by a run: callers choose the names of models and adapters, of up to 16 KB each, and about 40 of them make a front's usage report longer than a message, so that the planner hears nothing from that front while a client keeps it up. Change: at most 1,024 models and adapters with names of up to 128 bytes are counted and reported. Result: go test ./internal/front/proxy -run Names,Usage.

--- a/internal/front/proxy/names_test.go
+++ b/internal/front/proxy/names_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/link/peer"
 )
 
 // TestNamesOfCallersDoNotAddUp guards against memory that grows with each new model or adapter that
@@ -31,3 +34,23 @@
 		g.Expect(len(tracker.stats[key].absentAt)).To(BeNumerically("<=", maxAbsentTargets))
 	})
 }
+
+// TestUsageReportsFitAMessage guards against reports that are too long to be sent because callers
+// name many models, or long ones.
+func TestUsageReportsFitAMessage(t *testing.T) {
+	g := NewWithT(t)
+	tracker := newInstanceTracker()
+	for i := range 4 * maxReportedTargets {
+		for _, target := range []site.Target{{Model: fmt.Sprintf("m-%d", i)}, {Model: strings.Repeat("m", 16<<10) + fmt.Sprint(i)}} {
+			tracker.countRequest(target)
+			_, ended := tracker.beginRequest(site.InstanceKey{ID: "i-1"}, &site.RequestInfo{Target: target}, false)
+			defer ended()
+		}
+	}
+	usage := tracker.takeUsage("f", false, func(site.InstanceKey) bool { return true })
+	g.Expect(usage.Asked).To(HaveLen(maxReportedTargets))
+	g.Expect(usage.Uses).To(HaveLen(maxReportedTargets))
+	data, err := json.Marshal(usage)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<", peer.MaxFrameBytes))
+}
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -371,10 +371,25 @@
 	return out
 }
 
+const (
+	// maxReportedTargets bounds the models and adapters in a usage report, and maxTargetBytes the
+	// length of their names: callers choose them, and a report that is longer than a message is lost.
+	maxReportedTargets = 1024
+	maxTargetBytes     = 128
+)
+
+// isReportable reports whether a target's name is short enough for usage reports.
+func isReportable(t site.Target) bool {
+	return len(t.Model)+len(t.Name) <= maxTargetBytes
+}
+
 // countRequest counts a request for a model or adapter.
 func (t *instanceTracker) countRequest(target site.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, ok := t.recentRequests[target]; !isReportable(target) || !ok && len(t.recentRequests) >= maxReportedTargets {
+		return
+	}
 	t.newRequests[target]++
 	t.recentRequests[target] = t.recentRequests[target].Add(1, time.Now())
 }
@@ -442,7 +457,7 @@
 	for k, s := range t.stats {
 		for target, n := range s.inFlight {
 			streams := s.newStreams[target]
-			if n > 0 || s.newRequests[target] > 0 || streams.ended > 0 {
+			if (n > 0 || s.newRequests[target] > 0 || streams.ended > 0) && isReportable(target) && len(usage.Uses) < maxReportedTargets {
 				usage.Uses = append(usage.Uses, peers.TargetUsage{
 					Instance: k, Target: target, Requests: s.newRequests[target], InFlight: n, Work: s.newPrefill[target], Streams: streams.ended, Paused: streams.paused,
 				})
