platform/fake, front/kept: a burst of cache events is published at once

Cause: TestIndexIsDroppedAtAllFronts/gap published 200 events one by one while polls ran. An answer between them lost events and so did the next, so that two gaps were counted, rightly, where the test expects one.

Change: the stand-in publishes several events under one lock.

--- a/internal/front/kept/poller_test.go
+++ b/internal/front/kept/poller_test.go
@@ -123,7 +123,7 @@
 func (d *deployment) keepEverywhere(part string, tokens int) {
 	d.observe(part)
 	for i, s := range d.servers {
-		s.Keep("m", part, tokens+i)
+		s.Keep("m", tokens+i, part)
 	}
 }
 
@@ -207,9 +207,12 @@
 		reason string
 	}{
 		{"gap", func(s *fake.Server) {
-			for i := range 200 {
-				s.Keep("m", fmt.Sprint("x", i), 1)
+			// Published at once, as a poll between them would see a second gap.
+			parts := make([]string, 200)
+			for i := range parts {
+				parts[i] = fmt.Sprint("x", i)
 			}
+			s.Keep("m", 1, parts...)
 		}, "gap"},
 		{"new epoch", func(s *fake.Server) { s.NewKeptEpoch() }, "new epoch"},
 		{"no answers", func(s *fake.Server) { s.SetFaults(fake.Faults{HangKept: true}) }, "silent"},
@@ -230,7 +233,7 @@
 				d.servers[1].SetFaults(fake.Faults{})
 				time.Sleep(3 * time.Second)
 				d.observe("p")
-				d.servers[1].Keep("m", "p", 77)
+				d.servers[1].Keep("m", 77, "p")
 				time.Sleep(4 * time.Second)
 				for f := range d.watchers {
 					d.g.Expect(d.known(f, "p")).To(Equal([]int{100, 77, 102, 103}), "front %s", f)
--- a/internal/node/front/kept_test.go
+++ b/internal/node/front/kept_test.go
@@ -70,7 +70,7 @@
 			}
 			var want []int
 			for i, s := range keepers {
-				s.Keep("m", part, 100+i)
+				s.Keep("m", 100+i, part)
 				want = append(want, 100+i)
 			}
 			return want
