test: ports of started processes are below those of outgoing connections

Its log was lost with the test.

Change: test/ports returns loopback ports below 32768, each once, to the process tests and the soak, in place of three copies; the end of a front's log is reported with a failed test.

--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +24,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailcroft/internal/standin/engsim"
+	"foxtailcroft/test/ports"
 )
 
 func TestProcesses(t *testing.T) {
@@ -53,11 +53,10 @@
 	if p, ok := d.ports[name]; ok {
 		return p
 	}
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := ports.Free()
 	Expect(err).NotTo(HaveOccurred())
-	d.ports[name] = lis.Addr().(*net.TCPAddr).Port
-	Expect(lis.Close()).To(Succeed())
-	return d.ports[name]
+	d.ports[name] = p
+	return p
 }
 
 // address returns the loopback address of a name.
--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -28,6 +28,7 @@
 	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/fake"
+	"foxtailcroft/test/ports"
 )
 
 // The limits of the machine in the settings of a front under untrusted clients, and the size of the
@@ -45,6 +46,8 @@
 	sendPatience = 5 * time.Second
 	// readDelay is the time for a front to read what is in the buffers of its connections.
 	readDelay = time.Second
+	// reportedLogBytes is the length of the end of a front's log that is reported if a test fails.
+	reportedLogBytes = 4 << 10
 	// descriptorSampleInterval is the time between two counts of a front's descriptors.
 	descriptorSampleInterval = 20 * time.Millisecond
 )
@@ -102,12 +105,11 @@
 	DeferCleanup(server.Close)
 }
 
-// freeAddress returns a loopback address whose port was free at the time of the call.
+// freeAddress returns a loopback address whose port is free at the time of the call.
 func freeAddress() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	Expect(err).NotTo(HaveOccurred())
-	defer lis.Close()
-	return lis.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 // start starts the process; the kernel kills it if the test's process ends without cleaning up.
@@ -146,6 +148,10 @@
 		_ = f.cmd.Process.Kill()
 		group.Wait()
 		_ = log.Close()
+		if CurrentSpecReport().Failed() {
+			text, _ := os.ReadFile(log.Name())
+			AddReportEntry("log of the front", string(text[max(0, len(text)-reportedLogBytes):]))
+		}
 	})
 }
 
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -22,6 +22,7 @@
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/platform/fake"
+	"foxtailcroft/test/ports"
 )
 
 const (
@@ -258,14 +259,13 @@
 	})
 }
 
-// freePort returns a loopback port that was free at the time of the call.
+// freePort returns a loopback port that is free at the time of the call.
 func (d *deployment) freePort() int {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	defer lis.Close()
-	return lis.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 // newFront prepares a front with its ports, its log file and a proxy to the store.
