base/serve, base/memory, policy/shed: order of candidates at the bound on connections

Cause: at the bound, the connection that had been without a whole header for the longest was closed at once. One whose header had arrived, but had not been read by its goroutine, counted as such, so that an ordinary request could get EOF although thousands of unfinished bodies could have been ended. With bodies that arrive faster than 1 KB/s, the new connection was closed.

Change: the order is a pure function (shed.ForConnection): idle connections; headers that have been incomplete for more than a second; stalled or slow bodies; the oldest unfinished body of the address with the most; younger headers; the new connection. A body whose last bytes were read as it was ended for a connection is served. Once an eighth of the bound waits for the connections of ended bodies to close, the server waits up to a second for one of them instead of ending more. While there are more connections than the bound, the rest of an ended body is not read, as that held each for a second. Connections are kept in lists by age and bodies in heaps (shed.Unfinished) instead of being scanned for each newcomer.

--- a/internal/base/intake/body.go
+++ b/internal/base/intake/body.go
@@ -71,7 +71,8 @@
 	if r.ContentLength <= rules.MaxBytes {
 		budget.OpenBody(&b.lease, CallerAddress(r), b)
 		err = b.readBlocks(r)
-		if !b.lease.Finish() {
+		ended := b.lease.Ended()
+		if !b.lease.Finish() || err != nil && ended {
 			err = memory.ErrShort
 		}
 	}
--- a/internal/base/memory/budget.go
+++ b/internal/base/memory/budget.go
@@ -61,8 +61,10 @@
 	// byAddress is what the addresses hold in the common room, and maxPerAddress the most that one may hold.
 	byAddress     map[string]int64
 	maxPerAddress int64
-	// unfinished are the holders that may be ended.
+	// unfinished are the bodies that are being read, also those that were ended and have not closed yet.
 	unfinished []*Lease
+	// endable are those of them that may be ended to make room for connections.
+	endable shed.Unfinished[*Lease]
 	// candidates and leases are reused by the search for a holder to end.
 	candidates []shed.Body
 	leases     []*Lease
@@ -95,6 +97,9 @@
 	// received and lastAt are the progress of the body.
 	received, lastAt atomic.Int64
 	ended            atomic.Bool
+	// endedForMemory is set if the body was ended to make room for the memory of others.
+	endedForMemory bool
+	entry          shed.Entry[*Lease]
 }
 
 // New returns a budget of a share of a process's memory; 0 bytes is unknown.
@@ -130,12 +135,14 @@
 // OpenBody prepares a lease for a body that is being read and may be ended until Finish or Close is called.
 func (b *Budget) OpenBody(l *Lease, address string, e Ender) {
 	b.Open(l, address)
-	l.ender, l.began = e, time.Since(b.began)
-	l.lastAt.Store(int64(l.began))
+	l.ender = e
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	l.began = time.Since(b.began)
+	l.lastAt.Store(int64(l.began))
 	l.index = len(b.unfinished)
 	b.unfinished = append(b.unfinished, l)
+	b.endable.Add(&l.entry, l, address)
 }
 
 // Progress records that bytes of the body have arrived.
@@ -257,7 +264,7 @@
 		for _, o := range b.unfinished {
 			switch {
 			case o == l, !o.ended.Load() && o.bytes > 0 && matches(o):
-				b.leases, b.candidates = append(b.leases, o), append(b.candidates, o.body())
+				b.leases, b.candidates = append(b.leases, o), append(b.candidates, o.Body())
 			case matches(o):
 				ending += o.bytes
 			}
@@ -269,44 +276,55 @@
 		if i < 0 || b.leases[i] == l {
 			return false
 		}
+		b.leases[i].endedForMemory = true
 		b.end(b.leases[i])
 	}
 	return true
 }
 
-// body returns what the decision on a holder needs.
-func (l *Lease) body() shed.Body {
+// Body returns what the decision on a body needs.
+func (l *Lease) Body() shed.Body {
 	return shed.Body{Bytes: l.bytes, Received: l.received.Load(), Began: l.began, LastAt: time.Duration(l.lastAt.Load())}
 }
 
 // end ends an unfinished body; the caller holds the lock.
 func (b *Budget) end(l *Lease) {
+	b.endable.Remove(&l.entry)
 	l.ended.Store(true)
 	b.ended.Add(1)
 	l.ender.EndReading()
 }
 
-// EndSlow ends the unfinished body that gives way first, if it is stalled or slow, and reports
-// whether there was one.
-func (b *Budget) EndSlow() bool {
+// Unfinished reports whether there is an unfinished body that may be ended, and whether one of them
+// has stalled or is slow.
+func (b *Budget) Unfinished() (one, slow bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Since(b.began)
-	b.leases, b.candidates = b.leases[:0], b.candidates[:0]
-	for _, l := range b.unfinished {
-		if body := l.body(); !l.ended.Load() && shed.IsSlow(now, body) {
-			b.leases, b.candidates = append(b.leases, l), append(b.candidates, body)
-		}
+	_, slow = b.endable.Slow(time.Since(b.began))
+	return b.endable.Len() > 0, slow
+}
+
+// EndSlow ends the unfinished body that has stalled or been slow for the longest, for a connection.
+func (b *Budget) EndSlow() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, ok := b.endable.Slow(time.Since(b.began)); ok {
+		b.end(l)
 	}
-	first := shed.First(now, b.candidates)
-	if first < 0 {
-		return false
+}
+
+// EndOldest ends the unfinished body whose reading began first, of the address with the most
+// unfinished bodies, for a connection.
+func (b *Budget) EndOldest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, ok := b.endable.Oldest(); ok {
+		b.end(l)
 	}
-	b.end(b.leases[first])
-	return true
 }
 
-// Finish records that the body is complete, so that it is no longer ended; false if it has been.
+// Finish records that the body is complete, so that it is no longer ended; false if it was ended to
+// make room for the memory of others. One that was ended for a connection and is complete stays.
 func (l *Lease) Finish() bool {
 	if l.budget == nil {
 		return true
@@ -314,7 +332,10 @@
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
 	l.budget.removeUnfinished(l)
-	return !l.ended.Load()
+	if !l.endedForMemory {
+		l.ended.Store(false)
+	}
+	return !l.endedForMemory
 }
 
 // removeUnfinished takes a holder off the list of those that may be ended; the caller holds the lock.
@@ -322,6 +343,7 @@
 	if l.ender == nil {
 		return
 	}
+	b.endable.Remove(&l.entry)
 	last := b.unfinished[len(b.unfinished)-1]
 	b.unfinished[l.index], last.index = last, l.index
 	b.unfinished[len(b.unfinished)-1] = nil
--- a/internal/base/memory/budget_test.go
+++ b/internal/base/memory/budget_test.go
@@ -107,6 +107,30 @@
 	})
 }
 
+// TestBodiesEndForConnections guards against ending bodies that could have stayed, and against
+// refusing one that was complete when it was ended for a connection.
+func TestBodiesEndForConnections(t *testing.T) {
+	withBudget(t, func(g *WithT, b *Budget, open func(string) *holder) {
+		single := open("a")
+		time.Sleep(time.Millisecond)
+		first, second := open("b"), open("b")
+		b.EndOldest()
+		g.Expect([]int{single.ends, first.ends, second.ends}).To(Equal([]int{0, 1, 0}), "of the address with most")
+		b.EndSlow()
+		b.EndOldest()
+		g.Expect([]int{single.ends, second.ends}).To(Equal([]int{1, 0}), "none is slow, then the oldest")
+		g.Expect(single.Finish()).To(BeTrue(), "it was complete")
+		g.Expect(single.Ended()).To(BeFalse())
+		time.Sleep(time.Second)
+		one, slow := b.Unfinished()
+		g.Expect([]bool{one, slow}).To(Equal([]bool{true, true}))
+		b.EndSlow()
+		g.Expect(second.ends).To(Equal(1))
+		one, slow = b.Unfinished()
+		g.Expect([]bool{one, slow}).To(Equal([]bool{false, false}))
+	})
+}
+
 // TestBudgetIsNeverExceeded draws holders that grow, finish and close, and checks the sums after each step.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	for seed := range uint64(30) {
--- a/internal/base/serve/limit.go
+++ b/internal/base/serve/limit.go
@@ -1,8 +1,10 @@
 package serve
 
 import (
-	"net"
+	"container/list"
 	"time"
+
+	"foxtailcroft/internal/policy/shed"
 )
 
 // Limit bounds the open connections of a server.
@@ -12,17 +14,32 @@
 	// HeaderBytes is what all connections together may have sent of headers that are not whole; 0 is not
 	// bounded. Beyond it, the connection that has sent most is closed.
 	HeaderBytes int64
-	// EndSlow ends the connection of an unfinished request that has stalled or is slow, and reports whether
-	// there was one; nil ends none.
-	EndSlow func() bool
+	// Bodies are the unfinished bodies of requests; nil if none of them may be ended.
+	Bodies Bodies
+}
+
+// Bodies are the unfinished bodies of a server's requests. Ending one ends its request and closes its
+// connection soon after. The methods must not block or call the server.
+type Bodies interface {
+	// Unfinished reports whether there is one, and whether one of them has stalled or is slow.
+	Unfinished() (one, slow bool)
+	// EndSlow ends the one that has stalled or been slow for the longest.
+	EndSlow()
+	// EndOldest ends the one whose reading began first, of the address with the most unfinished bodies.
+	EndOldest()
 }
 
-// endingDivisor is the share of connections that may be open beyond the limit while such requests end.
-const endingDivisor = 8
+const (
+	// endingDivisor is the share of connections that may be open beyond the limit while bodies end.
+	endingDivisor = 8
+	// maxEndingWait bounds the wait for the connections of ended bodies to close, during which no
+	// connection is accepted.
+	maxEndingWait = time.Second
+)
 
-// SetLimit bounds the open connections. For a connection beyond the limit, the one that has been idle
-// for the longest is closed, or else the one that has been without a whole header for the longest, or
-// else a stalled or slow request is ended. If there is none of them, the new connection is closed.
+// SetLimit bounds the open connections. For a connection beyond the limit, another one is closed or an
+// unfinished body is ended, in the order of shed.ForConnection. If there is none of them, the new
+// connection is closed.
 func (s *Server) SetLimit(l Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -31,48 +48,110 @@
 
 // admit counts a new connection and makes room for it; false if it must be closed.
 func (s *Server) admit(c *serverConn) bool {
-	victim, ok := s.tryAdmit(c)
-	if !ok && victim == nil && s.limit.EndSlow != nil && s.limit.EndSlow() {
-		ok = s.admitBeyond(c)
-	}
-	if victim != nil {
-		// Its caller expects that idle connections may be closed, or has sent no whole request.
-		_ = victim.Close()
+	var timeout <-chan time.Time
+	for waited := false; ; {
+		victim, action := s.tryAdmit(c, waited)
+		if victim != nil {
+			// Its caller expects that idle connections may be closed, or has sent no whole request.
+			_ = victim.Conn.Close()
+		}
+		if action != shed.AwaitEnding {
+			return action != shed.CloseNew
+		}
+		if timeout == nil {
+			timer := time.NewTimer(maxEndingWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-s.connClosed:
+		case <-timeout:
+			waited = true
+		}
 	}
-	return ok || victim != nil
 }
 
-// tryAdmit counts a new connection; beyond the limit only if there is one to close for it.
-func (s *Server) tryAdmit(c *serverConn) (victim net.Conn, ok bool) {
+// tryAdmit counts a new connection if there is room or if some can be made, and returns the connection
+// to close for it, nil if there is none. The action is shed.AwaitEnding to try again once a connection
+// has closed, and shed.CloseNew if there is no room.
+func (s *Server) tryAdmit(c *serverConn, waited bool) (victim *serverConn, action shed.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.limit.Connections > 0 && s.open >= s.limit.Connections {
-		if victim = s.longest(); victim == nil {
-			return nil, false
-		}
-		delete(s.idleSince, victim)
-		delete(s.headerSince, victim)
+	if s.limit.Connections == 0 || s.open < s.limit.Connections {
+		s.countOpen(c)
+		return nil, shed.CloseIdle
+	}
+	switch action = shed.ForConnection(s.candidates(waited)); action {
+	case shed.CloseIdle:
+		victim = s.countFirstClosed(&s.idle)
+	case shed.CloseNoHeader:
+		victim = s.countFirstClosed(&s.noHeader)
+	case shed.EndSlowBody:
+		s.limit.Bodies.EndSlow()
+	case shed.EndOldestBody:
+		s.limit.Bodies.EndOldest()
+	case shed.AwaitEnding, shed.CloseNew:
+		return nil, action
 	}
 	s.countOpen(c)
-	return victim, true
+	return victim, action
 }
 
-// admitBeyond counts a new connection in place of one that ends, and reports whether it did.
-func (s *Server) admitBeyond(c *serverConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.open >= s.limit.Connections+max(1, s.limit.Connections/endingDivisor) {
-		return false
+// candidates returns what may be closed for a new connection; no bodies after a wait in vain for
+// those that were ended. The caller holds the lock.
+func (s *Server) candidates(waited bool) shed.Connections {
+	c := shed.Connections{Idle: s.idle.Len() > 0}
+	if first := firstOf(&s.noHeader); first != nil {
+		c.NoHeader, c.NoHeaderFor = true, time.Since(first.since)
 	}
-	s.countOpen(c)
-	return true
+	if s.limit.Bodies != nil && !waited {
+		c.Body, c.SlowBody = s.limit.Bodies.Unfinished()
+		// Connections are beyond the limit only while others end for them.
+		c.Ending, c.EndingFull = s.open > s.limit.Connections, s.open >= s.limit.Connections+max(1, s.limit.Connections/endingDivisor)
+	}
+	return c
+}
+
+// firstOf returns the first connection of a list, nil if there is none.
+func firstOf(l *list.List) *serverConn {
+	if l.Len() == 0 {
+		return nil
+	}
+	c, _ := l.Front().Value.(*serverConn)
+	return c
+}
+
+// countFirstClosed counts the first connection of a list as closed, so that it serves no request; the
+// caller holds the lock and closes the connection after that.
+func (s *Server) countFirstClosed(l *list.List) *serverConn {
+	c := firstOf(l)
+	if c != nil {
+		s.countClosed(c)
+	}
+	return c
 }
 
 // countOpen counts a new connection; the caller holds the lock.
 func (s *Server) countOpen(c *serverConn) {
 	s.open++
 	c.counted = true
-	s.headerSince[c] = time.Now()
+	s.move(c, &s.noHeader)
+}
+
+// countClosed counts a connection as closed, if it has not been; the caller holds the lock.
+func (s *Server) countClosed(c *serverConn) {
+	c.closed = true
+	s.move(c, nil)
+	s.endHeader(c)
+	if !c.counted {
+		return
+	}
+	c.counted = false
+	s.open--
+	select {
+	case s.connClosed <- struct{}{}:
+	default:
+	}
 }
 
 // Read reads from the connection, and counts what is read of a header.
@@ -100,8 +179,8 @@
 		return nil
 	}
 	largest = c
-	for conn := range s.headerSince {
-		if o, ok := conn.(*serverConn); ok && o.headerBytes > largest.headerBytes {
+	for e := s.noHeader.Front(); e != nil; e = e.Next() {
+		if o, ok := e.Value.(*serverConn); ok && o.headerBytes > largest.headerBytes {
 			largest = o
 		}
 	}
@@ -113,20 +192,3 @@
 	s.headerBytes -= c.headerBytes
 	c.headerBytes = 0
 }
-
-// longest returns the connection that was idle for the longest, or else the one that was without a
-// whole header for the longest; nil if there is none. The caller holds the lock.
-func (s *Server) longest() net.Conn {
-	for _, since := range []map[net.Conn]time.Time{s.idleSince, s.headerSince} {
-		var longest net.Conn
-		for conn, t := range since {
-			if longest == nil || t.Before(since[longest]) {
-				longest = conn
-			}
-		}
-		if longest != nil {
-			return longest
-		}
-	}
-	return nil
-}
--- a/internal/base/serve/limit_test.go
+++ b/internal/base/serve/limit_test.go
@@ -27,8 +27,19 @@
 	return ok && netErr.Timeout()
 }
 
-// TestConnectionsBeyondTheLimit guards against running out of descriptors, and against closing
-// connections in use while others are idle.
+// bodies answer as unfinished bodies of which there are always some; ended counts those that were ended.
+type bodies struct {
+	one, slow bool
+	ended     [2]int
+}
+
+func (b *bodies) Unfinished() (one, slow bool) { return b.one, b.slow }
+func (b *bodies) EndSlow()                     { b.ended[0]++ }
+func (b *bodies) EndOldest()                   { b.ended[1]++ }
+
+// TestConnectionsBeyondTheLimit guards against running out of descriptors, against closing connections
+// in use while others are idle, and against closing one whose header is about to be read while
+// unfinished bodies could be ended.
 func TestConnectionsBeyondTheLimit(t *testing.T) {
 	const limit = 3
 	const (
@@ -41,16 +52,21 @@
 	for _, c := range []struct {
 		name   string
 		states []string
-		// endSlow is the answer of the limit's EndSlow.
-		endSlow bool
+		// pause is the time between two connections.
+		pause  time.Duration
+		bodies bodies
 		// closed is the index of the connection that is closed, limit for the new one, -1 for none.
 		closed int
+		// ended are the slow bodies and the oldest ones that were ended.
+		ended [2]int
 	}{
-		{"longest idle first", []string{silent, idle, idle}, false, 1},
-		{"longest without a header", []string{serving, silent, silent}, false, 1},
-		{"half a second header", []string{serving, partial, silent}, false, 1},
-		{"none but those in use", []string{serving, serving, serving}, false, limit},
-		{"a stalled request ends", []string{serving, serving, serving}, true, -1},
+		{"longest idle first", []string{silent, idle, idle}, time.Second, bodies{one: true, slow: true}, 1, [2]int{}},
+		{"longest without a header", []string{serving, silent, silent}, time.Second, bodies{one: true, slow: true}, 1, [2]int{}},
+		{"half a second header", []string{serving, partial, silent}, time.Second, bodies{one: true, slow: true}, 1, [2]int{}},
+		{"none but those in use", []string{serving, serving, serving}, time.Second, bodies{}, limit, [2]int{}},
+		{"a stalled body ends", []string{serving, serving, serving}, time.Second, bodies{one: true, slow: true}, -1, [2]int{1, 0}},
+		{"a slow body ends before a connection whose header may come", []string{serving, silent, silent}, 100 * time.Millisecond, bodies{one: true, slow: true}, -1, [2]int{1, 0}},
+		{"so does any unfinished body", []string{serving, silent, silent}, 100 * time.Millisecond, bodies{one: true}, -1, [2]int{0, 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -63,7 +79,7 @@
 						<-release
 					}
 				})})
-				s.SetLimit(Limit{Connections: limit, EndSlow: func() bool { return c.endSlow }})
+				s.SetLimit(Limit{Connections: limit, Bodies: &c.bodies})
 				var group conc.WaitGroup
 				listener := network.Listen("front:1")
 				group.Go(func() { _ = s.Serve(listener) })
@@ -75,7 +91,7 @@
 						_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 						g.Expect(err).NotTo(HaveOccurred())
 					}
-					time.Sleep(time.Second)
+					time.Sleep(c.pause)
 					return conn
 				}
 				const request = " HTTP/1.1\r\nHost: front\r\n\r\n"
@@ -89,6 +105,7 @@
 					case partial:
 						conns = append(conns, dial("GET /"+request, true))
 						_, _ = io.WriteString(conns[len(conns)-1], "GET /half")
+						time.Sleep(time.Millisecond)
 					case serving:
 						conns = append(conns, dial("GET /serving"+request, false))
 					}
@@ -97,6 +114,7 @@
 				for i, conn := range conns {
 					g.Expect(isOpen(conn)).To(Equal(i != c.closed), "connection %d", i)
 				}
+				g.Expect(c.bodies.ended).To(Equal(c.ended))
 				close(release)
 				for _, conn := range conns {
 					_ = conn.Close()
@@ -104,8 +122,8 @@
 				time.Sleep(time.Second)
 				s.mu.Lock()
 				g.Expect(s.open).To(BeZero())
-				g.Expect(s.headerSince).To(BeEmpty())
-				g.Expect(s.idleSince).To(BeEmpty())
+				g.Expect(s.noHeader.Len()).To(BeZero())
+				g.Expect(s.idle.Len()).To(BeZero())
 				s.mu.Unlock()
 				s.Close()
 				group.Wait()
@@ -114,6 +132,38 @@
 	}
 }
 
+// TestNewConnectionWaitsForEndedBodies guards against ending more and more bodies, and against closing
+// new connections, while the connections of bodies that were ended are about to close.
+func TestNewConnectionWaitsForEndedBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, s, unfinished := NewWithT(t), New(&http.Server{}), &bodies{one: true}
+		s.SetLimit(Limit{Connections: 3, Bodies: unfinished})
+		end, _ := net.Pipe()
+		conns := make([]*serverConn, 6)
+		admit := func(i int) bool {
+			conns[i] = &serverConn{Conn: end, server: s}
+			defer s.beginRequest(conns[i])
+			return s.admit(conns[i])
+		}
+		for i := range 4 {
+			g.Expect(admit(i)).To(BeTrue())
+		}
+		var group conc.WaitGroup
+		group.Go(func() {
+			time.Sleep(maxEndingWait / 2)
+			s.endRequest(conns[0])
+			_ = conns[0].Close()
+		})
+		began := time.Now()
+		g.Expect(admit(4)).To(BeTrue())
+		g.Expect(time.Since(began)).To(Equal(maxEndingWait / 2))
+		g.Expect(admit(5)).To(BeFalse(), "no connection closes")
+		g.Expect(time.Since(began)).To(Equal(3 * maxEndingWait / 2))
+		g.Expect(unfinished.ended).To(Equal([2]int{0, 2}))
+		group.Wait()
+	})
+}
+
 // TestHeadersWithoutEndAreBounded guards against connections that fill the memory with headers that
 // never become whole: beyond the limit, the one that has sent most is closed.
 func TestHeadersWithoutEndAreBounded(t *testing.T) {
--- a/internal/base/serve/server.go
+++ b/internal/base/serve/server.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -37,13 +38,14 @@
 	server  *http.Server
 	handler http.Handler
 	mu      sync.Mutex
-	// idleSince is when the idle connections became idle.
-	idleSince map[net.Conn]time.Time
-	// headerSince is when the connections without a whole header were opened or began to send one.
-	headerSince map[net.Conn]time.Time
-	limit       Limit
+	// idle are the idle connections, and noHeader those without a whole header, each in the order in
+	// which they became so. Their elements are *serverConn.
+	idle, noHeader list.List
+	limit          Limit
 	// open is the number of open connections.
 	open int
+	// connClosed delivers when a connection has closed.
+	connClosed chan struct{}
 	// headerBytes is what they have sent of headers that are not whole.
 	headerBytes int64
 	// listener is the one that Serve accepts connections from, nil before that.
@@ -65,6 +67,10 @@
 	closed    bool
 	// counted is true while the connection counts as open.
 	counted bool
+	// place is where the connection is in the list in, nil if it is in none, and since when.
+	place *list.Element
+	in    *list.List
+	since time.Time
 	// headerBytes is what was read since the last request.
 	headerBytes int64
 	// body is that of the current request; it is not guarded by the lock.
@@ -79,7 +85,7 @@
 // New returns a server with the timeouts, limits and base context of h; its handler is served, and
 // its ConnState and ConnContext are replaced.
 func New(h *http.Server) *Server {
-	s := &Server{server: h, handler: h.Handler, idleSince: map[net.Conn]time.Time{}, headerSince: map[net.Conn]time.Time{}, drained: make(chan struct{})}
+	s := &Server{server: h, handler: h.Handler, connClosed: make(chan struct{}, 1), drained: make(chan struct{})}
 	h.Handler, h.ConnState = s, s.connStateChanged
 	h.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
@@ -116,14 +122,7 @@
 		c.server.mu.Unlock()
 		return nil
 	}
-	c.closed = true
-	if c.counted {
-		c.counted = false
-		c.server.open--
-	}
-	delete(c.server.idleSince, c)
-	delete(c.server.headerSince, c)
-	c.server.endHeader(c)
+	c.server.countClosed(c)
 	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -148,13 +147,24 @@
 	s.handler.ServeHTTP(w, r)
 	if !conn.body.atEnd {
 		// The only expected error is that the connection is closed.
-		_ = conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		_ = conn.SetReadDeadline(time.Now().Add(s.unreadBodyTimeout()))
 	}
 }
 
-// unreadBodyTimeout bounds the time for which net/http reads the rest of a body that a handler has
+// maxUnreadBodyTimeout bounds the time for which net/http reads the rest of a body that a handler has
 // not read to its end, as with a refusal. It does so before it writes the answer, without a deadline.
-const unreadBodyTimeout = time.Second
+const maxUnreadBodyTimeout = time.Second
+
+// unreadBodyTimeout returns the time for reading the rest of a body: none while there are more
+// connections than the limit, so that those whose bodies were ended close at once.
+func (s *Server) unreadBodyTimeout() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit.Connections > 0 && s.open > s.limit.Connections {
+		return 0
+	}
+	return maxUnreadBodyTimeout
+}
 
 // requestBody is a request's body that records whether it was read to its end.
 type requestBody struct {
@@ -180,7 +190,7 @@
 	conn.inRequest = true
 	conn.serving.Store(true)
 	s.endHeader(conn)
-	delete(s.headerSince, conn)
+	s.move(conn, nil)
 	s.activeRequests++
 	s.begunRequests++
 	return s.phase >= closingConnections, true
@@ -226,21 +236,36 @@
 func (s *Server) recordState(conn net.Conn, state http.ConnState) stopPhase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[conn] = time.Now()
+	c, ok := conn.(*serverConn)
+	if !ok || c.closed {
 		return s.phase
 	}
-	if _, wasIdle := s.idleSince[conn]; wasIdle && state == http.StateActive {
-		s.headerSince[conn] = time.Now()
+	switch {
+	case state == http.StateIdle:
+		s.move(c, &s.idle)
+	case c.in == &s.idle && state == http.StateActive:
+		s.move(c, &s.noHeader)
+	case c.in == &s.idle:
+		s.move(c, nil)
 	}
-	delete(s.idleSince, conn)
 	return s.phase
 }
 
+// move moves a connection to the end of a list, or to none if it is nil; the caller holds the lock.
+func (s *Server) move(c *serverConn, to *list.List) {
+	if c.place != nil {
+		c.in.Remove(c.place)
+		c.place, c.in = nil, nil
+	}
+	if to != nil {
+		c.place, c.in, c.since = to.PushBack(c), to, time.Now()
+	}
+}
+
 // CloseIdle closes connections that became idle at a time or before.
 func (s *Server) CloseIdle(since time.Time) {
 	for _, conn := range s.connsIdleBefore(since) {
-		// connStateChanged removes the connection from the map.
+		// Their callers expect that idle connections may be closed.
 		_ = conn.Close()
 	}
 }
@@ -250,10 +275,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []net.Conn
-	for conn, since := range s.idleSince {
-		if !since.After(t) {
-			out = append(out, conn)
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		c, ok := e.Value.(*serverConn)
+		if !ok || c.since.After(t) {
+			break
 		}
+		out = append(out, c)
 	}
 	return out
 }
--- a/internal/front/proxy/body.go
+++ b/internal/front/proxy/body.go
@@ -8,6 +8,7 @@
 
 	"foxtailcroft/internal/base/intake"
 	"foxtailcroft/internal/base/memory"
+	"foxtailcroft/internal/base/serve"
 	"foxtailcroft/internal/core/site"
 )
 
@@ -56,10 +57,9 @@
 	c.answerMemory.Close()
 }
 
-// EndSlowBody ends an unfinished body that has stalled or is slow, to make room for other connections,
-// and reports whether there was one.
-func (s *Server) EndSlowBody() bool {
-	return s.memory.EndSlow()
+// Bodies returns the unfinished bodies, which may be ended to make room for connections.
+func (s *Server) Bodies() serve.Bodies {
+	return s.memory
 }
 
 // HeldMemory returns the memory that bodies and answers hold.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -53,7 +53,7 @@
 	budget := memory.New(settings.Requests.MemoryBytes)
 	o.Metrics.GetOrCreateGauge("foxtailcroft_request_memory_bytes", func() float64 { return float64(budget.Held()) })
 	o.Metrics.GetOrCreateGauge("foxtailcroft_bodies_ended_total", func() float64 { return float64(budget.Ended()) })
-	e.HTTPServer.SetLimit(serve.Limit{Connections: settings.Requests.MaxConnections, HeaderBytes: memory.HeaderBytes(settings.Requests.MemoryBytes), EndSlow: budget.EndSlow})
+	e.HTTPServer.SetLimit(serve.Limit{Connections: settings.Requests.MaxConnections, HeaderBytes: memory.HeaderBytes(settings.Requests.MemoryBytes), Bodies: budget})
 	caller.New(caller.Settings{
 		DefaultTimeout: settings.Requests.DefaultTimeout.Std(), MaxTimeout: settings.Requests.MaxTimeout.Std(), MaxBodyBytes: settings.Requests.MaxBodyBytes, Memory: budget,
 	}, m.Holder, dispatcher, e.InFlightLimit, o.Metrics, o.Log.Named("Caller")).Register(e.HTTPServer.Router)
--- a/internal/node/front/bodies_test.go
+++ b/internal/node/front/bodies_test.go
@@ -48,6 +48,15 @@
 	return res.StatusCode, time.Since(began)
 }
 
+// startLimited starts a front with limits of memory and descriptors.
+func (r *harness) startLimited(memoryBytes int64, descriptors int) (*Front, func()) {
+	return r.startWith(conf.Front{
+		Node: conf.Node{Name: "front", Domain: "a"}, Listen: conf.FrontListen{Callers: "front:1", Ready: "front:2", Peers: "front:3"},
+		ChecksFence: true, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}, MemoryBytes: memoryBytes, FileDescriptors: descriptors,
+		Bounds: conf.Bounds{Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second, Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second},
+	})
+}
+
 // pieces returns n pieces of a size.
 func pieces(n, size int) [][]byte {
 	out := make([][]byte, n)
@@ -109,11 +118,7 @@
 	withHarness(t, func(r *harness) {
 		r.configureBodies()
 		r.startServer("i-22", "desk")
-		_, end := r.startWith(conf.Front{
-			Node: conf.Node{Name: "front", Domain: "a"}, Listen: conf.FrontListen{Callers: "front:1", Ready: "front:2", Peers: "front:3"},
-			ChecksFence: true, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}, MemoryBytes: 32 << 20,
-			Bounds: conf.Bounds{Grace: grace, InForce: 2 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second, Returning: 2 * time.Second, LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 3 * time.Second},
-		})
+		_, end := r.startLimited(32<<20, 0)
 		defer end()
 		time.Sleep(2 * time.Second)
 		var crowd conc.WaitGroup
@@ -141,6 +146,36 @@
 	})
 }
 
+// TestBodiesGiveWayToConnections guards against bodies that arrive steadily without an end and keep all
+// connections: the oldest ones end with 503, and ordinary requests on new connections are served.
+func TestBodiesGiveWayToConnections(t *testing.T) {
+	const descriptors = fileDescriptors + 2*minCallerConnections
+	withHarness(t, func(r *harness) {
+		r.configureBodies()
+		r.startServer("i-22", "desk")
+		_, end := r.startLimited(64<<20, descriptors)
+		defer end()
+		time.Sleep(2 * time.Second)
+		var crowd conc.WaitGroup
+		defer crowd.Wait()
+		statuses := make([]int, callerConnections(conf.Front{FileDescriptors: descriptors}))
+		for i := range statuses {
+			crowd.Go(func() {
+				statuses[i], _ = r.sendBody(fmt.Sprintf("crowd-%d", i), "Content-Length: 1000000", pieces(50, 2000), 200*time.Millisecond)
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range 5 {
+			status, _ := r.sendBody(fmt.Sprintf("ordinary-%d", i), "Content-Length: 2000", pieces(1, 2000), 0)
+			r.g.Expect(status).To(Equal(200))
+			time.Sleep(10 * time.Millisecond)
+		}
+		crowd.Wait()
+		r.g.Expect(statuses[0]).To(Equal(503))
+		r.g.Expect(statuses[len(statuses)-1]).To(Equal(408), "stops after 10 s")
+	})
+}
+
 // TestCallerThatTakesNothingIsDropped guards against a caller that reads no byte of a stream and
 // keeps its request, the front's memory and a connection to an instance without end.
 func TestCallerThatTakesNothingIsDropped(t *testing.T) {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -134,7 +134,7 @@
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
 	f.callerServer.SetLimit(serve.Limit{
-		Connections: callerConnections(settings), HeaderBytes: memory.HeaderBytes(settings.MemoryBytes), EndSlow: f.reverseProxy.EndSlowBody,
+		Connections: callerConnections(settings), HeaderBytes: memory.HeaderBytes(settings.MemoryBytes), Bodies: f.reverseProxy.Bodies(),
 	})
 	return f, func() {
 		closeLinks()
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -77,8 +77,14 @@
 
 // IsSlow reports whether a body has stalled, or has come slowly since a while ago.
 func IsSlow(now time.Duration, b Body) bool {
-	elapsed := now - b.Began
-	return IsStalled(now, b) || elapsed >= minRateTime && float64(b.Received) < slowBytesPerSecond*elapsed.Seconds()
+	return now >= SlowAt(b)
+}
+
+// SlowAt returns since when a body has stalled or been slow or, if it is neither, the earliest time
+// at which it can be. It never becomes earlier as bytes arrive.
+func SlowAt(b Body) time.Duration {
+	slow := time.Duration(float64(b.Received) / slowBytesPerSecond * float64(time.Second))
+	return min(b.LastAt+stallTime, b.Began+max(minRateTime, slow))
 }
 
 // MinBytesPerSecond is the mean rate below which a body is too slow. It is far below that of any
