front/lender: returns in one message, refunds are repeated, accounts are forgotten

Cause: returns were sent one after the other, so that those of hundreds of accounts arrived after the end of their leases. Refunds to a front that did not answer were dropped. A deputy kept accounts until the set of fronts changed, and no front forgot any below 256. A request was held for up to 0.4 s, or 0.8 s behind another batch, by the calls to issuer and deputy after its caller had left.

Refunds are sent as totals of a numbered series and repeated to the same process for 0.5 s; the issuer credits the difference from the highest total, so that a copy or a lost answer counts once. Accounts are forgotten after a minute without use; a deputy states since when it counts what it has lent, so that its issuer charges all of it after that. Admit takes the request's context; the call for waiting requests runs in a group of its own and goes on for the other requests of the batch.

Tests: LendRequest.Refund has become a total, and Admit has a context; the tests of both are adapted. TestUnusedAccountsAreForgotten expected the first 256 accounts to be kept; it now expects none, for an issuer, a borrower and a deputy.

--- a/internal/front/lender/account.go
+++ b/internal/front/lender/account.go
@@ -51,6 +51,8 @@
 	role          role
 	// keeper is nil unless this front is the issuer or deputy.
 	keeper *quota.Keeper
+	// born is when the account became known, or what the keeper had lent was last forgotten.
+	born int64
 	// issuerSince is when this front became the issuer, if it is.
 	issuerSince time.Duration
 	// deputyHeard is when the deputy last took this front for the issuer.
@@ -58,15 +60,28 @@
 	// checkedAt is when the deputy was last to be checked.
 	checkedAt time.Duration
 	balance   balance
-	// refund is to be returned to the issuer.
-	refund    float64
+	// refunds are to be returned to the issuer, and ledger holds those of other fronts to this one.
+	refunds   quota.RefundLog
+	ledger    quota.RefundLedger
 	share     *quota.Share
 	shareUsed time.Duration
-	// asking is true while a waiter has the turn to ask for all.
+	// asking is true while a goroutine asks for the waiting requests.
 	asking  bool
 	waiting []*waiter
 }
 
+// dropKeeper forgets the tokens of this front's bucket.
+func (a *account) dropKeeper(now time.Duration) {
+	if a.keeper != nil {
+		a.keeper, a.born = nil, bornAt(now)
+	}
+}
+
+// bornAt returns the number of an account that becomes known at a time; it is above 0.
+func bornAt(now time.Duration) int64 {
+	return int64(now) + 1
+}
+
 // applyLimit applies the limit of a document unless it is older than the one in force.
 func (a *account) applyLimit(limit quota.Limit, version int64) {
 	if version < a.version || version == a.version && limit == a.limit {
@@ -87,7 +102,8 @@
 	if now > l.ranAt+maxPause {
 		l.fleet.forget()
 		for _, a := range l.accounts {
-			a.keeper, a.balance, a.role = nil, balance{}, borrower
+			a.dropKeeper(now)
+			a.balance, a.role = balance{}, borrower
 		}
 	}
 	l.ranAt = now
@@ -98,7 +114,7 @@
 	l.noteRunning(now)
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{name: name, fleetNumber: -1}
+		a = &account{name: name, fleetNumber: -1, born: bornAt(now)}
 		l.accounts[name] = a
 	}
 	l.refresh(a, now)
@@ -148,7 +164,7 @@
 	a.deputyHeard = now
 	switch {
 	case a.role == borrower:
-		a.keeper = nil
+		a.dropKeeper(now)
 	case a.role == issuer && before != issuer:
 		a.issuerSince = l.fleet.issuerSince(a.name, l.self.Name, now)
 	}
@@ -174,10 +190,14 @@
 // lendOwn lends tokens of this front's bucket; the caller holds the lock.
 func (l *Lender) lendOwn(a *account, now time.Duration, r peers.LendRequest) peers.LendReply {
 	a.applyLimit(quota.Limit{PerSecond: r.PerSecond, Burst: r.Burst}, r.Version)
-	ask := quota.Ask{Needs: r.Needs, Ahead: r.Ahead, Unit: r.Unit, Refund: r.Refund}
+	ask := quota.Ask{Needs: r.Needs, Ahead: r.Ahead, Unit: r.Unit}
 	if r.Run == l.self.Run {
 		ask.Lease, ask.Unused = r.Lease, r.Unused
 	}
+	if r.Refunds != nil && r.Refunds.To == l.self.Run {
+		ask.Refund = a.ledger.Credit(now, *r.Refunds)
+	}
+	l.returned.Add(ask.Unused + ask.Refund)
 	g := l.bucket(a, now).Lend(ask)
 	return peers.LendReply{IsDeputy: a.role == deputy, Waits: g.Waits, Ahead: g.Ahead, Run: l.self.Run, Lease: g.Lease}
 }
--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/conf"
+	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
@@ -56,6 +59,7 @@
 // Caller calls the lenders of other fronts.
 type Caller interface {
 	RequestTokens(ctx context.Context, to follow.Front, r peers.LendRequest) (peers.LendReply, error)
+	ReturnTokens(ctx context.Context, to follow.Front, r peers.LendReturns) (peers.LendReturnsReply, error)
 	CheckDeputy(ctx context.Context, to follow.Front, c peers.LendCheck) (peers.LendCheckReply, error)
 }
 
@@ -77,6 +81,8 @@
 	log      *zap.SugaredLogger
 	lent     *metrics.FloatCounter
 	returned *metrics.FloatCounter
+	// asks runs the calls for requests that wait.
+	asks tasks.Group
 
 	mu sync.Mutex
 	// ranAt is when the process was last seen to run.
@@ -106,8 +112,8 @@
 }
 
 // Admit charges a request to its account's quota. It may take as long as an issuer and a deputy
-// may take to answer.
-func (l *Lender) Admit(c Charge) Verdict {
+// may take to answer, or until the context of the request ends, which then is not admitted.
+func (l *Lender) Admit(ctx context.Context, c Charge) Verdict {
 	if !c.Account.Quota.IsLimited() || !(c.Cost > 0) {
 		return Verdict{Admitted: true}
 	}
@@ -125,54 +131,68 @@
 		l.mu.Unlock()
 		return Verdict{Admitted: true, Source: FromBalance}
 	}
-	w := &waiter{cost: c.Cost, verdict: make(chan Verdict, 1), turn: make(chan struct{}, 1)}
+	w := &waiter{cost: c.Cost, verdict: make(chan Verdict, 1)}
 	a.waiting = append(a.waiting, w)
-	if !a.asking {
-		a.asking = true
-		w.turn <- struct{}{}
-	}
+	begins := !a.asking
+	a.asking = true
 	l.mu.Unlock()
+	if begins && !l.asks.Go(func() { l.askForAll(a) }) {
+		// The process stops.
+		l.askForAll(a)
+	}
 	select {
 	case v := <-w.verdict:
 		return v
-	case <-w.turn:
-		return l.askFor(a, w)
+	case <-ctx.Done():
+		return l.leave(a, w)
 	}
 }
 
-// waiter is a request that waits for tokens from another front. One waiter of an account at a time
-// has the turn to ask for all of them.
+// waiter is a request that waits for tokens from another front.
 type waiter struct {
 	cost    float64
 	verdict chan Verdict
-	turn    chan struct{}
+	// left is true once nobody waits for the verdict.
+	left bool
 }
 
-// askFor asks for the tokens that an account's requests wait for, w among them, and passes the turn on.
-func (l *Lender) askFor(a *account, w *waiter) Verdict {
-	l.mu.Lock()
-	batch := a.waiting
-	a.waiting = nil
-	r := l.request(a, batch)
-	l.mu.Unlock()
-	reply, source := l.borrow(a, r)
+// askForAll asks for the tokens that an account's requests wait for until none waits. It does not end
+// with the request that began it, since the answer is for others as well.
+func (l *Lender) askForAll(a *account) {
 	l.mu.Lock()
-	if len(a.waiting) > 0 {
-		a.waiting[0].turn <- struct{}{}
-	} else {
-		a.asking = false
-	}
-	l.mu.Unlock()
-	var own Verdict
-	for i, x := range batch {
-		v := Verdict{Admitted: reply.Waits[i] == 0, Wait: reply.Waits[i], Source: source}
-		if x == w {
-			own = v
-			continue
+	defer l.mu.Unlock()
+	for len(a.waiting) > 0 {
+		batch := a.waiting
+		a.waiting = nil
+		r := l.request(a, batch)
+		l.mu.Unlock()
+		reply, source := l.borrow(a, r)
+		l.mu.Lock()
+		for i, w := range batch {
+			v := Verdict{Admitted: reply.Waits[i] == 0, Wait: reply.Waits[i], Source: source}
+			switch {
+			case !w.left:
+				w.verdict <- v
+			case v.Admitted:
+				a.refunds.Add(w.cost)
+			}
 		}
-		x.verdict <- v
 	}
-	return own
+	a.asking = false
+}
+
+// leave ends the wait of a request whose context has ended.
+func (l *Lender) leave(a *account, w *waiter) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case v := <-w.verdict:
+		return v
+	default:
+	}
+	w.left = true
+	a.waiting = slices.DeleteFunc(a.waiting, func(x *waiter) bool { return x == w })
+	return Verdict{}
 }
 
 // request returns the request for the tokens that waiters need, with all that is to be returned;
@@ -180,10 +200,13 @@
 func (l *Lender) request(a *account, batch []*waiter) peers.LendRequest {
 	r := peers.LendRequest{
 		Account: a.name, PerSecond: a.limit.PerSecond, Burst: a.limit.Burst, Version: a.version,
-		Run: a.balance.run, Lease: a.balance.lease, Unused: a.balance.tokens, Refund: a.refund,
+		Run: a.balance.run, Lease: a.balance.lease, Unused: a.balance.tokens,
 	}
 	// What is returned must not be used or returned again, even if the answer is lost.
-	a.balance, a.refund = balance{}, 0
+	a.balance = balance{}
+	if first, ok := l.view.State().Fronts[a.first]; ok && a.role != issuer {
+		r.Refunds = a.refunds.Next(l.now(), l.self.Run, first.Run)
+	}
 	for _, w := range batch {
 		r.Needs = append(r.Needs, w.cost)
 	}
@@ -206,27 +229,30 @@
 		return reply, FromOwn
 	}
 	l.mu.Unlock()
-	if reply, ok := l.ask(first, second, issuerTimeout, &r); ok {
-		return l.keep(a, now, reply)
+	if reply, err := l.ask(first, second, issuerTimeout, r); err == nil {
+		return l.keep(a, now, r.Refunds, reply)
 	}
+	// The issuer may have taken the refunds although its answer was lost.
+	r.Refunds = nil
 	if role == deputy {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return l.lendOwn(a, l.now(), r), FromOwn
 	}
 	asked := l.now()
-	if reply, ok := l.ask(second, "", deputyTimeout, &r); ok {
-		return l.keep(a, asked, reply)
+	if reply, err := l.ask(second, "", deputyTimeout, r); err == nil {
+		return l.keep(a, asked, nil, reply)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return peers.LendReply{Waits: l.takeShares(a, r.Needs)}, FromShare
 }
 
-// keep stores what was borrowed ahead; its lease began when it was asked for.
-func (l *Lender) keep(a *account, asked time.Duration, reply peers.LendReply) (peers.LendReply, Source) {
+// keep stores what was borrowed ahead; its lease began when it was asked for. The reply confirms refunds.
+func (l *Lender) keep(a *account, asked time.Duration, refunds *quota.RefundTotal, reply peers.LendReply) (peers.LendReply, Source) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	a.refunds.Confirm(refunds)
 	if reply.Ahead > 0 {
 		a.balance = balance{tokens: reply.Ahead, run: reply.Run, lease: reply.Lease, end: asked + quota.LeaseTime}
 	}
@@ -236,26 +262,30 @@
 	return reply, FromIssuer
 }
 
-// ask asks a front for tokens; false if there is none of the name or it does not answer. The
-// front next is the one that is asked then; it gets no refund that the silent front may have taken.
-func (l *Lender) ask(name, next string, timeout time.Duration, r *peers.LendRequest) (peers.LendReply, bool) {
+var (
+	errNotAsked = errors.New("the front is not known or did not answer lately")
+	errRefused  = errors.New("the front does not keep the account's tokens")
+)
+
+// ask asks a front for tokens, unless it did not answer lately. The front next is the one that is
+// asked after an error.
+func (l *Lender) ask(name, next string, timeout time.Duration, r peers.LendRequest) (peers.LendReply, error) {
 	front, ok := l.view.State().Fronts[name]
 	if !ok || l.isSilent(front) {
-		return peers.LendReply{}, false
+		return peers.LendReply{}, errNotAsked
 	}
-	// Not ended with the caller's request, since the answer is for others as well.
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply, err := l.caller.RequestTokens(ctx, front, *r)
-	if err == nil && !reply.Refused && len(reply.Waits) == len(r.Needs) {
-		return reply, true
-	}
+	reply, err := l.caller.RequestTokens(ctx, front, r)
 	if err != nil {
 		l.log.Infow("issuer silent", "Account", r.Account, "Front", name, "Next", next, "Error", err.Error())
 		l.markSilent(front)
-		r.Refund = 0
+		return peers.LendReply{}, err
+	}
+	if reply.Refused || len(reply.Waits) != len(r.Needs) {
+		return peers.LendReply{}, errRefused
 	}
-	return peers.LendReply{}, false
+	return reply, nil
 }
 
 func (l *Lender) isSilent(f follow.Front) bool {
@@ -308,5 +338,5 @@
 		l.bucket(a, now).Refund(c.Cost)
 		return
 	}
-	a.refund += c.Cost
+	a.refunds.Add(c.Cost)
 }
--- a/internal/front/lender/lender_test.go
+++ b/internal/front/lender/lender_test.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
 	"foxtailcroft/internal/policy/pace"
 	"foxtailcroft/internal/policy/quota"
@@ -26,14 +30,32 @@
 func (v fixedView) State() *follow.State      { return v.state }
 func (fixedView) ConfirmedAge() time.Duration { return 0 }
 
-// scriptedCaller answers with replies in turn, and then not at all.
+// scriptedCaller answers with replies in turn after a delay, and then not at all. Returns reach a
+// lender, if there is one, after the same delay.
 type scriptedCaller struct {
-	replies []peers.LendReply
-	asked   []peers.LendRequest
+	replies  []peers.LendReply
+	asked    []peers.LendRequest
+	delay    time.Duration
+	to       *Lender
+	mu       sync.Mutex
+	messages []peers.LendReturns
+	arrived  time.Time
+}
+
+func (s *scriptedCaller) ReturnTokens(ctx context.Context, _ follow.Front, r peers.LendReturns) (peers.LendReturnsReply, error) {
+	time.Sleep(s.delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.messages, s.arrived = append(s.messages, r), time.Now()
+	if s.to != nil {
+		return s.to.AcceptReturns(r), ctx.Err()
+	}
+	return peers.LendReturnsReply{}, errors.New("no answer")
 }
 
 func (s *scriptedCaller) RequestTokens(_ context.Context, _ follow.Front, r peers.LendRequest) (peers.LendReply, error) {
 	s.asked = append(s.asked, r)
+	time.Sleep(s.delay)
 	if len(s.replies) == 0 {
 		return peers.LendReply{}, errors.New("no answer")
 	}
@@ -78,16 +100,16 @@
 			{Waits: []time.Duration{0}, Ahead: 3, Run: "x", Lease: 7}, {Waits: []time.Duration{time.Second}}, {}, {},
 		}}
 		l, charge := newBorrower(c, 1)
-		g.Expect(l.Admit(charge)).To(Equal(Verdict{Admitted: true, Source: FromIssuer}))
-		g.Expect(l.Admit(charge)).To(Equal(Verdict{Admitted: true, Source: FromBalance}))
+		g.Expect(l.Admit(context.Background(), charge)).To(Equal(Verdict{Admitted: true, Source: FromIssuer}))
+		g.Expect(l.Admit(context.Background(), charge)).To(Equal(Verdict{Admitted: true, Source: FromBalance}))
 		time.Sleep(quota.LeaseTime)
 		l.Refund(charge)
-		g.Expect(l.Admit(charge)).To(Equal(Verdict{Wait: time.Second, Source: FromIssuer}), "the lease has ended")
+		g.Expect(l.Admit(context.Background(), charge)).To(Equal(Verdict{Wait: time.Second, Source: FromIssuer}), "the lease has ended")
 		g.Expect(c.asked).To(HaveLen(2))
 		g.Expect(c.asked[1].Unused).To(Equal(2.0))
 		g.Expect(c.asked[1].Lease).To(Equal(int64(7)))
 		g.Expect(c.asked[1].Run).To(Equal("x"))
-		g.Expect(c.asked[1].Refund).To(Equal(1.0))
+		g.Expect(c.asked[1].Refunds.Total).To(Equal(1.0))
 		g.Expect(l.takeReturns()).To(BeEmpty())
 	})
 }
@@ -100,45 +122,137 @@
 		c := &scriptedCaller{}
 		l, charge := newBorrower(c, 1)
 		l.Refund(charge)
-		l.Admit(charge)
+		l.Admit(context.Background(), charge)
 		g.Expect(c.asked).To(HaveLen(2))
-		g.Expect(c.asked[0].Refund).To(Equal(1.0))
-		g.Expect(c.asked[1].Refund).To(BeZero())
+		g.Expect(c.asked[0].Refunds.Total).To(Equal(1.0))
+		g.Expect(c.asked[1].Refunds).To(BeNil())
 
 		l, _ = newBorrower(c, 2)
-		reply := l.Lend(t.Context(), peers.LendRequest{Account: "acct", PerSecond: 1, Burst: 100, Version: 1, Needs: []float64{20}, Refund: 50})
+		reply := l.Lend(t.Context(), peers.LendRequest{Account: "acct", PerSecond: 1, Burst: 100, Version: 1, Needs: []float64{20}, Refunds: &quota.RefundTotal{From: "b", To: "issuer", Series: 1, Total: 50}})
 		g.Expect(reply.IsDeputy).To(BeTrue())
 		g.Expect(reply.Waits).To(HaveExactElements(BeNumerically(">", 0)))
 	})
 }
 
-// TestUnusedAccountsAreForgotten guards against an issuer that keeps all accounts that it has ever
-// served, since the bucket of an account that is no longer used is not advanced.
-func TestUnusedAccountsAreForgotten(t *testing.T) {
+// TestRefundsToASilentIssuerAreRepeated guards against refunds that are dropped, or count twice, because
+// an answer of the issuer was lost, and against refunds that are repeated without end.
+func TestRefundsToASilentIssuerAreRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		delay  time.Duration
+		silent time.Duration
+		want   float64
+	}{
+		{"answers", 0, 0, 1},
+		{"answers after the request's end", 2 * issuerTimeout, 0, 1},
+		{"silent at first", 0, 3 * sweepInterval, 1},
+		{"silent for long", 0, 2 * quota.RefundTime, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				issuerLender, _ := newBorrower(nil, 0)
+				caller := &scriptedCaller{delay: c.delay}
+				l, charge := newBorrower(caller, 1)
+				l.Refund(charge)
+				time.AfterFunc(c.silent, func() {
+					caller.mu.Lock()
+					defer caller.mu.Unlock()
+					caller.to = issuerLender
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 3*quota.RefundTime)
+				defer cancel()
+				l.Run(ctx)
+				g.Expect(issuerLender.returned.Get()).To(Equal(c.want))
+				g.Expect(len(caller.messages)).To(BeNumerically("<=", 2+quota.RefundTime/sweepInterval))
+			})
+		})
+	}
+}
+
+// TestReturnsOfManyAccountsArriveInTime guards against returns that are sent one after the other, and so
+// after the lender has given up their leases, and against messages over the bound.
+func TestReturnsOfManyAccountsArriveInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		state := &follow.State{Fronts: map[string]follow.Front{"a": {Name: "a", Run: "a"}}}
-		l := New(state.Fronts["a"], fixedView{state}, conf.QuotaBounds{}, metrics.NewSet(), zap.NewNop().Sugar())
-		for i := range maxAccounts + 50 {
-			l.Admit(Charge{Account: &site.Account{Name: fmt.Sprint("acct-", i), Quota: site.Quota{PerSecond: 1, Burst: 30}}, Version: 1, Cost: 30})
+		g, began := NewWithT(t), time.Now()
+		c := &scriptedCaller{delay: 20 * time.Millisecond}
+		l, _ := newBorrower(c, 1)
+		for i := range 10_000 {
+			a := l.account(fmt.Sprintf("acct-%0100d", i), 0)
+			a.role, a.balance = borrower, balance{tokens: 1, run: "x", lease: 1, end: quota.LeaseTime}
 		}
-		for range 2 * forgetTime / sweepInterval {
-			time.Sleep(sweepInterval)
-			l.takeReturns()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		l.Run(ctx)
+		returned := 0
+		for _, m := range c.messages {
+			data, err := json.Marshal(m)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(len(data)).To(BeNumerically("<", peer.MaxFrameBytes-1024))
+			returned += len(m.Returns)
 		}
-		g.Expect(l.accounts).To(HaveLen(maxAccounts))
+		g.Expect(returned).To(Equal(10_000))
+		g.Expect(len(c.messages)).To(BeNumerically("<", 12))
+		g.Expect(c.arrived.Sub(began)).To(BeNumerically("<", quota.RefundTime))
+	})
+}
+
+// TestWaitEndsWithItsCaller guards against requests that wait for other fronts after their callers have
+// left, and against costs that these requests have taken from others that wait with them.
+func TestWaitEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, began := NewWithT(t), time.Now()
+		c := &scriptedCaller{delay: 100 * time.Millisecond, replies: []peers.LendReply{{Waits: []time.Duration{0}}, {Waits: []time.Duration{0}}}}
+		l, charge := newBorrower(c, 1)
+		var other conc.WaitGroup
+		other.Go(func() {
+			time.Sleep(time.Millisecond)
+			g.Expect(l.Admit(t.Context(), charge)).To(Equal(Verdict{Admitted: true, Source: FromIssuer}))
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		g.Expect(l.Admit(ctx, charge)).To(Equal(Verdict{}))
+		g.Expect(time.Since(began)).To(Equal(10 * time.Millisecond))
+		other.Wait()
+		g.Expect(c.asked).To(HaveLen(2))
+		g.Expect(c.asked[1].Refunds.Total).To(Equal(1.0), "the cost of the request that was left")
 	})
 }
 
+// TestUnusedAccountsAreForgotten guards against fronts that keep all accounts that they have ever
+// served, whatever they are for them.
+func TestUnusedAccountsAreForgotten(t *testing.T) {
+	for role, name := range []string{"issuer", "borrower", "deputy"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				l, charge := newBorrower(&scriptedCaller{}, role)
+				charge.Account.Quota = site.Quota{PerSecond: 1, Burst: 30}
+				l.Admit(t.Context(), charge)
+				sweep := func(d time.Duration) {
+					for range d / sweepInterval {
+						time.Sleep(sweepInterval)
+						l.takeReturns()
+					}
+				}
+				sweep(forgetTime - time.Second)
+				g.Expect(l.accounts).To(HaveLen(1))
+				sweep(2 * time.Second)
+				g.Expect(l.accounts).To(BeEmpty())
+			})
+		})
+	}
+}
+
 // TestUnlimitedAccountsAskNobody guards against calls and waits for accounts without a limit.
 func TestUnlimitedAccountsAskNobody(t *testing.T) {
 	g := NewWithT(t)
 	c := &scriptedCaller{}
 	l, charge := newBorrower(c, 1)
 	charge.Account.Quota.PerSecond = 0
-	g.Expect(l.Admit(charge).Admitted).To(BeTrue())
+	g.Expect(l.Admit(context.Background(), charge).Admitted).To(BeTrue())
 	l, charge = newBorrower(c, 0)
-	l.Admit(charge)
+	l.Admit(context.Background(), charge)
 	g.Expect(c.asked).To(BeEmpty(), "an issuer asks nobody")
 }
 
@@ -148,7 +262,7 @@
 		l, charge := newBorrower(nil, 0)
 		b.ReportAllocs()
 		for b.Loop() {
-			l.Admit(charge)
+			l.Admit(context.Background(), charge)
 		}
 	})
 	b.Run("balance", func(b *testing.B) {
@@ -158,7 +272,7 @@
 		l.mu.Unlock()
 		b.ReportAllocs()
 		for b.Loop() {
-			l.Admit(charge)
+			l.Admit(context.Background(), charge)
 		}
 	})
 }
--- a/internal/front/lender/serve.go
+++ b/internal/front/lender/serve.go
@@ -16,9 +16,7 @@
 	sweepInterval = 100 * time.Millisecond
 	// checkInterval is the time between two questions to the deputies of accounts in use.
 	checkInterval = 600 * time.Millisecond
-	// maxAccounts is the number of accounts from which unused ones are forgotten.
-	maxAccounts = 256
-	// forgetTime is how long an account must be unused for that.
+	// forgetTime is how long an account must be unused to be forgotten.
 	forgetTime = time.Minute
 )
 
@@ -35,10 +33,9 @@
 	if role == deputy {
 		relayed := r
 		relayed.Relayed = true
-		if reply, ok := l.ask(first, l.self.Name, issuerTimeout, &relayed); ok {
+		if reply, err := l.ask(first, l.self.Name, issuerTimeout, relayed); err == nil {
 			return reply
 		}
-		r.Refund = relayed.Refund
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -51,7 +48,7 @@
 	return reply
 }
 
-// countLent counts what was lent to another front and what it has returned.
+// countLent counts what was lent to another front.
 func (l *Lender) countLent(r peers.LendRequest, reply peers.LendReply) {
 	lent := reply.Ahead
 	for i, wait := range reply.Waits {
@@ -60,7 +57,6 @@
 		}
 	}
 	l.lent.Add(lent)
-	l.returned.Add(r.Unused + r.Refund)
 }
 
 // ConfirmIssuer tells an issuer for which accounts this front takes it for the issuer, and what this
@@ -80,58 +76,11 @@
 		if a.keeper != nil {
 			lent = a.keeper.Lent()
 		}
-		reply.Confirmed, reply.Lent = append(reply.Confirmed, a.first == c.Issuer), append(reply.Lent, lent)
+		reply.Confirmed, reply.Lent, reply.Born = append(reply.Confirmed, a.first == c.Issuer), append(reply.Lent, lent), append(reply.Born, a.born)
 	}
 	return reply
 }
 
-// Run returns unused tokens and forgets unused accounts until the context ends.
-func (l *Lender) Run(ctx context.Context) {
-	for sleep.For(ctx, sweepInterval) {
-		for _, r := range l.takeReturns() {
-			if ctx.Err() != nil {
-				return
-			}
-			l.ask(r.to, "", issuerTimeout, &r.request)
-		}
-	}
-}
-
-// tokenReturn is what is returned to a front.
-type tokenReturn struct {
-	to      string
-	request peers.LendRequest
-}
-
-// takeReturns takes the unused tokens of ended leases and the refunds of all accounts.
-func (l *Lender) takeReturns() []tokenReturn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	// Also without requests, so that it is known since when this front is the issuer of an account.
-	l.noteRunning(now)
-	l.fleet.update(l.view.State(), now)
-	var out []tokenReturn
-	for name, a := range l.accounts {
-		l.refresh(a, now)
-		if a.keeper != nil && l.isChecked(a, now) {
-			// Notices that this front is cut off, also without requests meanwhile.
-			l.bucket(a, now)
-		}
-		switch {
-		case a.asking:
-		case a.role == issuer && a.refund > 0:
-			l.bucket(a, now).Refund(a.refund)
-			a.refund = 0
-		case a.role != issuer && (a.refund > 0 || a.balance.tokens > 0 && now > a.balance.end):
-			out = append(out, tokenReturn{to: a.first, request: l.request(a, nil)})
-		case len(l.accounts) > maxAccounts && now > a.usedAt+forgetTime && (a.keeper == nil || a.keeper.IsIdle(now)):
-			delete(l.accounts, name)
-		}
-	}
-	return out
-}
-
 // RunChecks asks the deputies of this front's accounts in use whether they still take it for the
 // issuer, until the context ends.
 func (l *Lender) RunChecks(ctx context.Context) {
@@ -182,7 +131,11 @@
 			continue
 		}
 		l.bucket(a, l.now())
-		a.keeper.Settle(reply.Run, reply.Lent[i])
+		born := int64(0)
+		if i < len(reply.Born) {
+			born = reply.Born[i]
+		}
+		a.keeper.Settle(reply.Run, born, reply.Lent[i])
 		a.deputyHeard = max(a.deputyHeard, asked)
 	}
 }
--- a/internal/front/peers/lend.go
+++ b/internal/front/peers/lend.go
@@ -6,11 +6,13 @@
 
 	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/quota"
 )
 
 const (
-	methodLend      = "Lend"
-	methodLendCheck = "LendCheck"
+	methodLend       = "Lend"
+	methodLendCheck  = "LendCheck"
+	methodLendReturn = "LendReturn"
 )
 
 // LendRequest asks the front that keeps an account's tokens to lend some, and returns others.
@@ -30,8 +32,8 @@
 	Run    string  `json:",omitempty"`
 	Lease  int64   `json:",omitempty"`
 	Unused float64 `json:",omitempty"`
-	// Refund is the cost of requests that were counted and have not run.
-	Refund float64 `json:",omitempty"`
+	// Refunds is the cost of requests that were counted and have not run, nil for none.
+	Refunds *quota.RefundTotal `json:",omitempty"`
 	// Relayed is true if a deputy asks the issuer for another front.
 	Relayed bool `json:",omitempty"`
 }
@@ -49,6 +51,16 @@
 	Lease int64           `json:",omitempty"`
 }
 
+// LendReturns returns tokens of several accounts to their issuer. The requests have no needs.
+type LendReturns struct {
+	Returns []LendRequest
+}
+
+// LendReturnsReply has for each account whether the front has refused the tokens, because it is not the issuer.
+type LendReturnsReply struct {
+	Refused []bool
+}
+
 // LendCheck asks the deputy of accounts whether it takes the asking front for their issuer.
 type LendCheck struct {
 	Issuer   string
@@ -59,14 +71,17 @@
 type LendCheckReply struct {
 	Run string
 	// Confirmed has for each account whether the deputy takes the asking front for the issuer, and
-	// Lent what the deputy's process has lent in place of an issuer so far.
+	// Lent what the deputy's process has lent in place of an issuer since Born, which is 0 for an account
+	// that it does not know.
 	Confirmed []bool
 	Lent      []float64
+	Born      []int64 `json:",omitempty"`
 }
 
 // TokenLender keeps the tokens of the client accounts whose issuer or deputy this front is.
 type TokenLender interface {
 	Lend(ctx context.Context, r LendRequest) LendReply
+	AcceptReturns(r LendReturns) LendReturnsReply
 	ConfirmIssuer(c LendCheck) LendCheckReply
 }
 
@@ -75,6 +90,9 @@
 	peer.OnCall(mux, methodLend, func(ctx context.Context, _ *peer.Conn, r LendRequest) (LendReply, error) {
 		return l.Lend(ctx, r), nil
 	})
+	peer.OnCall(mux, methodLendReturn, func(_ context.Context, _ *peer.Conn, r LendReturns) (LendReturnsReply, error) {
+		return l.AcceptReturns(r), nil
+	})
 	peer.OnCall(mux, methodLendCheck, func(_ context.Context, _ *peer.Conn, c LendCheck) (LendCheckReply, error) {
 		return l.ConfirmIssuer(c), nil
 	})
@@ -87,6 +105,13 @@
 	return reply, err
 }
 
+// ReturnTokens returns tokens to another front.
+func (m *Client) ReturnTokens(ctx context.Context, to follow.Front, r LendReturns) (LendReturnsReply, error) {
+	var reply LendReturnsReply
+	err := m.call(ctx, to.Address, methodLendReturn, callTimeout, r, &reply)
+	return reply, err
+}
+
 // CheckDeputy asks the deputy of accounts whether it takes this front for their issuer.
 func (m *Client) CheckDeputy(ctx context.Context, to follow.Front, c LendCheck) (LendCheckReply, error) {
 	var reply LendCheckReply
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -72,17 +72,21 @@
 		return true
 	}
 	charge := lender.Charge{Account: c.account, Version: c.state.Document.Version, Cost: c.quotaCost()}
-	v := c.server.quotas.Admit(charge)
-	for left := c.maxQuotaWait(); !v.Admitted && v.Wait <= left; v = c.server.quotas.Admit(charge) {
+	v := c.server.quotas.Admit(c.r.Context(), charge)
+	for left := c.maxQuotaWait(); !v.Admitted && v.Wait <= left; v = c.server.quotas.Admit(c.r.Context(), charge) {
 		wait := max(v.Wait, minQuotaWait)
 		left -= wait
 		if !c.waitForQuota(wait) {
 			return false
 		}
 	}
-	if v.Admitted {
+	switch {
+	case v.Admitted:
 		c.charge = charge
 		return true
+	case c.r.Context().Err() != nil:
+		c.endCallerLeft()
+		return false
 	}
 	c.server.log.Infow("quota exceeded", "Account", c.account.Name, "Request", c.request.ID, "Cost", charge.Cost, "Wait", v.Wait.String(), "Source", string(v.Source))
 	c.refuseAccount("quota", http.StatusTooManyRequests, "quota exceeded", v.Wait)
--- a/internal/front/proxy/quota_test.go
+++ b/internal/front/proxy/quota_test.go
@@ -28,7 +28,7 @@
 	refunds []float64
 }
 
-func (q *quotaRecorder) Admit(c lender.Charge) lender.Verdict {
+func (q *quotaRecorder) Admit(_ context.Context, c lender.Charge) lender.Verdict {
 	if c.Cost > q.left {
 		return lender.Verdict{Wait: 1500 * time.Millisecond, Source: lender.FromIssuer}
 	}
@@ -102,12 +102,12 @@
 	wait       time.Duration
 }
 
-func (q *waitQuota) Admit(c lender.Charge) lender.Verdict {
+func (q *waitQuota) Admit(ctx context.Context, c lender.Charge) lender.Verdict {
 	if q.rejections > 0 {
 		q.rejections--
 		return lender.Verdict{Wait: q.wait, Source: lender.FromOwn}
 	}
-	return q.quotaRecorder.Admit(c)
+	return q.quotaRecorder.Admit(ctx, c)
 }
 
 // TestWaitForTokensEndsWithItsReason guards against requests that are rejected although their tokens come
@@ -178,7 +178,7 @@
 		r.proxy.quotas = l
 		r.state.Fronts = map[string]follow.Front{"f": {Name: "f"}}
 		for range 4 {
-			l.Admit(lender.Charge{Account: &accounts.All()[0], Version: 3, Cost: 1})
+			l.Admit(context.Background(), lender.Charge{Account: &accounts.All()[0], Version: 3, Cost: 1})
 			time.Sleep(time.Second)
 		}
 		with := count()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -86,7 +86,8 @@
 
 // Quotas charges requests to the quotas of client accounts, over all fronts.
 type Quotas interface {
-	Admit(c lender.Charge) lender.Verdict
+	// Admit may wait for other fronts, at most until the context ends.
+	Admit(ctx context.Context, c lender.Charge) lender.Verdict
 	// Refund gives back the cost of an admitted request that has not run.
 	Refund(c lender.Charge)
 }
--- a/internal/lab/quotas/site.go
+++ b/internal/lab/quotas/site.go
@@ -89,6 +89,16 @@
 	return reply, ctx.Err()
 }
 
+func (f *simFront) ReturnTokens(ctx context.Context, to follow.Front, r peers.LendReturns) (peers.LendReturnsReply, error) {
+	l := f.target(ctx, to)
+	if l == nil {
+		return peers.LendReturnsReply{}, errors.New("no answer")
+	}
+	reply := l.AcceptReturns(r)
+	time.Sleep(messageTime)
+	return reply, ctx.Err()
+}
+
 func (f *simFront) CheckDeputy(ctx context.Context, to follow.Front, c peers.LendCheck) (peers.LendCheckReply, error) {
 	l := f.target(ctx, to)
 	if l == nil {
@@ -205,7 +215,7 @@
 	limit := quota.Limit{PerSecond: account.Quota.PerSecond, Burst: account.Quota.Burst}
 	switch way {
 	case wayLending:
-		return l.Admit(lender.Charge{Account: account, Version: version, Cost: cost}).Admitted
+		return l.Admit(s.ctx, lender.Charge{Account: account, Version: version, Cost: cost}).Admitted
 	case wayFixed:
 		n := float64(len(s.names))
 		s.mu.Lock()
--- a/internal/policy/quota/keeper.go
+++ b/internal/policy/quota/keeper.go
@@ -56,9 +56,11 @@
 	since time.Duration
 	// lentAsDeputy is what the buckets before this one lent for a deputy.
 	lentAsDeputy float64
-	// settledRun and settled are the deputy's process and what it had lent at the last settlement.
-	settledRun string
-	settled    float64
+	// settledRun, settledBorn and settled are the deputy's process, the start of its count and what it
+	// had lent at the last settlement.
+	settledRun  string
+	settledBorn int64
+	settled     float64
 }
 
 // NewKeeper returns a keeper without tokens.
@@ -107,7 +109,7 @@
 	return k.bucket
 }
 
-// Lent returns what this front has lent as deputy since its process began.
+// Lent returns what this front has lent as deputy since the keeper was created.
 func (k *Keeper) Lent() float64 {
 	if k.bucket == nil || !k.isDeputy {
 		return k.lentAsDeputy
@@ -116,19 +118,28 @@
 }
 
 // Settle charges an issuer's bucket what the deputy has lent since the last settlement; lent is
-// what the deputy's process, run, has lent so far. The bucket must have been opened for the same time.
-func (k *Keeper) Settle(run string, lent float64) {
+// what the deputy's process, run, has lent since born, the time at which it last forgot the account.
+// The bucket must have been opened for the same time.
+func (k *Keeper) Settle(run string, born int64, lent float64) {
 	if k.bucket != nil && !k.isDeputy {
 		since := 0.0
-		if run == k.settledRun {
+		switch {
+		case run != k.settledRun:
+		case born != k.settledBorn:
+			since = lent
+		default:
 			since = max(0, lent-k.settled)
 		}
 		k.bucket.Settle(since)
 	}
-	k.settledRun, k.settled = run, lent
+	k.settledRun, k.settledBorn, k.settled = run, born, lent
 }
 
 // IsIdle reports whether nothing would be lost with the keeper. It does not need to be opened before.
+// A deputy's bucket is created anew after a window without use in any case.
 func (k *Keeper) IsIdle(now time.Duration) bool {
-	return k.bucket == nil || !k.isDeputy && !k.isolated && k.bucket.IsIdle(now)
+	if k.isDeputy {
+		return now > k.usedAt+k.bounds.Window
+	}
+	return k.bucket == nil || !k.isolated && k.bucket.IsIdle(now)
 }
--- a/internal/policy/quota/orders_test.go
+++ b/internal/policy/quota/orders_test.go
@@ -68,7 +68,7 @@
 	m.issuer, m.deputy = NewKeeper(m.bounds, l), NewKeeper(m.bounds, l)
 	m.heard, m.confirmed = m.now, m.now
 	m.lender = m.openIssuer()
-	m.issuer.Settle("run", 0)
+	m.issuer.Settle("run", 1, 0)
 	return m
 }
 
@@ -165,7 +165,7 @@
 		issuerAway := isAway(e)
 		if !issuerAway && m.now >= m.checkAt {
 			m.openIssuer()
-			m.issuer.Settle("run", m.deputy.Lent())
+			m.issuer.Settle("run", 1, m.deputy.Lent())
 			m.heard, m.checkAt = m.now, m.now+checkTime
 		}
 		if issuerAway && m.now-m.silentSince > lastsFor {
