plat/follow: revisions decide whether the store has a document

Cause: each recorded answer set whether the store has a document. The answer to a read that was sent before the document's deletion, and recorded after the watch had seen it, let the following watch calls prove a document that the store lacked, until the next read.

Change: policy/fresh.Presence keeps the highest revisions at which the document's key was written and at which it did not exist; the higher one decides. A read whose answer is older than a known deletion proves nothing.

--- a/internal/plat/follow/proof.go
+++ b/internal/plat/follow/proof.go
@@ -45,8 +45,8 @@
 	proof fresh.Proof
 	// answered is when the store last answered this front or the one that it follows, 0 if never.
 	answered time.Duration
-	// absent is true while the store has no document; a document that is kept then is not proved.
-	absent bool
+	// presence tells whether the store has a document; a document that is kept while it has none is not proved.
+	presence fresh.Presence
 	// readSent is when the latest read of the document's key was sent; reading counts those without an
 	// answer, and readFailed tells how the last one ended.
 	readSent   time.Duration
@@ -103,19 +103,21 @@
 	return f.proofs.proof, f.proofs.renewed
 }
 
-// recordAnswer records that the store has answered a call, and whether it has a document. An answer
-// counts from its arrival or, if the call took longer than a document may take to be in force, from
-// its sending: the process may have been suspended before it read the answer.
-func (f *Follower) recordAnswer(sent time.Duration, absent bool) {
+// recordAnswer records that the store has answered a call, and what the answer tells of the document; it
+// reports whether the store has one. An answer counts from its arrival or, if the call took longer than
+// a document may take to be in force, from its sending: the process may have been suspended before it
+// read the answer.
+func (f *Follower) recordAnswer(sent time.Duration, tell func(*fresh.Presence)) (present bool) {
 	t := &f.proofs
 	now := t.SinceBoot()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.absent = absent
+	tell(&t.presence)
 	if t.InForce > 0 && now-sent > t.InForce {
 		now = sent
 	}
 	t.answered = max(t.answered, now)
+	return !t.presence.IsAbsent()
 }
 
 // proveByWatch records that a watch call was answered, after its changes have been applied. It proves
@@ -124,17 +126,20 @@
 	if b.SentAt <= 0 {
 		return
 	}
-	f.proofs.mu.Lock()
-	absent := f.proofs.absent
-	f.proofs.mu.Unlock()
 	revision := f.documentRevision()
-	for _, e := range b.Events {
-		if e.Key == f.layout.DocumentKey {
-			absent, revision = e.Deleted, max(revision, e.Revision)
+	present := f.recordAnswer(b.SentAt, func(p *fresh.Presence) {
+		for _, e := range b.Events {
+			switch {
+			case e.Key != f.layout.DocumentKey:
+			case e.Deleted:
+				p.Lacked(e.Revision)
+			default:
+				p.Saw(e.Revision)
+				revision = max(revision, e.Revision)
+			}
 		}
-	}
-	f.recordAnswer(b.SentAt, absent)
-	if !absent {
+	})
+	if present {
 		f.prove(fresh.Proof{At: b.SentAt, Revision: revision})
 	}
 }
@@ -147,16 +152,25 @@
 			revision = kv.Revision
 		}
 	}
-	f.recordAnswer(sent, revision == 0)
-	f.prove(fresh.FromRead(sent, 0, revision))
+	present := f.recordAnswer(sent, func(p *fresh.Presence) {
+		if revision == 0 {
+			p.Lacked(list.Revision)
+		}
+		p.Saw(revision)
+	})
+	if present {
+		f.prove(fresh.FromRead(sent, 0, revision))
+	}
 }
 
 // readDocument reads the document's key linearizably and applies a newer document; applied tells
 // whether there was one.
 func (f *Follower) readDocument(ctx context.Context) (applied bool, err error) {
 	t := &f.proofs
-	sent, known := t.SinceBoot(), f.documentRevision()
+	s := f.State()
+	sent, known := t.SinceBoot(), s.Keys[f.layout.DocumentKey].Revision
 	t.mu.Lock()
+	newest := max(known, t.presence.Newest())
 	t.readSent = sent
 	t.reading++
 	t.mu.Unlock()
@@ -176,9 +190,14 @@
 			applied = true
 			return f.deriveState(old, applyEvents(old.Keys, []store.Event{{KV: kv}}), old.Revision)
 		})
-		f.prove(fresh.FromRead(sent, known, kv.Revision))
+		f.prove(fresh.FromRead(sent, newest, kv.Revision))
 	}
-	f.recordAnswer(sent, !ok)
+	f.recordAnswer(sent, func(p *fresh.Presence) {
+		if !ok {
+			p.LackedAfter(known, s.Revision)
+		}
+		p.Saw(kv.Revision)
+	})
 	return applied, nil
 }
 
--- a/internal/plat/follow/proof_test.go
+++ b/internal/plat/follow/proof_test.go
@@ -86,3 +86,69 @@
 	f.replaceView(documentAt(7), false)
 	g.Expect(f.prove(fresh.Proof{At: time.Second, Revision: 6})).To(BeTrue())
 }
+
+// lateStore answers a read with a document at a revision, 0 for none, after what happens meanwhile.
+type lateStore struct {
+	store.Store
+	meanwhile func()
+	answer    int64
+}
+
+func (s *lateStore) Get(context.Context, string) (store.KV, bool, error) {
+	s.meanwhile()
+	return store.KV{Key: "op/doc", Value: []byte("v1"), Revision: s.answer}, s.answer > 0, nil
+}
+
+// TestRevisionsDecideWhetherThereIsADocument guards against answers that are recorded late and hide that
+// the document was deleted, or written again, so that watch calls prove a document that the store lacks.
+func TestRevisionsDecideWhetherThereIsADocument(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before and meanwhile are the revisions that the watch sees before a read and before its answer is
+		// recorded; those of deletions are negative. absent is the number of reads before without a document.
+		before, meanwhile []int64
+		absent            int
+		answer            int64
+		proved            bool
+	}{
+		{"unchanged", nil, nil, 0, 5, true},
+		{"deleted", []int64{-8}, nil, 0, 0, false},
+		{"deleted while the answer was on its way", nil, []int64{-8}, 0, 5, false},
+		{"answer older than a deletion that was known", []int64{-8}, nil, 0, 5, false},
+		{"deletion not yet seen", nil, nil, 0, 0, false},
+		{"written again", []int64{-8, 9}, nil, 0, 9, true},
+		{"written again, read first", []int64{-8}, nil, 0, 9, true},
+		{"written again after reads without it", []int64{-6}, []int64{7}, 3, 7, true},
+		{"written again while the answer without it was on its way", nil, []int64{-8, 9}, 0, 0, true},
+		{"written again and deleted while the answer was on its way", []int64{-8}, []int64{9, -10}, 0, 9, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now, s := time.Hour, &lateStore{}
+			f := New("me", s, plainDecoder{}, Layout{DocumentKey: "op/doc"}, Delays{}, zap.NewNop().Sugar())
+			f.SetProof(ProofOptions{SinceBoot: func() time.Duration { return now }, Bound: 5 * time.Second})
+			f.replaceView(documentAt(5), false)
+			watch := func(revisions []int64) {
+				now += time.Second
+				b := store.Batch{Revision: f.State().Revision, SentAt: now}
+				for _, r := range revisions {
+					b.Revision = max(r, -r)
+					b.Events = append(b.Events, store.Event{KV: store.KV{Key: "op/doc", Value: []byte("v1"), Revision: b.Revision}, Deleted: r < 0})
+				}
+				f.applyBatch(b)
+				f.proveByWatch(b)
+			}
+			watch(c.before)
+			for left := c.absent; left >= 0; left-- {
+				s.meanwhile = func() {}
+				if left == 0 {
+					s.answer, s.meanwhile = c.answer, func() { watch(c.meanwhile) }
+				}
+				_, err := f.readDocument(t.Context())
+				NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			}
+			watch(nil)
+			p, _ := f.currentProof()
+			NewWithT(t).Expect(p.At == now).To(Equal(c.proved))
+		})
+	}
+}
