--- a/internal/front/lender/lender_test.go
+++ b/internal/front/lender/lender_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -276,3 +277,35 @@
 		}
 	})
 }
+
+// BenchmarkAccountsInUse measures what 10,000 accounts in use hold at their issuer, and at one front of
+// 2,100 those of them whose issuer or deputy it is.
+func BenchmarkAccountsInUse(b *testing.B) {
+	for _, fronts := range []int{1, 2100} {
+		b.Run(fmt.Sprint(fronts, " fronts"), func(b *testing.B) {
+			state := &follow.State{Fronts: map[string]follow.Front{}}
+			for i := range fronts {
+				name := fmt.Sprint("front-", i)
+				state.Fronts[name] = follow.Front{Name: name, Run: name}
+			}
+			l := New(state.Fronts["front-0"], fixedView{state}, conf.QuotaBounds{}, metrics.NewSet(), zap.NewNop().Sugar())
+			var before, after runtime.MemStats
+			for b.Loop() {
+				l.accounts = map[string]*account{}
+				l.account("first", l.now())
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for i := range 10_000 {
+					name := fmt.Sprintf("account-%05d", i)
+					if first, second := pace.Issuers(name, l.fleet.names); first == l.self.Name || second == l.self.Name {
+						l.Lend(b.Context(), peers.LendRequest{Account: name, PerSecond: 20_000, Burst: 40_000, Version: 1, Needs: []float64{500}, Ahead: 1000, Unit: 500, Relayed: second == l.self.Name})
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(len(l.accounts)-1), "accounts")
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "held-bytes")
+		})
+	}
+}
