entry/caller: idempotency keys by account, 503 while accounts may be missing

Cause: two accounts that sent the same idempotency key got each other's answer, or a refusal. An entry that lacked the newest accounts answered 401 to their keys; callers do not retry after 401.

Change: the key that reaches agents is scoped to the account; messages show the part that the caller sent. For an unknown key an entry reads the accounts from the store, at most once a second, and answers 401 only if it has all of them, otherwise 503 with a retry time of 1 s. Known keys and entries without accounts cost nothing. A call under an idempotency key that was sent before the update, by a caller with an account, is not found after it.

--- a/internal/agent/worker/plain.go
+++ b/internal/agent/worker/plain.go
@@ -79,7 +79,7 @@
 	}
 	switch out.State {
 	case claim.Mismatch:
-		return wire.Done{Refusal: fault.NotRun(fault.KeyReused, "idempotency key %q was used for a different call", a.Run.Key)}
+		return wire.Done{Refusal: fault.NotRun(fault.KeyReused, "idempotency key %q was used for a different call", wire.CallerKey(a.Run.Key))}
 	case claim.Completed:
 		d := emitAnswer(a, out.Answer.(plain.Answer), startedAt)
 		d.Replayed = true
@@ -87,7 +87,7 @@
 	case claim.Dispatchable:
 		return w.dispatchClaimed(ctx, a, log, startedAt)
 	}
-	return wire.Done{Refusal: fault.Failed(fault.Unsettled, "an earlier call with idempotency key %q has an unknown outcome", a.Run.Key)}
+	return wire.Done{Refusal: fault.Failed(fault.Unsettled, "an earlier call with idempotency key %q has an unknown outcome", wire.CallerKey(a.Run.Key))}
 }
 
 // dispatchClaimed makes the call of a newly claimed key and records its outcome in the claim log.
--- a/internal/entry/caller/account.go
+++ b/internal/entry/caller/account.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,7 +9,6 @@
 
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
-	"foxtailcroft/internal/core/view"
 	"foxtailcroft/internal/entry/calls"
 )
 
@@ -17,17 +17,39 @@
 	authenticationScheme = "Bearer"
 )
 
+// Currency tells whether the configuration of this entry has all accounts.
+type Currency interface {
+	HasAllAccounts(ctx context.Context) bool
+}
+
+// unconfirmedRetryAfter is the Retry-After time of requests with a key that may be newer than the configuration.
+const unconfirmedRetryAfter = accountCheckInterval
+
 // authenticate returns the account of a request's key, and an empty resource if no account is declared.
-// The error is an UnknownKey *fault.Refusal, the same for a missing and an unknown key.
-func authenticate(v *view.View, h http.Header) (kinds.Resource, error) {
+// The error is a *fault.Refusal, the same for a missing and an unknown key: UnknownKey or, unless the
+// configuration is known to have all accounts, StoreAway, since callers do not retry after the former.
+func (s *Server) authenticate(ctx context.Context, h http.Header) (kinds.Resource, error) {
+	v := s.holder.View()
 	if !v.RequiresKey() {
 		return kinds.Resource{}, nil
 	}
-	account, ok := v.FindAccount(bearerKey(h))
-	if !ok {
-		return kinds.Resource{}, fault.NotRun(fault.UnknownKey, "header %s must be %q with the key of an account", headerAuthorization, authenticationScheme+" KEY")
+	key := bearerKey(h)
+	account, ok := v.FindAccount(key)
+	if ok {
+		return account, nil
+	}
+	current := s.settings.Currency.HasAllAccounts(ctx)
+	// The configuration may have changed while the store was asked.
+	if account, ok = s.holder.View().FindAccount(key); ok {
+		return account, nil
+	}
+	if !current {
+		s.meters.GetOrCreateCounter(`foxtailcroft_account_refusals_total{reason="no proof"}`).Inc()
+		refusal := fault.NotRun(fault.StoreAway, "key not found, but the configuration may not be current")
+		refusal.RetryAfter = unconfirmedRetryAfter
+		return kinds.Resource{}, refusal
 	}
-	return account, nil
+	return kinds.Resource{}, fault.NotRun(fault.UnknownKey, "header %s must be %q with the key of an account", headerAuthorization, authenticationScheme+" KEY")
 }
 
 // bearerKey returns the key in a request's header, empty if there is none or more than one.
--- a/internal/entry/caller/account_test.go
+++ b/internal/entry/caller/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
@@ -25,6 +27,8 @@
 	"foxtailcroft/internal/core/view"
 	"foxtailcroft/internal/entry/admit"
 	"foxtailcroft/internal/entry/calls"
+	"foxtailcroft/internal/link/wire"
+	"foxtailcroft/internal/plat/store"
 )
 
 // recorder is a dispatcher that keeps the requests and answers all with err.
@@ -41,11 +45,29 @@
 // accountsRig is a caller server with a recording dispatcher.
 type accountsRig struct {
 	recorder
+	store  accountStore
 	router *httprouter.Router
 	meters *metrics.Set
 	logs   *observer.ObservedLogs
 }
 
+// accountStore has accounts at revisions, or does not answer.
+type accountStore struct {
+	store.Store
+	revisions []int64
+	err       error
+	reads     int
+}
+
+func (s *accountStore) Range(context.Context, string) (store.List, error) {
+	s.reads++
+	var list store.List
+	for _, r := range s.revisions {
+		list.KVs = append(list.KVs, store.KV{Revision: r})
+	}
+	return list, s.err
+}
+
 // newAccountsRig returns a server that knows a model, a service, n entries and the accounts.
 func newAccountsRig(g *WithT, n int, accounts ...kinds.AccountSpec) *accountsRig {
 	resources := []kinds.Resource{
@@ -70,7 +92,7 @@
 	}
 	core, observed := observer.New(zap.DebugLevel)
 	r := &accountsRig{router: httprouter.New(), meters: metrics.NewSet(), logs: observed}
-	New(Settings{DefaultTimeout: time.Minute, MaxTimeout: time.Minute, MaxBodyBytes: 1 << 10, Memory: memory.New(64 << 20)}, holder, &r.recorder, admit.New(100), r.meters, zap.New(core)).Register(r.router)
+	New(Settings{DefaultTimeout: time.Minute, MaxTimeout: time.Minute, MaxBodyBytes: 1 << 10, Memory: memory.New(64 << 20), Currency: NewAccountCheck(&r.store, holder, clock.SinceBoot)}, holder, &r.recorder, admit.New(100), r.meters, zap.New(core)).Register(r.router)
 	return r
 }
 
@@ -226,3 +248,48 @@
 		})
 	}
 }
+
+// TestUnknownKeyNeedsACurrentConfiguration guards against 401 for the key of an account that the entry
+// does not have yet, and against a read of the store for each unknown key.
+func TestUnknownKeyNeedsACurrentConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		key    string
+		store  accountStore
+		status int
+		reads  int
+	}{
+		{"unknown", "x", accountStore{revisions: []int64{3}}, 401, 1},
+		{"an account is newer", "x", accountStore{revisions: []int64{3, 4}}, 503, 1},
+		{"store away", "x", accountStore{err: errors.New("away")}, 503, 1},
+		{"known, store away", "k", accountStore{err: errors.New("away")}, 200, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newAccountsRig(g, 0, kinds.AccountSpec{Keys: digests("k")})
+			r.store = c.store
+			for range 2 {
+				w := r.serve("GET", "/services/s/x", http.Header{"Authorization": {"Bearer " + c.key}})
+				g.Expect(w.Code).To(Equal(c.status))
+				g.Expect(w.Header().Get("X-Not-Run") == "true").To(Equal(c.status != 200))
+				g.Expect(w.Header().Get("Retry-After") == "1").To(Equal(c.status == 503))
+			}
+			g.Expect(r.store.reads).To(Equal(c.reads))
+		})
+	}
+}
+
+// TestIdempotencyKeysAreThoseOfAnAccount guards against callers that get the answer to a call of another
+// account, or are refused because of it, by sending its key.
+func TestIdempotencyKeysAreThoseOfAnAccount(t *testing.T) {
+	g := NewWithT(t)
+	send := func(r *accountsRig, key string) string {
+		r.serve("POST", "/services/s/x", http.Header{"Authorization": {"Bearer " + key}, "Idempotency-Key": {"i"}})
+		return r.requests[len(r.requests)-1].IdempotencyKey
+	}
+	r := newAccountsRig(g, 0, kinds.AccountSpec{Keys: digests("k", "l")}, kinds.AccountSpec{Keys: digests("m")})
+	g.Expect(send(r, "k")).To(Equal(send(r, "l")))
+	g.Expect(send(r, "k")).NotTo(Equal(send(r, "m")))
+	g.Expect(wire.CallerKey(send(r, "k"))).To(Equal("i"))
+	g.Expect(send(newAccountsRig(g, 0), "k")).To(Equal("i"), "without accounts")
+}
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -101,7 +101,7 @@
 
 func (s *Server) serveModels(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	v := s.holder.View()
-	if _, err := authenticate(v, r.Header); err != nil {
+	if _, err := s.authenticate(r.Context(), r.Header); err != nil {
 		s.countRefusal(err)
 		writeRefusal(w, requestID(r.Header), err)
 		return
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -41,6 +41,8 @@
 	MaxBodyBytes   int64
 	// Memory is the budget for bodies.
 	Memory *memory.Budget
+	// Currency is asked about unknown keys.
+	Currency Currency
 }
 
 // Dispatcher dispatches a request and passes its answer to the sink. The error
@@ -82,7 +84,7 @@
 // an account, idempotency key, class and timeout.
 func (s *Server) parseCommon(r *http.Request) (calls.Request, error) {
 	req := calls.Request{ID: requestID(r.Header), IdempotencyKey: r.Header.Get(headerIdempotencyKey)}
-	account, err := authenticate(s.holder.View(), r.Header)
+	account, err := s.authenticate(r.Context(), r.Header)
 	if err != nil {
 		return req, err
 	}
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -87,6 +87,7 @@
 		req.IdempotencyKey = ""
 	}
 	if req.IdempotencyKey != "" {
+		req.IdempotencyKey = wire.ScopeKey(req.Account, req.IdempotencyKey)
 		req.PlainCall.Partition = int(xxhash.Sum64String(req.IdempotencyKey) % uint64(res.Service.Partitions()))
 		req.Target.Partition = req.PlainCall.Partition
 	}
--- a/internal/link/wire/messages.go
+++ b/internal/link/wire/messages.go
@@ -60,7 +60,7 @@
 	Adapter string     `json:",omitempty"`
 	Service string     `json:",omitempty"`
 	Plain   *PlainCall `json:",omitempty"`
-	// Key is the caller's idempotency key; empty if there is none.
+	// Key is the caller's idempotency key, scoped to its account by ScopeKey; empty if there is none.
 	Key    string `json:",omitempty"`
 	Resume Resume `json:",omitzero"`
 	// BodyBytes is the total size of the body, whose parts are sent before the Run.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"foxtailcroft/internal/base/clock"
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/base/serve"
@@ -56,6 +57,7 @@
 	e.HTTPServer.SetLimit(serve.Limit{Connections: settings.Requests.MaxConnections, HeaderBytes: memory.HeaderBytes(settings.Requests.MemoryBytes), EndSlow: budget.EndSlow})
 	caller.New(caller.Settings{
 		DefaultTimeout: settings.Requests.DefaultTimeout.Std(), MaxTimeout: settings.Requests.MaxTimeout.Std(), MaxBodyBytes: settings.Requests.MaxBodyBytes, Memory: budget,
+		Currency: caller.NewAccountCheck(o.Store, m.Holder, clock.SinceBoot),
 	}, m.Holder, dispatcher, e.InFlightLimit, o.Metrics, o.Log.Named("Caller")).Register(e.HTTPServer.Router)
 	reporter := admin.NewReporter(m.Holder, m.Pool, m.Relay)
 	admin.NewServer(m.Holder, admin.NewWriter(o.Store, m.Ledger, m.Holder), reporter, m.Ledger, budget).Register(e.HTTPServer.Router)
