policy/shed, base/intake: slow bodies within the limits are read to the end

Cause: a body below 16 bytes a second was cut off with 408 after 16 s, although each byte came within the document's idle timeout and its deadline was later.

Change: the least rate holds only while memory or connections are short, that is for 5 s after a body had to be ended or refused for others. Otherwise the idle timeout and the deadline decide.

--- a/internal/base/intake/body.go
+++ b/internal/base/intake/body.go
@@ -21,7 +21,7 @@
 var (
 	// ErrTooLarge reports a body over its limit.
 	ErrTooLarge = errors.New("body too large")
-	// ErrTooSlow reports a body below the least rate.
+	// ErrTooSlow reports a body below the least rate while memory or connections are short.
 	ErrTooSlow = errors.New("body too slow")
 )
 
@@ -198,7 +198,7 @@
 	}
 	b.armed = now
 	idle := b.rules.IdleTimeout + idleMargin
-	if shed.IsTooSlow(b.lease.Received(), b.lease.Elapsed(), idle) {
+	if shed.IsTooSlow(b.lease.Received(), b.lease.Elapsed(), idle, b.lease.IsShort()) {
 		return ErrTooSlow
 	}
 	deadline := now.Add(idle)
--- a/internal/base/memory/budget.go
+++ b/internal/base/memory/budget.go
@@ -71,6 +71,8 @@
 	// freed is closed at the next release; nil if nobody waits for it.
 	freed chan struct{}
 	ended atomic.Uint64
+	// shortUntil is until when memory and connections count as short.
+	shortUntil atomic.Int64
 }
 
 // room is a part of the budget.
@@ -161,6 +163,16 @@
 	return time.Since(l.budget.began) - l.began
 }
 
+// IsShort reports whether bodies had to be ended or refused a while ago.
+func (l *Lease) IsShort() bool {
+	return int64(time.Since(l.budget.began)) < l.budget.shortUntil.Load()
+}
+
+// markShort records that a body has to be ended or refused.
+func (b *Budget) markShort() {
+	b.shortUntil.Store(int64(time.Since(b.began) + shed.ShortTime))
+}
+
 // Ended reports whether the holder was ended to make room for others.
 func (l *Lease) Ended() bool {
 	return l.ended.Load()
@@ -244,6 +256,7 @@
 // makeRoom ends unfinished bodies until those that end release enough for n more bytes of a holder;
 // false if the holder itself is the first to give way. The caller holds the lock.
 func (b *Budget) makeRoom(l *Lease, n int64) bool {
+	b.markShort()
 	now := time.Since(b.began)
 	first := func() int { return shed.First(now, b.candidates) }
 	if l.room == smallRoom && l.bytes+n <= SmallBytes {
@@ -308,6 +321,7 @@
 func (b *Budget) EndSlow() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.markShort()
 	if l, ok := b.endable.Slow(time.Since(b.began)); ok {
 		b.end(l)
 	}
@@ -318,6 +332,7 @@
 func (b *Budget) EndOldest() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.markShort()
 	if l, ok := b.endable.Oldest(); ok {
 		b.end(l)
 	}
--- a/internal/base/memory/budget_test.go
+++ b/internal/base/memory/budget_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/policy/shed"
 )
 
 // holder is a body whose reading can be ended; ending it closes its lease a moment later, as its
@@ -113,6 +115,7 @@
 	withBudget(t, func(g *WithT, b *Budget, open func(string) *holder) {
 		single := open("a")
 		time.Sleep(time.Millisecond)
+		g.Expect(single.IsShort()).To(BeFalse())
 		first, second := open("b"), open("b")
 		b.EndOldest()
 		g.Expect([]int{single.ends, first.ends, second.ends}).To(Equal([]int{0, 1, 0}), "of the address with most")
@@ -121,6 +124,7 @@
 		g.Expect([]int{single.ends, second.ends}).To(Equal([]int{1, 0}), "none is slow, then the oldest")
 		g.Expect(single.Finish()).To(BeTrue(), "it was complete")
 		g.Expect(single.Ended()).To(BeFalse())
+		g.Expect(single.IsShort()).To(BeTrue())
 		time.Sleep(time.Second)
 		one, slow := b.Unfinished()
 		g.Expect([]bool{one, slow}).To(Equal([]bool{true, true}))
@@ -128,6 +132,8 @@
 		g.Expect(second.ends).To(Equal(1))
 		one, slow = b.Unfinished()
 		g.Expect([]bool{one, slow}).To(Equal([]bool{false, false}))
+		time.Sleep(shed.ShortTime)
+		g.Expect(second.IsShort()).To(BeFalse())
 	})
 }
 
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -87,11 +87,15 @@
 	return min(b.LastAt+stallTime, b.Began+max(minRateTime, slow))
 }
 
-// MinBytesPerSecond is the mean rate below which a body is too slow. It is far below that of any
-// client that ends its body within a deadline of seconds: 960 bytes in a minute.
+// MinBytesPerSecond is the mean rate below which a body is too slow while memory or connections are
+// short: 960 bytes in a minute.
 const MinBytesPerSecond = 16
 
-// IsTooSlow reports whether a body arrives too slowly to be read on; it never does within the grace time.
-func IsTooSlow(received int64, elapsed, grace time.Duration) bool {
-	return elapsed > grace && float64(received) < MinBytesPerSecond*elapsed.Seconds()
+// ShortTime is how long memory and connections count as short after a body had to be ended for others.
+const ShortTime = 5 * time.Second
+
+// IsTooSlow reports whether a body arrives too slowly to be read on; it never does within the grace
+// time, or if neither memory nor connections are short.
+func IsTooSlow(received int64, elapsed, grace time.Duration, short bool) bool {
+	return short && elapsed > grace && float64(received) < MinBytesPerSecond*elapsed.Seconds()
 }
