policy/lint: an empty list of accounts is a finding

Cause: a document with an empty list of accounts needs no keys, like one without the list; config diff did not report it. Change: the draft keeps an empty list apart from a missing one, and Check reports it. Result: the new golden test (no-accounts.txt) and the new case of TestCheck fail on the old code. go test -race ./cmd/foxtailcroft ./internal/policy/lint ./platform.

--- a/cmd/foxtailcroft/diff_test.go
+++ b/cmd/foxtailcroft/diff_test.go
@@ -52,6 +52,7 @@
 		{"rules.txt", []string{"rules.json"}, 1},
 		{"types.txt", []string{"types.json", "--in-force", "in-force.json"}, 1},
 		{"limits.txt", []string{"limits.json"}, 1},
+		{"no-accounts.txt", []string{"no-accounts.json"}, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/core/site/draft.go
+++ b/internal/core/site/draft.go
@@ -6,6 +6,7 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
+	// Accounts is nil if the document has no list of accounts, and empty if it has an empty one.
 	Accounts []Account
 	Limits   Limits
 }
--- a/internal/policy/lint/lint.go
+++ b/internal/policy/lint/lint.go
@@ -17,7 +17,8 @@
 	Error Kind = "error"
 	// Unused is an entry that no request can reach.
 	Unused Kind = "unused"
-	// Contradiction is a limit that another one makes meaningless.
+	// Contradiction is a limit that another one makes meaningless, or a field with the opposite of the
+	// effect that it seems to have.
 	Contradiction Kind = "contradiction"
 	// Difference is a difference from the version in force.
 	Difference Kind = "difference"
@@ -150,6 +151,9 @@
 
 // accounts checks the accounts one by one and against each other.
 func (c *checker) accounts() {
+	if c.draft.Accounts != nil && len(c.draft.Accounts) == 0 {
+		c.add(Contradiction, "Accounts", "", "is an empty list, so that requests need no key, as without the list")
+	}
 	hasKeylessRoute := false
 	for _, r := range c.draft.Routes {
 		hasKeylessRoute = hasKeylessRoute || r.Keyless
--- a/internal/policy/lint/lint_test.go
+++ b/internal/policy/lint/lint_test.go
@@ -40,6 +40,9 @@
 	}{
 		{"valid", func(*site.Draft) {}, nil},
 		{"empty", func(d *site.Draft) { *d = site.Draft{} }, nil},
+		{"empty list of accounts", func(d *site.Draft) { d.Accounts = []site.Account{} }, []string{
+			`contradiction Accounts "" is an empty list, so that requests need no key, as without the list `,
+		}},
 		{"goal equal to the timeout", func(d *site.Draft) { d.Routes[0].ResponseGoal = d.Routes[0].Timeout }, nil},
 		{"goal without a timeout", func(d *site.Draft) { d.Routes[0].Timeout = 0 }, nil},
 		{"goal above the timeout", func(d *site.Draft) { d.Routes[0].ResponseGoal = time.Minute }, []string{
