--- a/internal/front/lender/lender.go
+++ b/internal/front/lender/lender.go
@@ -160,7 +160,6 @@
 // with the request that began it, since the answer is for others as well.
 func (l *Lender) askForAll(a *account) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	for len(a.waiting) > 0 {
 		batch := a.waiting
 		a.waiting = nil
@@ -179,6 +178,7 @@
 		}
 	}
 	a.asking = false
+	l.mu.Unlock()
 }
 
 // leave ends the wait of a request whose context has ended.
