back/conns, node/front: the connections to instances are bounded in total

Cause: the pool's idle connections had no bound in total, and a front whose callers use their 6/10 of the descriptors could run out of them; then calls to the store and other fronts fail as well. A probe or an order that found no descriptor counted as a crash or a loss of the instance.

Change: the open connections to instances, idle ones included, are bounded by what callers and a tenth for others leave of the descriptors (60 of 400, 12,928 of 16,384 at 256 MB). At the bound, or if the system has no descriptor, the connection that has been idle for the longest gives way. If none is idle, the request gets 503 at once, instead of trying up to six instances; the instance is neither excluded, nor counted as crashed, nor as lost. Without limits.fileDescriptors the pool is not bounded, as before.

Result: on the commit before, TestOwnShortageIsNoCrash and TestReplacedServerGetsNoFurtherOrders (its new last check) fail, and TestConnectionsAreBounded, with the limit left out, opens a fourth connection at a limit of three.

--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,6 +18,12 @@
 	reader        *bufio.Reader
 	head          *headReader
 	reuseDeadline time.Time
+	// target is that of an idle connection, and place its place among all idle ones.
+	target Target
+	place  *list.Element
+	// open counts the open connections of the pool; nil outside of one.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 // maxHeadBytes bounds the head of a response, as a faulty server may send one without end.
@@ -77,5 +85,8 @@
 
 // close closes the connection; errors are ignored, as it may be closed already.
 func (c *conn) close() {
+	if c.open != nil && !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
 	_ = c.Conn.Close()
 }
--- a/internal/back/conns/conns_test.go
+++ b/internal/back/conns/conns_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,58 @@
 	}
 }
 
+// TestConnectionsAreBounded guards against idle connections that leave no descriptors for new ones, and
+// against a count of open connections that drifts.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &scriptedServer{answers: []string{answer("a", "Content-Length: 4\r\n", "mine"), ""}}
+		// noDescriptor fails the next dial for want of a descriptor of the process.
+		noDescriptor := false
+		p, closePool := New(func(ctx context.Context, address string) (net.Conn, error) {
+			if noDescriptor {
+				noDescriptor = false
+				return nil, syscall.EMFILE
+			}
+			return s.dial(ctx, address)
+		}, metrics.NewSet())
+		p.SetLimit(3)
+		var open []*Response
+		do := func(address string) error {
+			res, err := p.Do(t.Context(), Target{Address: address}, request("a"))
+			if err == nil {
+				open = append(open, res)
+			}
+			return err
+		}
+		for _, address := range []string{"x", "y", "z"} {
+			g.Expect(do(address)).To(Succeed())
+		}
+		err := do("u")
+		var f *Failure
+		g.Expect(errors.As(err, &f)).To(BeTrue())
+		g.Expect(f.Sent).To(BeFalse())
+		g.Expect(IsOwnShortage(err)).To(BeTrue())
+		for _, res := range open {
+			res.Discard()
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(do("u")).To(Succeed(), "in place of the longest idle one")
+		open[len(open)-1].Finish(false)
+		noDescriptor = true
+		g.Expect(do("v")).To(Succeed(), "in place of the next one")
+		g.Expect([]bool{p.HasIdle(Target{Address: "x"}), p.HasIdle(Target{Address: "y"}), p.HasIdle(Target{Address: "z"})}).To(Equal([]bool{false, false, true}))
+		g.Expect(p.open.Load()).To(BeEquivalentTo(2))
+		for _, res := range open {
+			res.Finish(false)
+		}
+		closePool()
+		g.Expect(p.open.Load()).To(BeZero())
+		g.Expect(p.byAge.Len()).To(BeZero())
+		s.group.Wait()
+	})
+}
+
 func TestContextCancellationClosesTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/front/crash/broken.go
+++ b/internal/front/crash/broken.go
@@ -123,13 +123,13 @@
 }
 
 // hasCrashed reports whether an instance refuses connections. One that lets them time out
-// may be cut off instead.
+// may be cut off instead, and a front without descriptors learns nothing.
 func (w *Watcher) hasCrashed(ctx context.Context, in site.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := w.prober.Probe(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address})
 	var timeout net.Error
-	return err != nil && ctx.Err() == nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	return err != nil && ctx.Err() == nil && !conns.IsOwnShortage(err) && !(errors.As(err, &timeout) && timeout.Timeout())
 }
 
 // put commits a transaction with one put and applies it to the front's view; false if it failed.
--- a/internal/front/crash/watcher_test.go
+++ b/internal/front/crash/watcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +32,10 @@
 	collector   *Collector
 	plannerAway bool
 	alive       map[string]bool
-	planner     string
-	fronts      map[string]follow.Front
+	// refusal is the error of probing an instance that is not alive; nil stands for a refused connection.
+	refusal error
+	planner string
+	fronts  map[string]follow.Front
 	// instances are those in the view; nil stands for ready ones with the IDs 1 to 4 and born at 7.
 	instances map[string]site.Instance
 }
@@ -62,9 +65,23 @@
 	if r.alive[t.ID] {
 		return nil
 	}
+	if r.refusal != nil {
+		return r.refusal
+	}
 	return errors.New("connection refused")
 }
 
+// TestOwnShortageIsNoCrash guards against a front that has no descriptor for a probe and reports that
+// the instance has crashed.
+func TestOwnShortageIsNoCrash(t *testing.T) {
+	for _, refusal := range []error{nil, syscall.EMFILE} {
+		r := &rig{refusal: refusal}
+		w, closeWatcher := r.watcher("a")
+		NewWithT(t).Expect(w.hasCrashed(t.Context(), site.Instance{})).To(Equal(refusal == nil))
+		closeWatcher()
+	}
+}
+
 func (r *rig) Commit(_ context.Context, t store.Txn) (store.Result, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"foxtailcroft/internal/back/conns"
@@ -209,24 +208,22 @@
 	if ctx.Err() != nil {
 		return tryAnother
 	}
-	if !isOwnShortage(err) {
-		c.server.tracker.recordOutcome(in.InstanceKey, true)
-		if sent {
-			c.recordBroken(in, false)
-		} else {
-			c.server.tracker.exclude(in.InstanceKey, refusedConnectionExclusion)
-		}
+	if conns.IsOwnShortage(err) {
+		// The pool has closed its idle connections for this one, so that other instances are out of reach as well.
+		c.logAttempt("no descriptor", in, err.Error())
+		c.refuse(http.StatusServiceUnavailable, c.reason, defaultRetryAfter)
+		return requestEnded
+	}
+	c.server.tracker.recordOutcome(in.InstanceKey, true)
+	if sent {
+		c.recordBroken(in, false)
+	} else {
+		c.server.tracker.exclude(in.InstanceKey, refusedConnectionExclusion)
 	}
 	c.logAttempt("no answer", in, err.Error())
 	return c.handleFailure(sent)
 }
 
-// isOwnShortage reports whether a connection failed because this process or machine has no more
-// descriptors, which tells nothing of the instance.
-func isOwnShortage(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-}
-
 // handleFailure decides whether a request may be sent to another instance after an
 // attempt failed, and ends it if not; sent is false if the attempt certainly did not run.
 func (c *call) handleFailure(sent bool) nextStep {
--- a/internal/front/sched/churn_test.go
+++ b/internal/front/sched/churn_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,6 +101,9 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		c.g.Expect(p.servers[site.InstanceKey{ID: "i-0", Born: 1}].lost).To(BeTrue())
+		other := p.servers[site.InstanceKey{ID: "i-1", Born: 1}]
+		p.markLost(other, &conns.Failure{Err: syscall.EMFILE})
+		c.g.Expect(other.lost).To(BeFalse(), "this process has no descriptor")
 	})
 }
 
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -341,9 +341,13 @@
 	p.identities = f
 }
 
-// markLost marks a server as unreachable or replaced, so that it gets no orders.
+// markLost marks a server as unreachable or replaced, so that it gets no orders; not if this process
+// had no descriptor for a connection to it.
 // The caller must hold p.mu.
 func (p *Planner) markLost(s *server, err error) {
+	if conns.IsOwnShortage(err) {
+		return
+	}
 	if errors.Is(err, errReplaced) && p.identities != nil {
 		p.identities.Suspect(s.inst)
 	}
--- a/internal/node/front/bounds.go
+++ b/internal/node/front/bounds.go
@@ -13,6 +13,8 @@
 	// callerDescriptorTenths is the share of the other descriptors for callers' connections, in tenths.
 	// The rest is for instances, other fronts, the store and the auxiliary servers.
 	callerDescriptorTenths = 6
+	// otherDescriptorTenths is the share for other fronts, the store and the auxiliary servers, in tenths.
+	otherDescriptorTenths = 1
 	// minCallerConnections is the least number of callers' connections, whatever the settings are.
 	minCallerConnections = 16
 	// maxUnknownPeers bounds the connections whose other end has not named itself. Two thousand fronts
@@ -39,6 +41,16 @@
 	return max(n, minCallerConnections)
 }
 
+// instanceConnections returns how many connections to instances may be open, idle ones included: what
+// callers and others leave; 0 if the descriptors are not bounded.
+func instanceConnections(settings conf.Front) int {
+	if settings.FileDescriptors <= 0 {
+		return 0
+	}
+	n := settings.FileDescriptors - fileDescriptors
+	return max(n-callerConnections(settings)-n*otherDescriptorTenths/10, minCallerConnections)
+}
+
 // unknownPeers returns how many connections may be open whose other end has not named itself.
 func unknownPeers(settings conf.Front) int {
 	if settings.FileDescriptors > 0 {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -102,6 +102,7 @@
 		ReturnGrace: settings.Bounds.Returning, BatchDelay: min(settings.Bounds.InForce, settings.Bounds.Drain) * batchDelayTenths / 10,
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
+	pool.SetLimit(instanceConnections(settings))
 	candidate := sched.NewCandidate(sched.CandidateOptions{
 		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: o.SinceBoot,
 	}, o.Store, follower, log.Named("Lead"))
