node/front: restarts in the test of crashing servers don't overlap

Cause: with two outages the restart that belongs to the second one could begin while that of the first ran; both changed the map of running fronts, which the race detector reported once. Change: the second restart waits for the first.

--- a/internal/node/front/outage_test.go
+++ b/internal/node/front/outage_test.go
@@ -128,6 +128,8 @@
 				}
 				time.Sleep(2 * time.Second)
 				ended := make(chan struct{})
+				// restarting holds a value during a restart, as that of the first outage may last until the second one's begins.
+				restarting := make(chan struct{}, 1)
 				var backAt time.Time
 				r.clients.Go(func() {
 					time.Sleep(calmTime)
@@ -138,6 +140,8 @@
 						if c.restartAfter > 0 {
 							r.clients.Go(func() {
 								time.Sleep(c.restartAfter)
+								restarting <- struct{}{}
+								defer func() { <-restarting }()
 								for _, f := range fronts {
 									stops[f]()
 								}
