front/sched, policy/swap: models whose last server leaves are loaded elsewhere

Cause: the planner leaves out draining servers, but loads a model without a copy before a request only into free memory, and from the weight store only while no model is wanted. With full memory nothing was loaded until a request asked, and was rejected. Copies at lost servers counted as present.

Change: what a draining, removed or for 2 s lost server held is recorded until another server serves it, for at most a minute. Recently requested models of these are decided together with the other loads: after all wanted models, if what the load costs others is below the waits that it saves, at most half of the concurrent loads from the weight store. Requested adapters go to servers that have their models, one at a time a server. A decision without departed models is the same as before.

planner_test.go: the rig's store can leave watch calls open, since a watch that fails each second makes the follower keep removed announcements.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -209,6 +209,8 @@
 	Instance site.InstanceKey
 	Model    string
 	In       time.Duration
+	// Ahead is set if no request waited for the model when the load was ordered.
+	Ahead bool `json:",omitempty"`
 }
 
 // Planner is the front's own planner, which is active only while the front holds the
--- a/internal/front/sched/execute.go
+++ b/internal/front/sched/execute.go
@@ -296,6 +296,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.adaptersLoading, t)
+	if s.adapterAhead == t {
+		s.adapterAhead = site.Target{}
+	}
 	p.wake()
 }
 
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -93,8 +93,10 @@
 	// expectedReady is when the loads that the policy has deferred are expected to end,
 	// by model; their servers are busy or have no room yet.
 	expectedReady map[string]time.Time
-	usageByFront  map[string]frontUsage
-	demand        demand
+	// departed are the models and adapters whose last server leaves or has left.
+	departed     map[site.Target]departure
+	usageByFront map[string]frontUsage
+	demand       demand
 	// storeLoadStarts are the start times of the loads from the weight store within
 	// Settings.LoadWindow.
 	storeLoadStarts []time.Time
@@ -114,6 +116,7 @@
 	wakeup          chan struct{}
 	ordersTotal     *metrics.Counter
 	storeLoadsTotal *metrics.Counter
+	aheadLoadsTotal *metrics.Counter
 }
 
 // frontUsage is the requests in flight by server and target in a front's last usage report.
@@ -127,9 +130,9 @@
 	group := &tasks.Group{}
 	p := &Planner{
 		settings: s, candidate: c, state: state, client: &serverClient{pool: pool, dialect: d}, log: log, group: group,
-		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{},
+		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{}, departed: map[site.Target]departure{},
 		usageByFront: map[string]frontUsage{}, demand: newDemand(), wakeup: make(chan struct{}, 1),
-		ordersTotal: meters.GetOrCreateCounter("foxtailcroft_orders_total"), storeLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"),
+		ordersTotal: meters.GetOrCreateCounter("foxtailcroft_orders_total"), storeLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"), aheadLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_loads_ahead_total"),
 	}
 	return p, group.Close
 }
@@ -213,6 +216,7 @@
 		p.predecessorGone, p.predecessorOrdersEnd = p.candidate.takePredecessorGone()
 		p.servers = map[site.InstanceKey]*server{}
 		p.adaptersLoading = map[site.Target]bool{}
+		p.departed = map[site.Target]departure{}
 		p.demand = newDemand()
 		// The previous planner may just have started as many loads as may run concurrently.
 		p.storeLoadStarts = slices.Repeat([]time.Time{p.leadingSince}, p.storeConcurrency.Limit())
@@ -261,6 +265,7 @@
 	for key, s := range p.servers {
 		if !seen[key] {
 			delete(p.servers, key)
+			p.recordDeparture(s, time.Now())
 			s.notifyChanged()
 		}
 	}
@@ -322,8 +327,10 @@
 		p.markLost(s, err)
 		return
 	}
-	s.lost = false
 	first := !s.known
+	if first || s.lost {
+		s.lost, s.departureRecorded = false, false
+	}
 	if s.applyReport(r, time.Now()) && first {
 		p.adoptInheritedLoad(s)
 		p.log.Infow("first report of a server read; planning with it", "Instance", s.inst.ID, "Born", s.inst.Born, "Sequence", r.Sequence, "Models", r.Models, "Adapters", len(r.Adapters), "OnDisk", r.OnDisk, "InMemory", r.InMemory)
@@ -349,7 +356,7 @@
 	}
 	if !s.lost {
 		p.log.Warnw("server lost", "Instance", s.inst.ID, "Born", s.inst.Born, "Error", err.Error())
-		s.lost = true
+		s.lost, s.lostSince = true, time.Now()
 		p.wake()
 	}
 }
--- a/internal/front/sched/planner_test.go
+++ b/internal/front/sched/planner_test.go
@@ -74,6 +74,8 @@
 	*kvsim.MemoryStore
 	unreachable *kvsim.MemoryStore
 	partitioned atomic.Bool
+	// steady is set if watch calls go on without end; otherwise each fails after a second.
+	steady atomic.Bool
 }
 
 func (c *partitionableStore) current() *kvsim.MemoryStore {
@@ -104,6 +106,9 @@
 }
 
 func (c *partitionableStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
+	if c.steady.Load() {
+		return c.current().Watch(ctx, prefix, after, fn)
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	return c.current().Watch(ctx, prefix, after, fn)
--- a/internal/front/sched/server.go
+++ b/internal/front/sched/server.go
@@ -51,6 +51,10 @@
 	// readyAt when it is expected to be ready.
 	loadingModel string
 	readyAt      time.Time
+	// loadingAhead is set if no request waited for that load when it was ordered.
+	loadingAhead bool
+	// adapterAhead is the adapter that the server loads although no request waits for it.
+	adapterAhead site.Target
 	// reserved is set while this planner carries out a swap at the server.
 	reserved bool
 	// evicting are the models that the swap in progress unloads.
@@ -58,6 +62,10 @@
 	// lost is set while the server's report can't be read, after a connection to it
 	// failed, or while another instance answers at its address.
 	lost bool
+	// lostSince is when lost was set.
+	lostSince time.Time
+	// departureRecorded is set once what the server held is in Planner.departed.
+	departureRecorded bool
 	// reportRequestedAt is when the report was last requested.
 	reportRequestedAt time.Time
 	// resync is set when the server rejected an order for its sequence number. The
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -24,6 +24,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.countCopies()
+	p.updateDepartures(now)
 	models := map[string][]swap.Want{}
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
@@ -36,9 +37,10 @@
 			continue
 		}
 		if target.Name != "" {
-			p.placeAdapter(ctx, w.service, target)
+			p.placeAdapter(ctx, w.service, target, nil)
 		}
 	}
+	p.placeDepartedAdapters(ctx, now)
 	for service, wants := range models {
 		p.startSwaps(ctx, service, wants)
 	}
@@ -65,8 +67,9 @@
 	if !p.demandKnown(now) {
 		in.StoreLoadsLeft = 0
 	}
+	in.Departed, in.AheadStoreLoadsLeft = p.departedModels(service, now)
 	for _, s := range p.servers {
-		if s.inst.Service == service && !s.inst.Draining {
+		if s.inst.Service == service && !s.isLeaving(now) {
 			in.Servers = append(in.Servers, p.policyView(s, now))
 		}
 	}
@@ -77,12 +80,15 @@
 			continue
 		}
 		s := p.serverByID(a.Server)
-		s.reserved, s.loadingModel, s.evicting, s.readyAt = true, a.Load, a.Evict, now.Add(a.ReadyIn)
+		s.reserved, s.loadingModel, s.loadingAhead, s.evicting, s.readyAt = true, a.Load, a.Ahead, a.Evict, now.Add(a.ReadyIn)
+		if a.Ahead {
+			p.aheadLoadsTotal.Inc()
+		}
 		if a.Source == swap.FromStore {
 			p.storeLoadStarts = append(p.storeLoadStarts, now)
 			p.storeLoadsTotal.Inc()
 		}
-		p.log.Infow("swap", "Instance", a.Server, "Load", a.Load, "Evict", a.Evict, "Source", int(a.Source), "Takes", a.ReadyIn.String(), "Sequence", s.sequence, "Fence", p.fence)
+		p.log.Infow("swap", "Instance", a.Server, "Load", a.Load, "Evict", a.Evict, "Source", int(a.Source), "Ahead", a.Ahead, "Takes", a.ReadyIn.String(), "Sequence", s.sequence, "Fence", p.fence)
 		p.group.Go(func() { p.executeSwap(ctx, s, a) })
 	}
 }
@@ -201,8 +207,9 @@
 }
 
 // placeAdapter starts loading an adapter at a server that has its model, unless the
-// adapter is present or being loaded. The caller must hold p.mu.
-func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target) {
+// adapter is present or being loaded. If no request waits for it, ahead tells which places it may
+// get, and is nil otherwise. The caller must hold p.mu.
+func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target, ahead func(adapterPlace) bool) {
 	engine := engineOf(p.state(), service)
 	holders := p.serversWithModel(service, t.Model)
 	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil && !p.isOverLimit(s, t) })
@@ -219,7 +226,7 @@
 	for i, s := range holders {
 		candidate, ok := p.findPlace(s, engine, engine.Model(t.Model))
 		candidate.forLong = forLong != nil && forLong[i]
-		if ok && candidate.betterThan(best) {
+		if ok && (ahead == nil || ahead(candidate)) && candidate.betterThan(best) {
 			best = candidate
 		}
 	}
@@ -230,16 +237,21 @@
 		best.server.adapters[best.victim].unloading = true
 	}
 	p.adaptersLoading[t] = true
+	if ahead != nil {
+		best.server.adapterAhead = t
+		p.aheadLoadsTotal.Inc()
+	}
 	p.group.Go(func() { p.loadAdapter(ctx, best.server, t, best.victim) })
 }
 
 // isOverLimit reports whether a server limits its requests and all requests that wait for a
 // target can't use it. The caller must hold p.mu.
 func (p *Planner) isOverLimit(s *server, t site.Target) bool {
-	if s.currentLimit(time.Now()) == 0 || len(p.wants[t].waiters) == 0 {
+	wanted := p.wants[t]
+	if wanted == nil || s.currentLimit(time.Now()) == 0 || len(wanted.waiters) == 0 {
 		return false
 	}
-	for w := range p.wants[t].waiters {
+	for w := range wanted.waiters {
 		if !slices.Contains(w.request.Avoid, s.inst.InstanceKey) {
 			return false
 		}
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -146,7 +146,7 @@
 	var out []peers.PendingLoad
 	for k, s := range p.servers {
 		if s.loadingModel != "" {
-			out = append(out, peers.PendingLoad{Instance: k, Model: s.loadingModel, In: s.readyAt.Sub(now)})
+			out = append(out, peers.PendingLoad{Instance: k, Model: s.loadingModel, In: s.readyAt.Sub(now), Ahead: s.loadingAhead})
 		}
 	}
 	return out
@@ -169,7 +169,7 @@
 	now := time.Now()
 	p.inheritedLoads = map[site.InstanceKey]inheritedLoad{}
 	for _, x := range status.Pending {
-		p.inheritedLoads[x.Instance] = inheritedLoad{model: x.Model, readyAt: now.Add(x.In)}
+		p.inheritedLoads[x.Instance] = inheritedLoad{model: x.Model, readyAt: now.Add(x.In), ahead: x.Ahead}
 	}
 }
 
@@ -177,6 +177,8 @@
 type inheritedLoad struct {
 	model   string
 	readyAt time.Time
+	// ahead is set if no request waited for it when it was ordered.
+	ahead bool
 }
 
 // adoptInheritedLoad records the load that a busy server is still running for the
@@ -186,7 +188,7 @@
 	if !ok || !s.busy || s.loadingModel != "" || s.models[load.model] != nil {
 		return
 	}
-	s.loadingModel, s.readyAt = load.model, load.readyAt
+	s.loadingModel, s.readyAt, s.loadingAhead = load.model, load.readyAt, load.ahead
 	p.log.Infow("adopted a load in progress from the previous planner", "Instance", s.inst.ID, "Model", load.model, "Fence", p.fence)
 }
 
--- /dev/null
+++ b/internal/policy/swap/depart.go
@@ -0,0 +1,78 @@
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// minExpectedRequests is the number of requests within costHorizon below which a model counts as
+// not requested: the decayed rate of a single request falls below it after about 20 s.
+const minExpectedRequests = 0.05
+
+// departedGoals returns the models to load before a request asks for them, the one with the most
+// requests first. A copy is worth the waits that loads on request would cause over costHorizon.
+func (d *decision) departedGoals() []loadGoal {
+	var goals []loadGoal
+	for _, w := range d.Departed {
+		m, expected := d.summary(w.Model), d.Demand[w.Model].Rate*costHorizon.Seconds()
+		if m.serverCount > 0 || m.wanted || d.catalogue[w.Model] == nil || expected < minExpectedRequests {
+			continue
+		}
+		w.Weight = unservedWaitSeconds * d.Demand[w.Model].Rate
+		goals = append(goals, loadGoal{want: w, savedSeconds: unservedWaitSeconds * expected, ahead: true})
+	}
+	slices.SortFunc(goals, func(a, b loadGoal) int {
+		return cmp.Or(cmp.Compare(b.savedSeconds, a.savedSeconds), cmp.Compare(a.want.Model, b.want.Model))
+	})
+	return goals
+}
+
+// withDeparted merges the goals of departed models into those for the weight store, by the waiting
+// that they save, but after all models that requests wait for.
+func withDeparted(goals, departed []loadGoal) []loadGoal {
+	first := 0
+	for i, g := range goals {
+		if !g.extraCopy {
+			first = i + 1
+		}
+	}
+	rest := append(goals[first:], departed...)
+	slices.SortStableFunc(rest, func(a, b loadGoal) int { return cmp.Compare(b.savedSeconds, a.savedSeconds) })
+	return append(goals[:first:first], rest...)
+}
+
+// tryDeparted adds the cheapest load of a departed model if what it costs others is below the
+// waits that it saves. It leaves out servers that a deferred load of a wanted model waits for.
+func (d *decision) tryDeparted(g loadGoal) {
+	slowest := FromStore
+	if d.AheadStoreLoadsLeft <= 0 || d.Conservative {
+		slowest = FromDisk
+	}
+	a, s, cost := d.cheapestLoad(g.want, slowest, d.awaitedServers)
+	if slowest == FromStore {
+		if deferred, sooner := d.deferredLoad(g.want); sooner && (s == nil || deferred.ReadyIn < a.ReadyIn) {
+			// A server that has the weights is free or has room soon.
+			return
+		}
+	}
+	if s == nil {
+		return
+	}
+	lossSeconds := cost - max(1, g.want.Weight)*a.ReadyIn.Seconds()
+	if lossSeconds >= min(1, a.ReadyIn.Seconds()/unservedWaitSeconds)*g.savedSeconds {
+		return
+	}
+	if a.Source == FromStore {
+		d.AheadStoreLoadsLeft--
+	}
+	a.Ahead = true
+	d.addAction(s, a)
+}
+
+// IsAdapterWorthLoading reports whether an adapter whose last server leaves is loaded before a
+// request asks for it, in place of one that was last used victimIdle ago. Both cost the same to
+// load on request, so that the more recently used one stays.
+func IsAdapterWorthLoading(requestedAgo, victimIdle time.Duration) bool {
+	return victimIdle > requestedAgo
+}
--- a/internal/policy/swap/goals.go
+++ b/internal/policy/swap/goals.go
@@ -15,6 +15,8 @@
 	savedSeconds float64
 	// extraCopy is set if the model already has copies.
 	extraCopy bool
+	// ahead is set if no request waits for the model.
+	ahead bool
 }
 
 const (
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -52,6 +52,9 @@
 	Engine  *site.Engine
 	Servers []Server
 	Wants   []Want
+	// Departed are the models without waiting requests whose last server leaves or has left.
+	// Want.Weight is not used.
+	Departed []Want
 	// Demand holds the recent demand by model.
 	Demand map[string]Demand
 	// Conservative forbids evictions, and loads from the weight store of models whose
@@ -61,6 +64,8 @@
 	// StoreLoadsLeft is the number of loads from the weight store that may begin now, and StoreLoadsRunning the number running.
 	StoreLoadsLeft    int
 	StoreLoadsRunning int
+	// AheadStoreLoadsLeft is how many of StoreLoadsLeft may be for departed models.
+	AheadStoreLoadsLeft int
 	// StoreConcurrency is the estimated number of concurrent loads that the weight store serves at full speed.
 	StoreConcurrency int
 }
@@ -86,6 +91,8 @@
 	ReadyIn time.Duration
 	// Deferred marks a deferred load: the server is busy or has no room yet, and the load is decided again once that changes.
 	Deferred bool
+	// Ahead marks the load of a departed model, for which no request waits.
+	Ahead bool
 }
 
 // Source is the place from which a server loads weights.
@@ -102,7 +109,8 @@
 // for each server. It plans wanted models and extra copies of busy models from
 // servers' memory or disk first, then loads from the weight store by the waiting
 // they save, then models that no server holds. A wanted model is not loaded from
-// the store if a server that has its weights is forecast to serve it sooner.
+// the store if a server that has its weights is forecast to serve it sooner. Departed
+// models come after the wanted ones and compete with extra copies.
 // Decide sorts in.Wants by weight, largest first.
 func Decide(in Input) []Action {
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
@@ -116,7 +124,11 @@
 	for _, g := range extraCopies {
 		d.tryGoal(g, FromDisk)
 	}
-	for _, g := range d.storeGoals(extraCopies) {
+	for _, g := range withDeparted(d.storeGoals(extraCopies), d.departedGoals()) {
+		if g.ahead {
+			d.tryDeparted(g)
+			continue
+		}
 		d.tryGoal(g, FromStore)
 	}
 	d.preloadMissing()
@@ -130,11 +142,13 @@
 	// usedServers and chosenModels are the servers and models that have an action.
 	usedServers  map[string]bool
 	chosenModels map[string]bool
-	actions      []Action
+	// awaitedServers are the servers that deferred loads wait for.
+	awaitedServers map[string]bool
+	actions        []Action
 }
 
 func newDecision(in Input) *decision {
-	return &decision{Input: in, index: newIndex(&in), usedServers: map[string]bool{}, chosenModels: map[string]bool{}}
+	return &decision{Input: in, index: newIndex(&in), usedServers: map[string]bool{}, chosenModels: map[string]bool{}, awaitedServers: map[string]bool{}}
 }
 
 // addAction adds an action and updates the limits and the summaries of evicted models.
@@ -161,10 +175,10 @@
 	if d.Conservative && slowestSource == FromStore && (d.unknownServers > 0 || d.summary(g.want.Model).hasLocalWeights) {
 		return
 	}
-	best, s, cost := d.cheapestLoad(g.want, slowestSource)
+	best, s, cost := d.cheapestLoad(g.want, slowestSource, nil)
 	if slowestSource == FromStore && !g.extraCopy {
 		if deferred, sooner := d.deferredLoad(g.want); sooner && (s == nil || deferred.ReadyIn < best.ReadyIn) {
-			d.chosenModels[deferred.Load] = true
+			d.chosenModels[deferred.Load], d.awaitedServers[deferred.Server] = true, true
 			d.actions = append(d.actions, deferred)
 			return
 		}
@@ -175,15 +189,15 @@
 }
 
 // cheapestLoad returns the cheapest load of a model, its server and its cost in
-// seconds of waiting. The server is nil if none can load the model.
-func (d *decision) cheapestLoad(w Want, slowest Source) (best Action, server *Server, leastCost float64) {
+// seconds of waiting, without the excluded servers. The server is nil if none can load the model.
+func (d *decision) cheapestLoad(w Want, slowest Source, excluded map[string]bool) (best Action, server *Server, leastCost float64) {
 	model := d.catalogue[w.Model]
 	if model == nil {
 		return Action{}, nil, 0
 	}
 	for i := range d.Servers {
 		s := &d.Servers[i]
-		if s.Busy || d.usedServers[s.ID] {
+		if s.Busy || d.usedServers[s.ID] || excluded[s.ID] {
 			continue
 		}
 		a, cost, fits := d.loadAt(s, model, w, slowest)
