front/sched, policy/fair: requests weigh by deadline and priority after a server has left

Cause: a waiting request counted 1, those of one account the logarithm of their number. Requests that can't wait for the end of a load, or are less urgent, could win the scarce loads by their number.

Change: for a minute after a server of the service has left, a request that can't wait until the soonest end of a load of its model counts 0, others 1 / (1 + steps of priority below the most urgent one that waits). Models whose last server leaves are ranked by requests times the weight of their mean priority, which fronts report with the number of requests. At other times the weights are as before, so that nothing changes where no server leaves. policy/swap had no ratio for priorities to follow.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -39,6 +39,8 @@
 	Target  site.Target
 	// Account is the request's client account, empty if it has none.
 	Account string
+	// Priority is that which the request carries at instances, 0 for the most urgent.
+	Priority int `json:",omitempty"`
 	// Wait is how long the request can wait for an instance and still be served in time.
 	Wait time.Duration
 	// Answer is how long the planner may take to reply. The front then asks again,
@@ -162,6 +164,8 @@
 type RequestCount struct {
 	Target   site.Target
 	Requests float64
+	// Priority is the mean priority of recent requests, 0 for the most urgent.
+	Priority float64 `json:",omitempty"`
 }
 
 // ServerLoad is the load of an instance in its last report.
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -40,7 +40,7 @@
 		return site.Instance{}, false
 	}
 	if c.request.Target.Model != "" && c.attempts == (proof.Request{}) {
-		c.server.tracker.countRequest(c.request.Target)
+		c.server.tracker.countRequest(c.request.Target, c.priority())
 	}
 	for {
 		c.state = c.server.stateSource.State()
@@ -115,7 +115,7 @@
 		return false
 	}
 	askedAt := time.Now()
-	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Account: c.accountName(), Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
+	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Account: c.accountName(), Priority: c.priority(), Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
 	if c.endIfExpired(ctx) {
 		return false
 	}
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 	newRequests map[site.Target]float64
 	// recentRequests are decaying counts of requests, reported to a new planner.
 	recentRequests map[site.Target]decay.Count
+	// recentPriorities are the sums of these requests' priorities.
+	recentPriorities map[site.Target]decay.Count
 	// prefillSpeeds are the learned prefill speeds by model.
 	prefillSpeeds map[string]speed.Prefill
 	// newPrompts counts the requests to streams whose pauses are limited since the last usage report.
@@ -111,7 +114,7 @@
 }
 
 func newInstanceTracker() *instanceTracker {
-	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, slowdownsSeenAt: map[string]time.Time{}}
+	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, recentPriorities: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, slowdownsSeenAt: map[string]time.Time{}}
 }
 
 // statsOf returns the statistics of an instance and adds empty ones if there are none; the caller holds the lock.
@@ -383,8 +386,8 @@
 	return len(t.Model)+len(t.Name) <= maxTargetBytes
 }
 
-// countRequest counts a request for a model or adapter.
-func (t *instanceTracker) countRequest(target site.Target) {
+// countRequest counts a request of a priority for a model or adapter.
+func (t *instanceTracker) countRequest(target site.Target, priority int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.recentRequests[target]; !isReportable(target) || !ok && len(t.recentRequests) >= maxReportedTargets {
@@ -392,6 +395,9 @@
 	}
 	t.newRequests[target]++
 	t.recentRequests[target] = t.recentRequests[target].Add(1, time.Now())
+	if priority > 0 {
+		t.recentPriorities[target] = t.recentPriorities[target].Add(float64(priority), time.Now())
+	}
 }
 
 // countPrompt counts a request that is sent to a stream whose pauses are limited to maxGap.
@@ -416,6 +422,9 @@
 // minRecentWeight is the decayed number of requests below which past requests for a target are forgotten.
 const minRecentWeight = 0.2
 
+// priorityDigits rounds mean priorities in usage reports to one digit after the point.
+const priorityDigits = 10
+
 // takeRequestCounts returns the requests since the last call or, with allRecent, the
 // decayed weight of all; the caller holds the lock.
 func (t *instanceTracker) takeRequestCounts(allRecent bool) []peers.RequestCount {
@@ -427,10 +436,12 @@
 			n = c.Value(now)
 		}
 		if n > 0 {
-			out = append(out, peers.RequestCount{Target: target, Requests: n})
+			priority := t.recentPriorities[target].Value(now) / c.Value(now)
+			out = append(out, peers.RequestCount{Target: target, Requests: n, Priority: math.Round(priority*priorityDigits) / priorityDigits})
 		}
 		if c.Value(now) < minRecentWeight {
 			delete(t.recentRequests, target)
+			delete(t.recentPriorities, target)
 		}
 	}
 	clear(t.newRequests)
--- a/internal/front/sched/demand.go
+++ b/internal/front/sched/demand.go
@@ -1,10 +1,12 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/policy/decay"
+	"foxtailcroft/internal/policy/fair"
 	"foxtailcroft/internal/policy/swap"
 )
 
@@ -17,6 +19,8 @@
 // by model, and the time of the last request for each adapter.
 type demand struct {
 	requests map[string]decay.Count
+	// priorities sums the priorities of these requests.
+	priorities map[string]decay.Count
 	// sent counts the requests that reached a server, and promptSeconds the
 	// seconds that servers spend on their prompts (prefill).
 	sent               map[string]decay.Count
@@ -25,12 +29,13 @@
 }
 
 func newDemand() demand {
-	return demand{requests: map[string]decay.Count{}, sent: map[string]decay.Count{}, promptSeconds: map[string]decay.Count{}, adapterLastRequest: map[site.Target]time.Time{}}
+	return demand{requests: map[string]decay.Count{}, priorities: map[string]decay.Count{}, sent: map[string]decay.Count{}, promptSeconds: map[string]decay.Count{}, adapterLastRequest: map[site.Target]time.Time{}}
 }
 
-// add counts n requests for a model or adapter, served or not.
-func (d demand) add(t site.Target, n float64, now time.Time) {
+// add counts n requests of a mean priority for a model or adapter, served or not.
+func (d demand) add(t site.Target, n, priority float64, now time.Time) {
 	d.requests[t.Model] = d.requests[t.Model].Add(n, now)
+	d.priorities[t.Model] = d.priorities[t.Model].Add(n*priority, now)
 	if t.Name != "" {
 		d.adapterLastRequest[t] = now
 	}
@@ -56,6 +61,15 @@
 	return time.Duration(d.promptSeconds[model].Value(now) / sent * float64(time.Second))
 }
 
+// meanPriority returns the mean priority of a model's recent requests.
+func (d demand) meanPriority(model string, now time.Time) float64 {
+	requests := d.requests[model].Value(now)
+	if requests == 0 {
+		return 0
+	}
+	return d.priorities[model].Value(now) / requests
+}
+
 // minSentWeight is the decayed number of requests below which the prompt time per
 // request is unknown.
 const minSentWeight = 1.0
@@ -63,8 +77,12 @@
 // byModel returns the demand for every requested model, and drops adapters that are no longer in use.
 func (d demand) byModel(now time.Time) map[string]swap.Demand {
 	out := make(map[string]swap.Demand, len(d.requests))
+	mostUrgent := math.Inf(1)
+	for m := range d.requests {
+		mostUrgent = min(mostUrgent, d.meanPriority(m, now))
+	}
 	for m, count := range d.requests {
-		out[m] = swap.Demand{Rate: count.Rate(now), PrefillTime: d.promptTimePerRequest(m, now)}
+		out[m] = swap.Demand{Rate: count.Rate(now), Value: fair.PriorityWeight(d.meanPriority(m, now), mostUrgent), PrefillTime: d.promptTimePerRequest(m, now)}
 	}
 	for a, lastRequest := range d.adapterLastRequest {
 		if now.Sub(lastRequest) > adapterActiveWindow {
--- a/internal/front/sched/depart.go
+++ b/internal/front/sched/depart.go
@@ -17,6 +17,9 @@
 	lossConfirmation = 2 * reportInterval
 	// departureTTL is how long a departed model or adapter is kept for a load ahead of requests.
 	departureTTL = time.Minute
+	// scarceTime is how long after a server has left waiting requests count by deadline and priority.
+	// Otherwise they count by number and account, as in deployments in which no server leaves.
+	scarceTime = time.Minute
 	// aheadShare is the share of the concurrent loads from the weight store that may be for models
 	// for which no request waits; the others stay free for those that requests will wait for.
 	aheadShare = 0.5
@@ -40,6 +43,7 @@
 		return
 	}
 	s.departureRecorded = true
+	p.serverLeftAt[s.inst.Service] = now
 	held := map[site.Target]bool{}
 	for _, name := range s.modelNames() {
 		held[site.Target{Model: name}] = true
@@ -75,6 +79,12 @@
 	})
 }
 
+// isScarce reports whether a server of a service left within scarceTime. The caller must hold p.mu.
+func (p *Planner) isScarce(service string, now time.Time) bool {
+	at, ok := p.serverLeftAt[service]
+	return ok && now.Sub(at) < scarceTime
+}
+
 // departedModels returns the departed models of a service, and how many loads from the weight store
 // may begin for them. The caller must hold p.mu.
 func (p *Planner) departedModels(service string, now time.Time) (models []swap.Want, storeLoadsLeft int) {
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -94,7 +94,9 @@
 	// by model; their servers are busy or have no room yet.
 	expectedReady map[string]time.Time
 	// departed are the models and adapters whose last server leaves or has left.
-	departed     map[site.Target]departure
+	departed map[site.Target]departure
+	// serverLeftAt is when a server of each service last left.
+	serverLeftAt map[string]time.Time
 	usageByFront map[string]frontUsage
 	demand       demand
 	// storeLoadStarts are the start times of the loads from the weight store within
@@ -130,7 +132,7 @@
 	group := &tasks.Group{}
 	p := &Planner{
 		settings: s, candidate: c, state: state, client: &serverClient{pool: pool, dialect: d}, log: log, group: group,
-		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{}, departed: map[site.Target]departure{},
+		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{}, departed: map[site.Target]departure{}, serverLeftAt: map[string]time.Time{},
 		usageByFront: map[string]frontUsage{}, demand: newDemand(), wakeup: make(chan struct{}, 1),
 		ordersTotal: meters.GetOrCreateCounter("foxtailcroft_orders_total"), storeLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"), aheadLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_loads_ahead_total"),
 	}
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -25,7 +25,7 @@
 	now := time.Now()
 	p.countCopies()
 	p.updateDepartures(now)
-	models := map[string][]swap.Want{}
+	models := map[string][]site.Target{}
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
 	}
@@ -33,7 +33,7 @@
 	for _, target := range p.pruneAndSortWants(now) {
 		w := p.wants[target]
 		if len(p.serversWithModel(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(refusedWantWeight, w.weight()), Waited: now.Sub(w.firstRequested)})
+			models[w.service] = append(models[w.service], target)
 			continue
 		}
 		if target.Name != "" {
@@ -41,8 +41,8 @@
 		}
 	}
 	p.placeDepartedAdapters(ctx, now)
-	for service, wants := range models {
-		p.startSwaps(ctx, service, wants)
+	for service, targets := range models {
+		p.startSwaps(ctx, service, targets)
 	}
 }
 
@@ -55,15 +55,15 @@
 	})
 }
 
-// startSwaps starts the swaps that the policy decides on for a service. The caller
-// must hold p.mu.
-func (p *Planner) startSwaps(ctx context.Context, service string, wants []swap.Want) {
+// startSwaps starts the swaps that the policy decides on for a service, whose wanted targets
+// without a model at any server are given. The caller must hold p.mu.
+func (p *Planner) startSwaps(ctx context.Context, service string, targets []site.Target) {
 	engine := engineOf(p.state(), service)
 	if engine == nil {
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: mergeWants(wants), Demand: p.demand.byModel(now), StoreLoadsLeft: p.storeLoadsAllowed(engine, now), StoreLoadsRunning: p.activeStoreLoads(), StoreConcurrency: p.storeConcurrency.Limit(), Conservative: !p.evictionAllowed(now)}
+	in := swap.Input{Engine: engine, Demand: p.demand.byModel(now), StoreLoadsLeft: p.storeLoadsAllowed(engine, now), StoreLoadsRunning: p.activeStoreLoads(), StoreConcurrency: p.storeConcurrency.Limit(), Conservative: !p.evictionAllowed(now)}
 	if !p.demandKnown(now) {
 		in.StoreLoadsLeft = 0
 	}
@@ -74,6 +74,7 @@
 		}
 	}
 	slices.SortFunc(in.Servers, func(a, b swap.Server) int { return strings.Compare(a.ID, b.ID) })
+	in.Wants = p.swapWants(in, service, targets, now)
 	for _, a := range swap.Decide(in) {
 		if a.Deferred {
 			p.expectedReady[a.Load] = now.Add(a.ReadyIn)
--- a/internal/front/sched/usage.go
+++ b/internal/front/sched/usage.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for _, a := range u.Asked {
-		p.demand.add(a.Target, a.Requests, now)
+		p.demand.add(a.Target, a.Requests, a.Priority, now)
 	}
 	return peers.PlannerStatus{StoreLoads: p.storeConcurrency.Limit(), Loads: p.busiestServers(now), Limits: p.recentLimits(now), Pending: p.pendingLoads(now), PauseFactor: p.pauses.Factor(), LongShare: p.longShare()}
 }
--- a/internal/front/sched/wants.go
+++ b/internal/front/sched/wants.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/fair"
+	"foxtailcroft/internal/policy/swap"
 )
 
 // wantedTarget is a model or adapter that requests wait for or recently asked for.
@@ -26,19 +28,50 @@
 // front stops being the planner.
 type waiter struct {
 	request peers.InstanceRequest
-	answer  chan peers.InstanceReply
+	// deadline is until when the request can wait and still be served in time.
+	deadline time.Time
+	answer   chan peers.InstanceReply
 }
 
 // weight returns the weight of the waiting requests, in which those of one client account
-// count less the more of them there are.
-func (w *wantedTarget) weight() float64 {
-	byAccount := map[string]int{}
+// count less the more of them there are. urgency returns that of one request.
+func (w *wantedTarget) weight(urgency func(*waiter) float64) float64 {
+	byAccount := map[string][]float64{}
 	for waiting := range w.waiters {
-		byAccount[waiting.request.Account]++
+		account := waiting.request.Account
+		byAccount[account] = append(byAccount[account], urgency(waiting))
 	}
 	return fair.Weight(byAccount)
 }
 
+// swapWants returns the wants of targets of one service as input for the swap policy. While the
+// service is scarce, their requests count by deadline and priority. The caller must hold p.mu.
+func (p *Planner) swapWants(in swap.Input, service string, targets []site.Target, now time.Time) []swap.Want {
+	var soonest map[string]time.Duration
+	mostUrgent, scarce := math.MaxInt, p.isScarce(service, now)
+	if scarce {
+		for _, t := range targets {
+			in.Wants = append(in.Wants, swap.Want{Model: t.Model})
+			for x := range p.wants[t].waiters {
+				mostUrgent = min(mostUrgent, x.request.Priority)
+			}
+		}
+		soonest = swap.SoonestLoads(in)
+	}
+	var wants []swap.Want
+	for _, t := range targets {
+		w := p.wants[t]
+		weight := w.weight(func(x *waiter) float64 {
+			if !scarce {
+				return 1
+			}
+			return fair.Urgency(x.request.Priority, mostUrgent, x.deadline.Sub(now), soonest[t.Model])
+		})
+		wants = append(wants, swap.Want{Model: t.Model, Weight: max(refusedWantWeight, weight), Waited: now.Sub(w.firstRequested)})
+	}
+	return mergeWants(wants)
+}
+
 // refusedWantTTL is how long a want lives on after the wait time of its last request.
 const refusedWantTTL = 3 * time.Second
 
@@ -90,7 +123,7 @@
 		p.deleteServedWant(req.Target, found)
 		return nil, found, false
 	}
-	waiting = &waiter{request: req, answer: make(chan peers.InstanceReply, 1)}
+	waiting = &waiter{request: req, deadline: now.Add(req.Wait), answer: make(chan peers.InstanceReply, 1)}
 	wanted.waiters[waiting] = true
 	return waiting, found, true
 }
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -74,6 +74,8 @@
 type Demand struct {
 	// Rate is the number of requests per second.
 	Rate float64
+	// Value is the value of a request relative to the most valuable ones, 0 for 1.
+	Value float64
 	// PrefillTime is the prefill time per request, 0 if not known.
 	PrefillTime time.Duration
 	// ActiveAdapters is the number of the model's adapters in use.
