--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -24,7 +24,8 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.countCopies()
-	models := map[string][]swap.Want{}
+	p.updateDepartures(now)
+	models := map[string][]site.Target{}
 	for _, s := range p.servers {
 		models[s.inst.Service] = nil
 	}
@@ -32,15 +33,16 @@
 	for _, target := range p.pruneAndSortWants(now) {
 		w := p.wants[target]
 		if len(p.serversWithModel(w.service, target.Model)) == 0 {
-			models[w.service] = append(models[w.service], swap.Want{Model: target.Model, Weight: max(refusedWantWeight, w.weight()), Waited: now.Sub(w.firstRequested)})
+			models[w.service] = append(models[w.service], target)
 			continue
 		}
 		if target.Name != "" {
-			p.placeAdapter(ctx, w.service, target)
+			p.placeAdapter(ctx, w.service, target, nil)
 		}
 	}
-	for service, wants := range models {
-		p.startSwaps(ctx, service, wants)
+	p.placeDepartedAdapters(ctx, now)
+	for service, targets := range models {
+		p.startSwaps(ctx, service, targets)
 	}
 }
 
@@ -53,36 +55,41 @@
 	})
 }
 
-// startSwaps starts the swaps that the policy decides on for a service. The caller
-// must hold p.mu.
-func (p *Planner) startSwaps(ctx context.Context, service string, wants []swap.Want) {
+// startSwaps starts the swaps that the policy decides on for a service, whose wanted targets
+// without a model at any server are given. The caller must hold p.mu.
+func (p *Planner) startSwaps(ctx context.Context, service string, targets []site.Target) {
 	engine := engineOf(p.state(), service)
 	if engine == nil {
 		return
 	}
 	now := time.Now()
-	in := swap.Input{Engine: engine, Wants: mergeWants(wants), Demand: p.demand.byModel(now), StoreLoadsLeft: p.storeLoadsAllowed(engine, now), StoreLoadsRunning: p.activeStoreLoads(), StoreConcurrency: p.storeConcurrency.Limit(), Conservative: !p.evictionAllowed(now)}
+	in := swap.Input{Engine: engine, Demand: p.demand.byModel(now), StoreLoadsLeft: p.storeLoadsAllowed(engine, now), StoreLoadsRunning: p.activeStoreLoads(), StoreConcurrency: p.storeConcurrency.Limit(), Conservative: !p.evictionAllowed(now)}
 	if !p.demandKnown(now) {
 		in.StoreLoadsLeft = 0
 	}
+	in.Departed, in.AheadStoreLoadsLeft = p.departedModels(service, now)
 	for _, s := range p.servers {
-		if s.inst.Service == service && !s.inst.Draining {
+		if s.inst.Service == service && !s.isLeaving(now) {
 			in.Servers = append(in.Servers, p.policyView(s, now))
 		}
 	}
 	slices.SortFunc(in.Servers, func(a, b swap.Server) int { return strings.Compare(a.ID, b.ID) })
+	in.Wants = p.swapWants(in, service, targets, now)
 	for _, a := range swap.Decide(in) {
 		if a.Deferred {
 			p.expectedReady[a.Load] = now.Add(a.ReadyIn)
 			continue
 		}
 		s := p.serverByID(a.Server)
-		s.reserved, s.loadingModel, s.evicting, s.readyAt = true, a.Load, a.Evict, now.Add(a.ReadyIn)
+		s.reserved, s.loadingModel, s.loadingAhead, s.evicting, s.readyAt = true, a.Load, a.Ahead, a.Evict, now.Add(a.ReadyIn)
+		if a.Ahead {
+			p.aheadLoadsTotal.Inc()
+		}
 		if a.Source == swap.FromStore {
 			p.storeLoadStarts = append(p.storeLoadStarts, now)
 			p.storeLoadsTotal.Inc()
 		}
-		p.log.Infow("swap", "Instance", a.Server, "Load", a.Load, "Evict", a.Evict, "Source", int(a.Source), "Takes", a.ReadyIn.String(), "Sequence", s.sequence, "Fence", p.fence)
+		p.log.Infow("swap", "Instance", a.Server, "Load", a.Load, "Evict", a.Evict, "Source", int(a.Source), "Ahead", a.Ahead, "Takes", a.ReadyIn.String(), "Sequence", s.sequence, "Fence", p.fence)
 		p.group.Go(func() { p.executeSwap(ctx, s, a) })
 	}
 }
@@ -201,8 +208,9 @@
 }
 
 // placeAdapter starts loading an adapter at a server that has its model, unless the
-// adapter is present or being loaded. The caller must hold p.mu.
-func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target) {
+// adapter is present or being loaded. If no request waits for it, ahead tells which places it may
+// get, and is nil otherwise. The caller must hold p.mu.
+func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target, ahead func(adapterPlace) bool) {
 	engine := engineOf(p.state(), service)
 	holders := p.serversWithModel(service, t.Model)
 	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil && !p.isOverLimit(s, t) })
@@ -219,7 +227,7 @@
 	for i, s := range holders {
 		candidate, ok := p.findPlace(s, engine, engine.Model(t.Model))
 		candidate.forLong = forLong != nil && forLong[i]
-		if ok && candidate.betterThan(best) {
+		if ok && (ahead == nil || ahead(candidate)) && candidate.betterThan(best) {
 			best = candidate
 		}
 	}
@@ -230,16 +238,21 @@
 		best.server.adapters[best.victim].unloading = true
 	}
 	p.adaptersLoading[t] = true
+	if ahead != nil {
+		best.server.adapterAhead = t
+		p.aheadLoadsTotal.Inc()
+	}
 	p.group.Go(func() { p.loadAdapter(ctx, best.server, t, best.victim) })
 }
 
 // isOverLimit reports whether a server limits its requests and all requests that wait for a
 // target can't use it. The caller must hold p.mu.
 func (p *Planner) isOverLimit(s *server, t site.Target) bool {
-	if s.currentLimit(time.Now()) == 0 || len(p.wants[t].waiters) == 0 {
+	wanted := p.wants[t]
+	if wanted == nil || s.currentLimit(time.Now()) == 0 || len(wanted.waiters) == 0 {
 		return false
 	}
-	for w := range p.wants[t].waiters {
+	for w := range wanted.waiters {
 		if !slices.Contains(w.request.Avoid, s.inst.InstanceKey) {
 			return false
 		}
