policy/delay, front/proxy: requests that would be late everywhere are rejected at once

Where the servers of a model are asked for more than they can read, nearly all answers come late: every request queues behind the backlog. With one server there is no choice, so that the cost of the choice decides nothing, and a front counted other fronts' prompts hardly at all.

policy/delay forecasts the wait of a prompt at an instance from what the front knows: its own unread prompts, the requests of others in the load header and which share of them the newest answered prompt had to wait for, the slowdown, and the learned reading speed. If the wait is too long for the route's goal at every instance that could be chosen, and each has a load figure of at most 1 s, the request gets 503 with the time at which a wait falls to the limit, plus jitter. Less urgent requests get half of the limit of more urgent ones. Instances that may have much to read are asked at their health pages first. Applies to streams with a goal where instances report slowdowns; delay.IsEnabled switches it off with all its records.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -150,6 +150,11 @@
 	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
+	var prompt *sentPrompt
+	if !buffered {
+		prompt = t.trackPrompt(in.InstanceKey, &c.request)
+	}
+	defer func() { t.endPrompt(in.InstanceKey, prompt, 0) }()
 	c.instanceID, c.instanceStatus, c.answerBegan, c.attemptEvents = in.ID, 0, false, 0
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
 	c.resumedAfter = ""
@@ -172,13 +177,17 @@
 	}
 	c.usedConns = append(c.usedConns, res.Conn())
 	load, hasLoad := c.server.dialect.DecodeLoad(res.Header)
+	rejected := c.server.dialect.ReportsNotRun(res.Status, res.Header)
+	if !rejected && res.Status == http.StatusOK {
+		t.endPrompt(in.InstanceKey, prompt, load.Slowdown)
+	}
+	if load.Slowdown > 0 {
+		t.recordQueue(in, load)
+	}
 	answered(load.Slowdown)
 	if hasLoad {
 		t.recordLoad(in.InstanceKey, load.Running+load.Waiting, time.Now())
 	}
-	if load.Slowdown > 0 {
-		t.recordSlowdown(in, load.Slowdown, time.Now())
-	}
 	if limit := c.server.dialect.DecodeLimit(res.Header); limit > 0 || c.server.dialect.IsSigned(res.Header) {
 		t.recordLimit(in.InstanceKey, limit)
 	}
@@ -189,7 +198,6 @@
 		t.exclude(in.InstanceKey, wait)
 	}
 	c.instanceStatus = res.Status
-	rejected := c.server.dialect.ReportsNotRun(res.Status, res.Header)
 	c.attempts = c.attempts.With(proof.Attempt{Written: true, Responded: true, SaysNotRun: rejected})
 	if rejected {
 		return c.handleNotRun(in, res)
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -47,17 +47,12 @@
 		list := c.untried(c.candidates())
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
-			if c.inquire(ctx, chosen.inquiries) {
+			c.lastChoice.options = options{}
+			step := c.checkChoice(ctx, chosen)
+			if step == chooseAgain {
 				continue
 			}
-			mayGo := c.waitForLimit(ctx, chosen)
-			if c.endIfExpired(ctx) || c.endIfBlocked(ctx) {
-				return site.Instance{}, false
-			}
-			if mayGo {
-				return chosen.Instance, true
-			}
-			continue
+			return chosen.Instance, step == sendRequest
 		}
 		if !c.waitForInstance(ctx) || c.endIfBlocked(ctx) {
 			return site.Instance{}, false
@@ -65,6 +60,39 @@
 	}
 }
 
+// choiceStep tells what follows the choice of an instance.
+type choiceStep int
+
+const (
+	// sendRequest means that the request may be sent to the instance.
+	sendRequest choiceStep = iota
+	// chooseAgain means that more is known now or that the instance takes no request at the moment.
+	chooseAgain
+	// endedWithoutSend means that the request has ended.
+	endedWithoutSend
+)
+
+// checkChoice asks instances for their slowdowns and loads, rejects the request if it would be late
+// everywhere, and waits for the chosen instance's limit.
+func (c *call) checkChoice(ctx context.Context, chosen choice) choiceStep {
+	if c.inquire(ctx, chosen.inquiries) {
+		return chooseAgain
+	}
+	if ended, asked := c.endIfLate(ctx, chosen.options); ended {
+		return endedWithoutSend
+	} else if asked {
+		return chooseAgain
+	}
+	mayGo := c.waitForLimit(ctx, chosen)
+	switch {
+	case c.endIfExpired(ctx) || c.endIfBlocked(ctx):
+		return endedWithoutSend
+	case !mayGo:
+		return chooseAgain
+	}
+	return sendRequest
+}
+
 // candidates returns the instances that could serve the request, including those already tried.
 func (c *call) candidates() []site.Instance {
 	list := c.state.Serving(c.service)
--- a/internal/front/proxy/pick.go
+++ b/internal/front/proxy/pick.go
@@ -21,6 +21,8 @@
 	reportedLoadAge time.Duration
 	// inquiries are the instances to ask for their slowdowns before the request is sent.
 	inquiries []site.Instance
+	// options are all the instances that could have been chosen.
+	options options
 	// limit is the number of requests a second that the instance takes from all fronts, 0 for any.
 	limit float64
 	// savedTokens is the expected number of tokens of the prompt that need not be read; it is set where prompt caches are indexed.
@@ -30,6 +32,12 @@
 	lead time.Duration
 }
 
+// options are the instances that could be chosen for a request, with the estimates for each.
+type options struct {
+	list       []site.Instance
+	candidates []score.Candidate
+}
+
 // pickInstance returns the instance of the list with the lowest expected cost; ok
 // is false if all are excluded for now or lack the model.
 func (t *instanceTracker) pickInstance(list []site.Instance, domain string, r *site.RequestInfo, maxGap time.Duration, connected func(conns.Target) bool) (c choice, ok bool) {
@@ -66,7 +74,7 @@
 	if i < 0 {
 		return choice{}, false
 	}
-	chosen := choice{Instance: list[i], Candidate: candidates[i], candidateCount: len(list), inquiries: t.slowdownInquiries(list, candidates, now)}
+	chosen := choice{Instance: list[i], Candidate: candidates[i], candidateCount: len(list), options: options{list, candidates}, inquiries: t.slowdownInquiries(list, candidates, now)}
 	s := t.statsOf(list[i].InstanceKey)
 	if s.limit > 0 {
 		chosen.limit, chosen.lead = s.limit, lead(candidates, i)
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -227,6 +227,11 @@
 }
 
 func (r *harness) serve(ctx context.Context, path, id string, header http.Header) (w *httptest.ResponseRecorder, aborted bool) {
+	return r.serveBy(ctx, r.proxy, path, id, header)
+}
+
+// serveBy serves a request by one of several proxies.
+func (r *harness) serveBy(ctx context.Context, proxy *Server, path, id string, header http.Header) (w *httptest.ResponseRecorder, aborted bool) {
 	method, body := http.MethodPost, "order"
 	if strings.HasPrefix(path, "/safe/") {
 		method, body = http.MethodGet, ""
@@ -251,7 +256,7 @@
 			aborted = true
 		}
 	}()
-	r.proxy.ServeHTTP(w, req)
+	proxy.ServeHTTP(w, req)
 	return w, false
 }
 
--- a/internal/front/proxy/slowdown.go
+++ b/internal/front/proxy/slowdown.go
@@ -104,5 +104,5 @@
 	outcome = "answered"
 	now := time.Now()
 	s.tracker.recordLoad(in.InstanceKey, load.Running+load.Waiting, now)
-	s.tracker.recordSlowdown(in, load.Slowdown, now)
+	s.tracker.recordQueue(in, load)
 }
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -10,6 +10,7 @@
 	"foxtailcroft/internal/front/kept"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/policy/decay"
+	"foxtailcroft/internal/policy/delay"
 	"foxtailcroft/internal/policy/reuse"
 	"foxtailcroft/internal/policy/score"
 	"foxtailcroft/internal/policy/speed"
@@ -50,6 +51,8 @@
 	longShare float64
 	// slowdownsSeenAt is when an instance of a service last reported its slowdown.
 	slowdownsSeenAt map[string]time.Time
+	// rejectsLate is true if requests are rejected that are predicted to miss their response goals.
+	rejectsLate bool
 	// caches tells what instances keep of prompts; it is used for requests with part hashes only.
 	caches PromptCaches
 	// partStates and keptParts are buffers.
@@ -75,6 +78,8 @@
 	// slowdown is the newest slowdown that the instance reported, at slowdownAt; 0 if it reported none.
 	slowdown   float64
 	slowdownAt time.Time
+	// prompts are those at an instance that reports slowdowns.
+	prompts promptQueue
 	// inquiredAt is when the instance was last asked for its slowdown.
 	inquiredAt time.Time
 	// limit is the number of requests a second that the instance takes from all fronts, 0 if it names none.
@@ -111,7 +116,7 @@
 }
 
 func newInstanceTracker() *instanceTracker {
-	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, slowdownsSeenAt: map[string]time.Time{}}
+	return &instanceTracker{stats: map[site.InstanceKey]*instanceStats{}, holders: map[site.Target]map[site.InstanceKey]bool{}, newRequests: map[site.Target]float64{}, recentRequests: map[site.Target]decay.Count{}, prefillSpeeds: map[string]speed.Prefill{}, slowdownsSeenAt: map[string]time.Time{}, rejectsLate: delay.IsEnabled}
 }
 
 // statsOf returns the statistics of an instance and adds empty ones if there are none; the caller holds the lock.
@@ -157,7 +162,7 @@
 		}
 		isAnswered = true
 		s.pendingPrefill -= prefill
-		if isOnlyPrompt && r.Target.Model != "" {
+		if isOnlyPrompt && r.Target.Model != "" && s.prompts.otherWaiting == 0 {
 			t.learnPrefill(r.Target.Model, uncached, score.AtUsualSpeed(time.Since(began), slowdown))
 		}
 		if buffered {
