front/proxy: the error of retry times is measured; RetryAfter in log lines

Nobody could see whether the retry time of a rejection by forecast was right. When a request is sent to an instance, the front now records for each such rejection since the last request with the same model how far the promised time is from this moment, in foxtailcroft_retry_after_error_seconds{direction="early"|"late"}. The line of a refused request has the field RetryAfter, in seconds.

TestRetryTimesAreMeasured fails without the record.

--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -59,9 +59,11 @@
 	// stream is nil until the header of a streamed answer was sent to the caller.
 	stream *stream
 
-	outcome    string
-	reason     string
-	status     int
+	outcome string
+	reason  string
+	status  int
+	// retryAfter is the retry time that the caller was given, 0 if none.
+	retryAfter time.Duration
 	instanceID string
 	// instanceStatus is the status of the latest attempt's response, 0 if there is none.
 	instanceStatus int
@@ -144,6 +146,7 @@
 // sendTo sends the request to one instance and relays the answer.
 func (c *call) sendTo(ctx context.Context, in site.Instance) nextStep {
 	t := c.server.tracker
+	c.recordRetryErrors()
 	buffered := c.route.Kind != site.Streaming
 	if c.route.MaxTokenGap > 0 && c.request.Target.Model != "" {
 		t.countPrompt(in.InstanceKey, &c.request, c.route.MaxTokenGap)
@@ -304,7 +307,7 @@
 		c.outcome, c.reason = "stream broken off", reason
 		panic(http.ErrAbortHandler)
 	}
-	c.outcome, c.status, c.reason = outcome, status, reason
+	c.outcome, c.status, c.reason, c.retryAfter = outcome, status, reason, retryAfter
 	h := c.w.Header()
 	c.server.dialect.SetRefusalHeaders(h, c.request.ID, retryAfter)
 	h.Set("Content-Type", "application/json")
--- a/internal/front/proxy/late.go
+++ b/internal/front/proxy/late.go
@@ -206,6 +206,8 @@
 		return false, false
 	}
 	c.server.meters.GetOrCreateCounter("foxtailcroft_predicted_rejections_total").Inc()
-	c.refuse(http.StatusServiceUnavailable, "all instances are predicted to answer late", delay.RetryAfter(late.excess, rand.Float64()))
+	retryAfter := delay.RetryAfter(late.excess, rand.Float64())
+	c.server.promises.add(c.request.Target.Model, time.Now().Add(retryAfter))
+	c.refuse(http.StatusServiceUnavailable, "all instances are predicted to answer late", retryAfter)
 	return true, false
 }
--- a/internal/front/proxy/late_test.go
+++ b/internal/front/proxy/late_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -30,6 +31,7 @@
 		proxies = append(proxies, New(r.proxy.settings, r, r.proxy.pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), r.proxy.log))
 		proxies[i].tracker.rejectsLate = rejectsLate
 	}
+	r.proxy = proxies[0]
 	rnd, out := rand.New(rand.NewPCG(1, 1)), map[string]*outcomes{}
 	for _, path := range paths {
 		out[path] = &outcomes{}
@@ -119,3 +121,15 @@
 		})
 	}
 }
+
+// TestRetryTimesAreMeasured guards against retry times whose error nobody can see.
+func TestRetryTimesAreMeasured(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		r.setFaults(fake.Faults{TokensPerMs: 30, SlowdownPercent: 100})
+		r.overload(1, true, "/stream/x")
+		var meters bytes.Buffer
+		r.proxy.meters.WritePrometheus(&meters)
+		r.g.Expect(r.log.String()).To(MatchRegexp(`predicted to answer late","RetryAfter":0\.\d`))
+		r.g.Expect(meters.String()).To(And(ContainSubstring(`error_seconds_count{direction="early"}`), ContainSubstring(`error_seconds_count{direction="late"}`)))
+	})
+}
--- a/internal/front/proxy/log.go
+++ b/internal/front/proxy/log.go
@@ -56,7 +56,7 @@
 	}
 	log("request", "Request", c.request.ID, "Route", route.Name, "Account", c.accountName(), "Kind", string(route.Kind), "Model", c.request.Target.Model, "Adapter", c.request.Target.Name,
 		"Prompt", c.request.PromptTokens, "Parts", c.loggedParts(), "Instance", c.instanceID, "Sends", c.attempts.PossibleRuns(), "Unsent", c.attempts.NotRunAttempts(), "Basis", string(c.attempts.Last()), "InstanceStatus", c.instanceStatus, "Outcome", c.outcome, "Status", c.status,
-		"Reason", c.reason, "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
+		"Reason", c.reason, "RetryAfter", c.retryAfter.Round(time.Millisecond).Seconds(), "HeldMs", c.waited.Milliseconds(), "FirstMs", c.firstOutputAfter.Milliseconds(), "Ms", took.Milliseconds(), "Events", events, "GapMs", longestPause.Milliseconds(),
 		"MissingMs", c.lastChoice.MissingPrefill.Milliseconds(), "ReadingMs", c.lastChoice.PendingPrefill.Milliseconds(), "SavedTokens", c.lastChoice.savedTokens, "InFlight", c.lastChoice.InFlight, "Slowdown", math.Round(100*c.lastChoice.Slowdown)/100, "Reported", c.lastChoice.Reported, "ReportedAgeMs", c.lastChoice.reportedLoadAge.Milliseconds(), "Of", c.lastChoice.candidateCount, "Limit", c.lastChoice.limit,
 		"GoalMs", route.ResponseGoal.Milliseconds(), "MaxGapMs", route.MaxTokenGap.Milliseconds(),
 		"Patience", c.request.Timeout.Milliseconds(), "Version", version, "Revision", c.state.Revision)
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -135,6 +135,7 @@
 	currency    Currency
 	quotas      Quotas
 	tracker     *instanceTracker
+	promises    retryPromises
 	log         *zap.SugaredLogger
 	meters      *metrics.Set
 	// memory is the memory for bodies and answers.
