--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -58,9 +58,11 @@
 	// stream is nil until the header of a streamed answer was sent to the caller.
 	stream *stream
 
-	outcome    string
-	reason     string
-	status     int
+	outcome string
+	reason  string
+	status  int
+	// retryAfter is the retry time that the caller was given, 0 if none.
+	retryAfter time.Duration
 	instanceID string
 	// instanceStatus is the status of the latest attempt's response, 0 if there is none.
 	instanceStatus int
@@ -143,12 +145,18 @@
 // sendTo sends the request to one instance and relays the answer.
 func (c *call) sendTo(ctx context.Context, in site.Instance) nextStep {
 	t := c.server.tracker
+	c.recordRetryErrors()
 	buffered := c.route.Kind != site.Streaming
 	if c.route.MaxTokenGap > 0 && c.request.Target.Model != "" {
 		t.countPrompt(in.InstanceKey, &c.request, c.route.MaxTokenGap)
 	}
 	answered, ended := t.beginRequest(in.InstanceKey, &c.request, buffered)
 	defer ended()
+	var prompt *sentPrompt
+	if !buffered {
+		prompt = t.trackPrompt(in.InstanceKey, &c.request)
+	}
+	defer func() { t.endPrompt(in.InstanceKey, prompt, 0) }()
 	c.instanceID, c.instanceStatus, c.answerBegan, c.attemptEvents = in.ID, 0, false, 0
 	header := endToEndHeaders(c.r.Header, c.server.dialect.IsEndToEnd)
 	c.resumedAfter = ""
@@ -171,13 +179,17 @@
 	}
 	c.usedConns = append(c.usedConns, res.Conn())
 	load, hasLoad := c.server.dialect.DecodeLoad(res.Header)
+	rejected := c.server.dialect.ReportsNotRun(res.Status, res.Header)
+	if !rejected && res.Status == http.StatusOK {
+		t.endPrompt(in.InstanceKey, prompt, load.Slowdown)
+	}
+	if load.Slowdown > 0 {
+		t.recordQueue(in, load)
+	}
 	answered(load.Slowdown)
 	if hasLoad {
 		t.recordLoad(in.InstanceKey, load.Running+load.Waiting, time.Now())
 	}
-	if load.Slowdown > 0 {
-		t.recordSlowdown(in, load.Slowdown, time.Now())
-	}
 	if limit := c.server.dialect.DecodeLimit(res.Header); limit > 0 || c.server.dialect.IsSigned(res.Header) {
 		t.recordLimit(in.InstanceKey, limit)
 	}
@@ -188,7 +200,6 @@
 		t.exclude(in.InstanceKey, wait)
 	}
 	c.instanceStatus = res.Status
-	rejected := c.server.dialect.ReportsNotRun(res.Status, res.Header)
 	c.attempts = c.attempts.With(proof.Attempt{Written: true, Responded: true, SaysNotRun: rejected})
 	if rejected {
 		return c.handleNotRun(in, res)
@@ -293,7 +304,7 @@
 		c.outcome, c.reason = "stream broken off", reason
 		panic(http.ErrAbortHandler)
 	}
-	c.outcome, c.status, c.reason = outcome, status, reason
+	c.outcome, c.status, c.reason, c.retryAfter = outcome, status, reason, retryAfter
 	h := c.w.Header()
 	c.server.dialect.SetRefusalHeaders(h, c.request.ID, retryAfter)
 	h.Set("Content-Type", "application/json")
