plat/follow, policy/retry: calls to a store that resets connections back off

Cause: while the store resets or refuses connections, each front reads the document's key every 0.4 s, and renews or grants its lease every 0.5 s; each renewal that fails also goes through two other fronts, whose calls fail as well. Where the store resets a third of the fronts only, three renewals in a row may ask such fronts, and the lease ends although others reach the store.

Change: policy/retry.StoreOutage gives the pauses between reads: exponential with jitter over the whole range from the present interval to a limit, which depends on the number of fronts and on whether others answer, whether the store answers them and whether a proof is still held. Fronts that ask each other for views also learn when the store last answered the other one, and shorten the pause that lasts. A front refuses to renew leases for others while the store does not answer it. Renewals keep their interval until the lease must have ended, ask the other fronts first, and up to four of them. Registrations, claims, proof reads, the periodic read and crash records wait until the reads reach the store. cenkalti/backoff is not used for it: its jitter has no injected source, and its state does not let the limit change while a pause lasts.

--- a/internal/front/crash/broken.go
+++ b/internal/front/crash/broken.go
@@ -132,8 +132,12 @@
 	return err != nil && ctx.Err() == nil && !(errors.As(err, &timeout) && timeout.Timeout())
 }
 
-// put commits a transaction with one put and applies it to the front's view; false if it failed.
+// put commits a transaction with one put and applies it to the front's view; false if it failed, or if
+// the store does not answer this front: the follower's calls, which back off, show when it does.
 func (w *Watcher) put(ctx context.Context, t store.Txn) bool {
+	if w.site.Unavailable(0) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	res, err := w.store.Commit(ctx, t)
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tasks"
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/link/peer"
@@ -320,6 +321,10 @@
 		return f.Changes(ctx, r), nil
 	})
 	peer.OnCall(mux, methodRenew, func(ctx context.Context, _ *peer.Conn, lease int64) (bool, error) {
+		if f.Unavailable(0) {
+			// The call would fail as well, and each one has a cost.
+			return false, errStoreAway
+		}
 		return h.Leases.KeepAlive(ctx, lease)
 	})
 	answerProofs(mux, f)
@@ -336,8 +341,13 @@
 // sampleSize is the number of other fronts that a call for help goes to.
 const sampleSize = 2
 
-// sampleFronts returns the addresses of up to sampleSize other fronts, chosen at random.
-func (m *Client) sampleFronts() []string {
+// secondSampleDelay is how long the fronts that are first asked to renew a lease may take before as many
+// more are asked. With one sample of two, leases end where the store resets a third of the fronts: three
+// renewals in a row ask only such fronts.
+const secondSampleDelay = 100 * time.Millisecond
+
+// sampleFronts returns the addresses of up to n other fronts, chosen at random.
+func (m *Client) sampleFronts(n int) []string {
 	addresses := slices.Clone(m.seeds)
 	for _, f := range m.state().Fronts {
 		addresses = append(addresses, f.Address)
@@ -345,15 +355,18 @@
 	slices.Sort(addresses)
 	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == m.self.Address })
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(sampleSize, len(addresses))]
+	return addresses[:min(n, len(addresses))]
 }
 
-// RenewLease asks other fronts to renew a lease at the store, all at once, and returns
-// the first answer; ok is false if the lease has ended.
+// RenewLease asks other fronts to renew a lease at the store, sampleSize at once and as many more after
+// secondSampleDelay, and returns the first answer; ok is false if the lease has ended.
 func (m *Client) RenewLease(ctx context.Context, lease int64) (ok bool, err error) {
 	var calls []func(context.Context) (bool, error)
-	for _, address := range m.sampleFronts() {
+	for i, address := range m.sampleFronts(2 * sampleSize) {
 		calls = append(calls, func(ctx context.Context) (renewed bool, err error) {
+			if i >= sampleSize && !sleep.For(ctx, secondSampleDelay) {
+				return false, ctx.Err()
+			}
 			err = m.call(ctx, address, methodRenew, callTimeout, lease, &renewed)
 			return renewed, err
 		})
@@ -385,25 +398,12 @@
 	return asked.Load() > 0 && confirmed.Load() == asked.Load()
 }
 
+// errStoreAway is the answer to calls that need the store while this front can't reach it.
+var errStoreAway = errors.New("the store does not answer this front")
+
 // errNoFronts is the error of a call for help when no other front is known.
 var errNoFronts = errors.New("no other front is known")
 
-// FetchNewer asks up to sampleSize other fronts, chosen at random, for cluster state newer
-// than a revision; false if none has it.
-func (m *Client) FetchNewer(ctx context.Context, revision int64) (follow.View, bool) {
-	for _, address := range m.sampleFronts() {
-		view, err := m.fetchView(ctx, address, revision)
-		if isUnknownMethod(err) {
-			// A front of an earlier version sends its view whole.
-			err = m.call(ctx, address, methodNewer, callTimeout, revision, &view)
-		}
-		if err == nil && view.Revision > revision {
-			return view, true
-		}
-	}
-	return follow.View{}, false
-}
-
 // RequestPace asks the front that keeps an instance's schedule to reserve a request.
 func (m *Client) RequestPace(ctx context.Context, to follow.Front, r PaceRequest) (PaceReply, error) {
 	var reply PaceReply
--- a/internal/front/peers/proof.go
+++ b/internal/front/peers/proof.go
@@ -35,7 +35,7 @@
 func (m *Client) AskProofs(ctx context.Context, revision int64, adopt func(fresh.Statement)) {
 	var group conc.WaitGroup
 	defer group.Wait()
-	for _, address := range m.sampleFronts() {
+	for _, address := range m.sampleFronts(sampleSize) {
 		group.Go(func() {
 			var reply proofReply
 			if m.call(ctx, address, methodProof, callTimeout, proofQuestion{Revision: revision}, &reply) == nil && reply.Proof != nil {
--- a/internal/front/peers/view.go
+++ b/internal/front/peers/view.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -37,6 +38,9 @@
 	Revision int64
 	Size     int
 	Data     []byte
+	// ReachAge is the time since the store had last answered the front when it was asked, directly or
+	// through another front; nil from fronts of earlier versions.
+	ReachAge *time.Duration `json:",omitempty"`
 }
 
 // viewEncoder encodes the newest view once for all fronts that ask for it.
@@ -50,12 +54,13 @@
 
 // part returns a part of the view that is asked for, or the first one of the newest view.
 func (e *viewEncoder) part(r viewRequest) (viewPart, error) {
+	age := e.follower.ConfirmedAge()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.Offset == 0 || r.Revision != e.revision {
 		view, ok := e.follower.Snapshot(r.After)
 		if !ok {
-			return viewPart{}, nil
+			return viewPart{ReachAge: &age}, nil
 		}
 		data, err := json.Marshal(view)
 		if err != nil {
@@ -64,7 +69,7 @@
 		e.revision, e.data, r.Offset = view.Revision, data, 0
 	}
 	from := min(max(0, r.Offset), len(e.data))
-	return viewPart{Revision: e.revision, Size: len(e.data), Data: e.data[from:min(len(e.data), from+maxPartBytes)]}, nil
+	return viewPart{Revision: e.revision, Size: len(e.data), Data: e.data[from:min(len(e.data), from+maxPartBytes)], ReachAge: &age}, nil
 }
 
 var (
@@ -78,14 +83,33 @@
 	return errors.As(err, &remote) && remote.Code == jsonrpc2.CodeMethodNotFound
 }
 
-// fetchView returns a front's view if it is newer than a revision, and else an empty one.
-func (m *Client) fetchView(ctx context.Context, address string, after int64) (follow.View, error) {
+// FetchNewer asks up to sampleSize other fronts, chosen at random, for cluster state newer
+// than a revision; false if none has it.
+func (m *Client) FetchNewer(ctx context.Context, revision int64) (follow.View, bool) {
+	var contact follow.Contact
+	for _, address := range m.sampleFronts(sampleSize) {
+		view, err := m.fetchView(ctx, address, revision, &contact)
+		if isUnknownMethod(err) {
+			// A front of an earlier version sends its view whole.
+			err = m.call(ctx, address, methodNewer, callTimeout, revision, &view)
+		}
+		if err == nil && view.Revision > revision {
+			view.Contact = contact
+			return view, true
+		}
+	}
+	return follow.View{Contact: contact}, false
+}
+
+// fetchView returns a front's view if it is newer than a revision, and else an empty one. It adds the
+// front's answers to contact.
+func (m *Client) fetchView(ctx context.Context, address string, after int64, contact *follow.Contact) (follow.View, error) {
 	for range maxViewReads {
 		var data []byte
 		request := viewRequest{After: after}
 		for {
-			var part viewPart
-			if err := m.call(ctx, address, methodView, callTimeout, request, &part); err != nil || part.Revision == 0 {
+			part, err := m.fetchPart(ctx, address, request, contact)
+			if err != nil || part.Revision == 0 {
 				return follow.View{}, err
 			}
 			if part.Size > maxViewBytes {
@@ -105,3 +129,13 @@
 	}
 	return follow.View{}, errViewChanging
 }
+
+// fetchPart returns a part of a front's view, and adds what it tells of the store to contact.
+func (m *Client) fetchPart(ctx context.Context, address string, r viewRequest, contact *follow.Contact) (viewPart, error) {
+	var part viewPart
+	err := m.call(ctx, address, methodView, callTimeout, r, &part)
+	if err == nil && part.ReachAge != nil {
+		contact.Add(*part.ReachAge)
+	}
+	return part, err
+}
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -32,6 +32,8 @@
 	// relayDelay is how long a renewal may take before another front is asked to renew
 	// the lease as well.
 	relayDelay = 150 * time.Millisecond
+	// storeCheckInterval is the pause between checks whether the store is back.
+	storeCheckInterval = 50 * time.Millisecond
 )
 
 // LeaseStore is the part of the store that a Candidate uses.
@@ -140,6 +142,10 @@
 // until the context ends.
 func (l *Candidate) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if l.waitsForStore() {
+			sleep.For(ctx, storeCheckInterval)
+			continue
+		}
 		err := l.renewOrRegister(ctx)
 		if err != nil && !l.renewalFailing {
 			l.log.Warnw("lease renewal or registration failed; retrying at the next renewal", "Error", err.Error())
@@ -149,13 +155,24 @@
 	}
 }
 
+// waitsForStore reports whether to make no calls until the follower has reached the store, which backs
+// off: the store fails, and there is no lease that it could still renew.
+func (l *Candidate) waitsForStore() bool {
+	if !l.site.Unavailable(0) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease == 0 || time.Since(l.renewedAt) > l.ttl+l.ttl/renewalsPerTTL
+}
+
 // claimUntilRenewal waits until the next renewal is due and claims the planner's
 // key whenever it is free.
 func (l *Candidate) claimUntilRenewal(ctx context.Context) {
 	due := time.Now().Add(l.ttl / renewalsPerTTL)
 	for ctx.Err() == nil && time.Now().Before(due) {
 		s := l.site.State()
-		if s.Planner == nil && l.registered() && sleep.For(ctx, l.claimDelay+rand.N(maxClaimJitter)) {
+		if s.Planner == nil && l.registered() && !l.waitsForStore() && sleep.For(ctx, l.claimDelay+rand.N(maxClaimJitter)) {
 			l.claimPlannerKey(ctx)
 		}
 		timer := time.NewTimer(time.Until(due))
@@ -250,17 +267,22 @@
 
 // renew renews the lease at the store. If the store has not done so within relayDelay, it
 // also asks other fronts, so that a front that is cut off from the store
-// alone keeps its registration and the planner's key.
+// alone keeps its registration and the planner's key. While the store does not answer this front, the
+// others are asked first.
 func (l *Candidate) renew(ctx context.Context, lease int64) (bool, error) {
 	direct := func(ctx context.Context) (bool, error) { return l.store.KeepAlive(ctx, lease) }
 	if l.relay == nil {
 		return direct(ctx)
 	}
-	return tasks.First(ctx, direct, func(ctx context.Context) (bool, error) {
+	first, second := direct, func(ctx context.Context) (bool, error) { return l.relay.RenewLease(ctx, lease) }
+	if l.site.Unavailable(0) {
+		first, second = second, first
+	}
+	return tasks.First(ctx, first, func(ctx context.Context) (bool, error) {
 		if !sleep.For(ctx, relayDelay) {
 			return false, ctx.Err()
 		}
-		return l.relay.RenewLease(ctx, lease)
+		return second(ctx)
 	})
 }
 
--- a/internal/node/front/gate_test.go
+++ b/internal/node/front/gate_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	storeReleases
 	// storeSlow delivers answers after slowAnswer.
 	storeSlow
+	// storeResets ends calls, also those that wait, with a connection reset.
+	storeResets
 )
 
 // slowAnswer is the time for which a slow store holds its answers.
@@ -55,6 +58,7 @@
 	peersCut bool
 	// reads counts the reads of single keys.
 	reads int
+	calls atomic.Int64
 	// held counts the answers held by path, and released is the path of storeReleases.
 	held     map[string]int
 	released string
@@ -126,6 +130,7 @@
 
 // RoundTrip makes a call to the store.
 func (g *gate) RoundTrip(r *http.Request) (*http.Response, error) {
+	g.calls.Add(1)
 	g.mu.Lock()
 	if r.URL.Path == readPath {
 		g.reads++
@@ -137,6 +142,8 @@
 		return nil, errGate
 	case mode == storeRefused:
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+	case mode == storeResets:
+		return nil, syscall.ECONNRESET
 	}
 	res, err := g.base.RoundTrip(r)
 	if err != nil {
@@ -149,7 +156,7 @@
 		switch {
 		case mode == storeOpen, mode == storeRefused, mode == storeReleases && r.URL.Path == g.releasedPath():
 			return res, nil
-		case mode == storeLosesAnswers:
+		case mode == storeLosesAnswers, mode == storeResets:
 			return nil, errors.Join(errGate, res.Body.Close())
 		case mode == storeSlow:
 			time.Sleep(slowAnswer)
--- a/internal/node/front/revocation_test.go
+++ b/internal/node/front/revocation_test.go
@@ -30,6 +30,8 @@
 	names []string
 	gates map[string]*gate
 	stops map[string]func()
+	// fronts are the running fronts by name.
+	fronts map[string]*Front
 	// withdrawn gives when the store acknowledged the documents without keys.
 	withdrawn map[string]time.Time
 	results   []keyResult
@@ -46,7 +48,7 @@
 // withKeys runs a test with fronts that have served requests with the keys a to e for a while.
 func withKeys(t *testing.T, fronts int, bound time.Duration, test func(*keyRig)) {
 	withHarness(t, func(h *harness) {
-		r := &keyRig{harness: h, gates: map[string]*gate{}, stops: map[string]func(){}, withdrawn: map[string]time.Time{}}
+		r := &keyRig{harness: h, gates: map[string]*gate{}, stops: map[string]func(){}, fronts: map[string]*Front{}, withdrawn: map[string]time.Time{}}
 		r.writeKeys("a", "b", "c", "d", "e")
 		r.startServer("i-1", "desk")
 		for i := range fronts {
@@ -104,6 +106,7 @@
 	})
 	parts, closeTree := tree.New(r.ctx, zap.NewNop())
 	f.Start(parts, Listeners{Callers: r.net.Listen(name + ":1"), Ready: r.net.Listen(name + ":2"), Peers: gatedListener{r.net.Listen(name + ":3"), g}})
+	r.fronts[name] = f
 	r.stops[name] = func() {
 		closeFront()
 		closeTree()
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,7 @@
 )
 
 const (
-	// storeRetryInterval is the pause between calls to a store that does not answer; each call has a cost.
+	// storeRetryInterval is the first pause between calls to a store that does not answer; each call has a cost.
 	storeRetryInterval = 400 * time.Millisecond
 	// startupRetryInterval replaces storeRetryInterval until a first document is known.
 	startupRetryInterval = 100 * time.Millisecond
@@ -38,6 +39,8 @@
 	// Stable is true if the front has reached the store for Delays.ReturnGrace or longer, so that
 	// instances that the view lacks are gone.
 	Stable bool
+	// Contact is what the fronts told that were asked for the view, also where none has a newer one.
+	Contact Contact `json:"-"`
 }
 
 // Peers fetches views from other fronts.
@@ -59,8 +62,9 @@
 	// updateMu serializes state updates and guards missing.
 	updateMu sync.Mutex
 	mu       sync.Mutex
-	// outageSince is the start of the current outage of the store; zero while the store answers.
-	outageSince time.Time
+	outage   outage
+	// random returns the random parts of pauses, numbers from 0 to 1.
+	random func() float64
 	// recoveredAt is the end of the last outage; zero if there was none.
 	recoveredAt time.Time
 	// relay fetches changes from other fronts of the domain; nil if this front always watches the store.
@@ -102,7 +106,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, epoch: uuid.NewString()}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, random: rand.Float64, epoch: uuid.NewString()}
 	f.proofs.SinceBoot, f.proofs.renewed = clock.SinceBoot, make(chan struct{})
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
@@ -118,13 +122,6 @@
 	return f.state.Load()
 }
 
-// Unavailable reports whether the store is unavailable or recovered less than span ago.
-func (f *Follower) Unavailable(span time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.outageSince.IsZero() || time.Since(f.recoveredAt) < span && !f.recoveredAt.IsZero()
-}
-
 // Run reads and watches the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -132,11 +129,7 @@
 		list, err := f.readAll(ctx)
 		if err != nil {
 			f.markUnavailable(err)
-			wait := storeRetryInterval
-			if f.State().Document == nil {
-				wait = startupRetryInterval
-			}
-			sleep.For(ctx, wait)
+			f.awaitRetry(ctx)
 			continue
 		}
 		f.markAvailable()
@@ -171,7 +164,7 @@
 	for failures := 0; ctx.Err() == nil && failures < maxWatchFailures; {
 		f.followParents(ctx)
 		if !f.probeStore(ctx) {
-			sleep.For(ctx, storeRetryInterval)
+			f.awaitRetry(ctx)
 			continue
 		}
 		began := time.Now()
@@ -204,7 +197,7 @@
 			sleep.For(ctx, storeRetryInterval-time.Since(began))
 			continue
 		}
-		sleep.For(ctx, storeRetryInterval)
+		f.awaitRetry(ctx)
 	}
 }
 
@@ -224,19 +217,6 @@
 	return true
 }
 
-// probeStore reports whether the store is available. During an outage it reads
-// one key, because a watch would show the recovery only with the next change.
-func (f *Follower) probeStore(ctx context.Context) bool {
-	if !f.Unavailable(0) {
-		return true
-	}
-	if _, err := f.readDocument(ctx); err != nil {
-		return false
-	}
-	f.markAvailable()
-	return true
-}
-
 // batchDelay returns the pause before the next watch call. Each call has a
 // cost, so changes are batched: briefly on the planner, which must learn soon
 // that loads have finished, and longer on other fronts, which only need
@@ -251,10 +231,11 @@
 	return f.delays.BatchDelay
 }
 
-// RunReread reads the document linearizably every rereadInterval, in case the watch drops changes.
+// RunReread reads the document linearizably every rereadInterval, in case the watch drops changes. During
+// an outage Run reads it.
 func (f *Follower) RunReread(ctx context.Context) {
 	for round := 1; sleep.For(ctx, rereadInterval); round++ {
-		if !f.rereadDue(round) || f.hasReadDocument(rereadInterval) {
+		if !f.rereadDue(round) || f.hasReadDocument(rereadInterval) || f.Unavailable(0) {
 			continue
 		}
 		known := f.documentRevision()
@@ -274,19 +255,6 @@
 	})
 }
 
-// RunPeerPoll polls other fronts for newer views while the store is unavailable or no document is known.
-func (f *Follower) RunPeerPoll(ctx context.Context) {
-	for sleep.For(ctx, peerPollInterval) {
-		if f.peers == nil || !f.Unavailable(0) && f.State().Document != nil {
-			continue
-		}
-		if view, ok := f.peers.FetchNewer(ctx, f.State().Revision); ok {
-			f.log.Infow("applying a newer view from another front", "Revision", view.Revision, "Stable", view.Stable)
-			f.replaceView(view.List, !view.Stable)
-		}
-	}
-}
-
 // RunMissingCheck removes instances that did not announce themselves after an outage.
 func (f *Follower) RunMissingCheck(ctx context.Context) {
 	for sleep.For(ctx, missingCheckInterval) {
@@ -335,31 +303,6 @@
 	return ok && kept == revision
 }
 
-func (f *Follower) markUnavailable(err error) {
-	f.mu.Lock()
-	first := f.outageSince.IsZero()
-	if first {
-		f.outageSince = time.Now()
-	}
-	f.mu.Unlock()
-	if first {
-		f.log.Warnw("store away", "Error", err.Error())
-	}
-}
-
-func (f *Follower) markAvailable() {
-	f.confirmedAt.Store(time.Now().UnixNano())
-	f.mu.Lock()
-	since := f.outageSince
-	if !since.IsZero() {
-		f.outageSince, f.recoveredAt = time.Time{}, time.Now()
-	}
-	f.mu.Unlock()
-	if !since.IsZero() {
-		f.log.Infow("store answers again", "After", time.Since(since).String())
-	}
-}
-
 // replaceView replaces all keys by those of list, unless list is older. With retain, instances that
 // disappear around an outage are kept for a while.
 func (f *Follower) replaceView(list store.List, retain bool) {
--- a/internal/plat/follow/proof.go
+++ b/internal/plat/follow/proof.go
@@ -310,7 +310,8 @@
 		}
 		f.logProof()
 		s := f.situation()
-		if s.ShouldRead() {
+		// During an outage Run reads the document's key, and backs off.
+		if s.ShouldRead() && !f.Unavailable(0) {
 			group.Go(func() {
 				if _, err := f.readDocument(ctx); err != nil {
 					f.log.Debugw("reading the document failed; asking other fronts for their proofs", "Error", err.Error())
--- a/internal/policy/retry/doc.go
+++ b/internal/policy/retry/doc.go
@@ -1,2 +1,3 @@
-// Package retry implements retry budgets and limits for failed attempts.
+// Package retry implements retry budgets and limits for failed attempts, and the pauses between calls
+// to a service that fails.
 package retry
