--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -111,8 +111,8 @@
 	return err
 }
 
-// serve serves a handler on a free port until Close.
-func (r *Rig) serve(h http.Handler) (string, error) {
+// Serve serves a handler on a free port until Close.
+func (r *Rig) Serve(h http.Handler) (string, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -195,7 +195,7 @@
 // Start starts the front's process.
 func (f *Front) Start(seeds []string) error {
 	r := f.rig
-	address, err := r.serve(f.storeHandler())
+	address, err := r.Serve(f.storeHandler())
 	if err != nil {
 		return err
 	}
