plat/follow, platform: documents by source, transfers and waits of changes in the metrics

Now counted: documents and their bytes by source, bytes and transfer times of the store's calls, and the longest wait of a change on its way. No behaviour changes.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -118,6 +118,7 @@
 	quotas := lender.New(candidate.Self, follower, settings.Bounds.Quota, o.Metrics, log.Named("Quota"))
 	frontPeers := peers.New(candidate.Self, links, mux, follower, settings.Seeds, peers.Handlers{Planner: planner, Leases: o.Store, Paces: issuer, Outages: candidate, Evidence: crash.NewCollector(), Tokens: quotas, Kept: kept.NewLog()}, o.Metrics, log.Named("Peers"))
 	quotas.SetCaller(frontPeers)
+	follower.SetMetrics(o.Metrics)
 	follower.SetPeers(frontPeers)
 	follower.SetProof(follow.ProofOptions{SinceBoot: o.SinceBoot, Bound: settings.Bounds.RevocationBound(), InForce: settings.Bounds.InForce, Source: frontPeers})
 	o.Metrics.GetOrCreateGauge("foxtailcroft_document_proof_age_seconds", follower.ProofAgeSeconds)
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -98,6 +98,7 @@
 	forgottenSuccessors int64
 	superseded          map[string]int64
 	proofs              proofTracker
+	waits               changeWaits
 	// rejections counts the values that could not be decoded, and rejectedValue holds an element after one.
 	rejections    atomic.Uint64
 	rejectedValue chan struct{}
@@ -141,6 +142,7 @@
 		}
 		f.markAvailable()
 		f.replaceView(list, true)
+		f.recordDocuments(fromList, list.KVs)
 		f.proveByList(sent, list)
 		f.watch(ctx)
 	}
@@ -175,16 +177,21 @@
 			continue
 		}
 		began := time.Now()
+		// paused is how long changes were left to gather before the call.
+		var paused time.Duration
 		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 			failures = 0
 			f.markAvailable()
 			f.applyBatch(b)
 			f.proveByWatch(b)
+			f.recordWatch(b, paused)
+			paused = 0
 			if _, ok := f.parent(); ok {
 				return errFollowParent
 			}
 			if len(b.Events) > 0 {
-				sleep.For(ctx, f.batchDelay())
+				paused = f.batchDelay()
+				sleep.For(ctx, paused)
 			}
 			return nil
 		})
@@ -319,6 +326,7 @@
 
 // applyView replaces all keys by those of another front's view, unless that is older.
 func (f *Follower) applyView(v View) {
+	f.recordDocuments(fromView, v.KVs)
 	f.replaceKeys(v.List, v.Lacking, !v.Stable)
 }
 
--- a/internal/plat/follow/proof.go
+++ b/internal/plat/follow/proof.go
@@ -189,6 +189,7 @@
 		return false, err
 	}
 	if ok {
+		f.recordDocuments(fromRead, []store.KV{kv})
 		applied = f.applyRead(kv)
 		f.prove(fresh.FromRead(sent, newest, kv.Revision))
 	}
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -63,6 +63,10 @@
 	Proof *fresh.Statement `json:",omitempty"`
 	// Available is false while the front can't reach the store.
 	Available bool
+	// Spent is the time from the question until this reply, and Waited that since the oldest change in it
+	// was applied, 0 if the changes start from scratch.
+	Spent  time.Duration `json:",omitempty"`
+	Waited time.Duration `json:",omitempty"`
 }
 
 // ChangesRequest asks a front for the changes of its view after a cursor.
@@ -83,6 +87,7 @@
 // change is one replacement of the state.
 type change struct {
 	number int64
+	madeAt time.Time
 	events []store.Event
 }
 
@@ -183,10 +188,15 @@
 // followOnce fetches changes from a parent, applies them and advances the cursor.
 func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
 	asked := f.proofs.SinceBoot()
+	began := time.Now()
 	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked)})
 	if err != nil {
 		return err
 	}
+	if len(changes.Events) > 0 {
+		f.recordWait(fromChanges, changes.Waited+time.Since(began)-changes.Spent)
+		f.recordDocuments(fromChanges, valuesOf(changes.Events))
+	}
 	if !changes.Available || changes.Age > f.maxParentAge {
 		return errStaleParent
 	}
@@ -247,7 +257,7 @@
 		return
 	}
 	f.changeNumber++
-	f.changes = append(f.changes, change{f.changeNumber, events})
+	f.changes = append(f.changes, change{f.changeNumber, time.Now(), events})
 	f.changes = f.changes[max(0, len(f.changes)-maxKeptChanges):]
 }
 
@@ -256,6 +266,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(r.Wait, relayWindow))
 	defer cancel()
 	received := f.proofs.SinceBoot()
+	began := time.Now()
 	since, renewed := f.currentProof()
 	if r.ProofAge != nil {
 		// The proof may have been renewed between two questions.
@@ -263,6 +274,7 @@
 	}
 	for {
 		out, next := f.changesAfter(r, received)
+		out.Spent = time.Since(began)
 		if out.Keys != nil || len(out.Events) > 0 || !out.Available || out.Proof != nil && f.pushesProof(since) {
 			return out
 		}
@@ -273,6 +285,7 @@
 		case <-ctx.Done():
 			// The proof may have been renewed a moment ago.
 			out, _ = f.changesAfter(r, received)
+			out.Spent = time.Since(began)
 			return out
 		}
 	}
@@ -297,6 +310,9 @@
 	if r.After.Epoch == f.epoch && r.After.Number+1 >= oldest {
 		for _, c := range f.changes {
 			if c.number > r.After.Number {
+				if out.Waited == 0 {
+					out.Waited = time.Since(c.madeAt)
+				}
 				out.Events = append(out.Events, c.events...)
 			}
 		}
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -166,7 +166,7 @@
 		return nil
 	}
 	s.Document = doc
-	f.log.Infow("document applied", "Version", doc.Version, "Revision", kv.Revision, "Routes", len(doc.Routes))
+	f.log.Infow("document applied", "Version", doc.Version, "Revision", kv.Revision, "Routes", len(doc.Routes), "Bytes", len(kv.Value))
 	return nil
 }
 
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -65,6 +65,9 @@
 	// SentAt is when the call was sent that this batch answers, as the time since boot; 0 if the
 	// client doesn't tell, as where one call is answered with more than one batch.
 	SentAt time.Duration
+	// Transfer is how long the response took to arrive, from its header to its end; 0 if the client
+	// doesn't tell.
+	Transfer time.Duration
 }
 
 // Store is the key-value service. Calls without a response return *fault.Unavailable,
