--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -81,4 +81,6 @@
 	FileDescriptors int
 	// Processor is the number of CPU cores that the process may use, with fractions; 0 if unknown.
 	Processor float64
+	// LinkBytesPerSecond is the bandwidth of the machine's link in each direction; 0 if unknown.
+	LinkBytesPerSecond float64
 }
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -36,6 +36,8 @@
 	store      *fake.Store
 	executions *fake.ExecutionLog
 	client     *http.Client
+	// links are the links of fronts by name; those of others are unlimited.
+	links map[string]*memnet.Link
 }
 
 const grace = 8 * time.Second
@@ -43,7 +45,7 @@
 // withHarness runs a test with a new harness.
 func withHarness(t *testing.T, test func(*harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}}
+		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}, links: map[string]*memnet.Link{}}
 		r.store = fake.NewStore(r.memory)
 		r.net.Serve("store:1", r.store)
 		transport := &http.Transport{DialContext: r.dial}
@@ -61,6 +63,30 @@
 	return r.net.Dial(ctx, address)
 }
 
+// dialFrom returns the function with which a front opens connections.
+func (r *harness) dialFrom(front string) func(context.Context, string) (net.Conn, error) {
+	link := r.links[front]
+	if link == nil {
+		return r.net.Dial
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := r.net.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return link.Conn(c), nil
+	}
+}
+
+// listenAt returns a listener of a front.
+func (r *harness) listenAt(front, address string) net.Listener {
+	l := r.net.Listen(address)
+	if link := r.links[front]; link != nil {
+		return link.Listener(l)
+	}
+	return l
+}
+
 // start starts a front with seeds, and returns it with the function that stops it.
 func (r *harness) start(name string, seeds ...string) (*Front, func()) {
 	return r.startWith(conf.Front{
@@ -75,7 +101,9 @@
 
 // startWith starts a front with settings, and returns it with the function that stops it.
 func (r *harness) startWith(set conf.Front) (*Front, func()) {
-	transport := &http.Transport{DialContext: r.dial}
+	name := set.Node.Name
+	dial := r.dialFrom(name)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}
 	meters := metrics.NewSet()
 	f, closeFront := New(Options{
 		Settings: set,
@@ -84,10 +112,10 @@
 			DocumentKey: platform.DocumentKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.SystemPrefix},
 		},
-		DialInstance: r.net.Dial, DialPeer: r.net.Dial, ReadyPath: platform.ReadyPath, Metrics: meters, Log: zap.NewNop(),
+		DialInstance: dial, DialPeer: dial, ReadyPath: platform.ReadyPath, Metrics: meters, Log: zap.NewNop(),
 	})
 	parts, closeTree := tree.New(r.ctx, zap.NewNop())
-	f.Start(parts, Listeners{Callers: r.net.Listen(set.Listen.Callers), Ready: r.net.Listen(set.Listen.Ready), Peers: r.net.Listen(set.Listen.Peers)})
+	f.Start(parts, Listeners{Callers: r.listenAt(name, set.Listen.Callers), Ready: r.listenAt(name, set.Listen.Ready), Peers: r.listenAt(name, set.Listen.Peers)})
 	return f, func() {
 		closeFront()
 		closeTree()
