plat/follow, platform: large documents keep no change waiting on slow links

Cause: a document of 800 KB went over a link of 10 Mb/s 4 to 14 times. From 1,400 routes on, the answer of the front that is followed did not fit into a message or its time limit; its followers then took it for failed and read the store. Their reads of the document that prove it current carried it each time, and those that took over 1 s on the full link failed and were repeated; in one zone the front that was followed had a slow link itself.

Change (docs/design/large-documents.md): fronts with fast links watch the store; changes name large values, which are fetched apart in packed parts and checked by digest; a front that lacks the newest document answers 503 instead of 404 or 401 and proves nothing; the proof does not carry the document; calls last as long as a transfer makes progress; slow fronts that must watch the store read the document apart from the other changes.

--- a/internal/base/conf/front.go
+++ b/internal/base/conf/front.go
@@ -83,4 +83,6 @@
 	Processor float64
 	// LinkBytesPerSecond is the bandwidth of the machine's link in each direction; 0 if unknown.
 	LinkBytesPerSecond float64
+	// MaxValueBytes bounds a value in the store.
+	MaxValueBytes int
 }
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -30,6 +30,7 @@
 	methodPace    = "Pace"
 	methodOutage  = "Outage"
 	methodClaim   = "Claim"
+	methodValue   = "Value"
 )
 
 // callTimeout bounds a call to another front. RequestInstances adds the time that the
@@ -289,6 +290,9 @@
 		}
 		return h.Leases.KeepAlive(ctx, lease)
 	})
+	peer.OnCall(mux, methodValue, func(_ context.Context, _ *peer.Conn, r follow.ValueRequest) (follow.ValuePart, error) {
+		return f.Value(r)
+	})
 	answerProofs(mux, f)
 	peer.OnCall(mux, methodPace, func(_ context.Context, _ *peer.Conn, r PaceRequest) (PaceReply, error) {
 		return h.Paces.Reserve(r), nil
@@ -380,6 +384,13 @@
 	return changes, err
 }
 
+// FetchValue asks a front for a part of a large value.
+func (m *Client) FetchValue(ctx context.Context, address string, r follow.ValueRequest) (follow.ValuePart, error) {
+	var part follow.ValuePart
+	err := m.call(ctx, address, methodValue, callTimeout, r, &part)
+	return part, err
+}
+
 // RequestInstances asks the current planner for instances. It returns a NoPlannerError if there
 // is no planner.
 func (m *Client) RequestInstances(ctx context.Context, w InstanceRequest) (InstanceReply, error) {
--- a/internal/front/peers/view.go
+++ b/internal/front/peers/view.go
@@ -35,6 +35,8 @@
 	// for the first part.
 	Digest uint64
 	Offset int
+	// Bulk is true if large values are only to be named.
+	Bulk bool `json:",omitempty"`
 }
 
 // viewPart is a part of an encoded view of Size bytes; Revision is 0 if there is none that is newer.
@@ -57,6 +59,7 @@
 	// state and stable are what the encoded view was taken from; state is nil if there is none.
 	state    *follow.State
 	stable   bool
+	slim     bool
 	revision int64
 	digest   uint64
 	data     []byte
@@ -68,7 +71,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.Offset == 0 || e.state == nil || r.Digest != e.digest {
-		ok, err := e.encode(r.After)
+		ok, err := e.encode(r.After, r.Bulk)
 		if !ok || err != nil {
 			return viewPart{ReachAge: age}, err
 		}
@@ -83,15 +86,19 @@
 
 // encode encodes the newest view unless that has been done; it reports whether the view is newer than a
 // revision. The caller holds e.mu.
-func (e *viewEncoder) encode(after int64) (bool, error) {
+func (e *viewEncoder) encode(after int64, slim bool) (bool, error) {
 	view, state, ok := e.follower.Snapshot(after)
-	if !ok || state == e.state && view.Stable == e.stable {
+	if !ok || state == e.state && view.Stable == e.stable && slim == e.slim {
 		return ok, nil
 	}
+	if slim {
+		view = view.Slim()
+	}
 	data, err := json.Marshal(view)
 	if err != nil {
 		return false, err
 	}
+	e.slim = slim
 	e.state, e.stable, e.revision, e.digest, e.data = state, view.Stable, view.Revision, xxhash.Sum64(data), data
 	return true, nil
 }
@@ -143,7 +150,7 @@
 			m.log.Warnw("view of another front refused; asking the next one", "Front", address, "Error", err.Error())
 		}
 		if err == nil && view.Revision > revision {
-			view.Contact = contact
+			view.Contact, view.From = contact, address
 			return view, true
 		}
 	}
@@ -153,7 +160,10 @@
 // fetchView returns a front's view if it is newer than a revision, and else an empty one. It adds the
 // front's answers to contact.
 func (m *Client) fetchView(ctx context.Context, address string, after int64, contact *follow.Contact) (follow.View, error) {
-	return readView(after, func(r viewRequest) (viewPart, error) { return m.fetchPart(ctx, address, r, contact) })
+	return readView(after, func(r viewRequest) (viewPart, error) {
+		r.Bulk = true
+		return m.fetchPart(ctx, address, r, contact)
+	})
 }
 
 // readView reads a view newer than a revision part by part; it is empty if there is none.
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -60,6 +60,8 @@
 	// isUnproven and isOutdated tell that the document is not proved current, and not known to be.
 	isUnproven bool
 	isOutdated bool
+	// isBehind tells that a newer document is on its way.
+	isBehind bool
 	// onProof is called when the proof is judged, nil for nothing.
 	onProof func()
 }
@@ -75,6 +77,10 @@
 	return !r.isOutdated
 }
 
+func (r *harness) HasNewestDocument() bool {
+	return !r.isBehind
+}
+
 // brokenAttempt is an attempt that broke off before its answer was under way.
 type brokenAttempt struct {
 	instance string
@@ -445,6 +451,17 @@
 	})
 }
 
+// TestUnknownRouteIsNotDeniedBeforeTheNewestDocumentIsHere guards against 404 for a route that a document on
+// its way has added (CONFIG, issue 53).
+func TestUnknownRouteIsNotDeniedBeforeTheNewestDocumentIsHere(t *testing.T) {
+	withProxy(t, 1, func(r *harness) {
+		r.isBehind = true
+		w, _ := r.send(r.t.Context(), "/none/x", "id-1")
+		r.g.Expect(w.Code).To(Equal(503))
+		r.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+	})
+}
+
 func TestLargeBodyIsRefused(t *testing.T) {
 	withProxy(t, 1, func(r *harness) {
 		r.state.Document.Limits.BodyBytes = 3
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -114,6 +114,8 @@
 	AdmitsKeys() bool
 	// KnowsCurrentDocument reports whether a key that the document lacks is unknown.
 	KnowsCurrentDocument() bool
+	// HasNewestDocument reports whether no newer document is known that is still on its way.
+	HasNewestDocument() bool
 }
 
 // StateSource returns the newest known state of the deployment.
@@ -214,6 +216,10 @@
 		host = h
 	}
 	c.route = doc.Route(host, path)
+	if c.route == nil && !s.currency.HasNewestDocument() {
+		c.refuse(http.StatusServiceUnavailable, "no route, but a newer document is on its way", unprovenRetryAfter)
+		return
+	}
 	if c.route == nil {
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -104,6 +104,8 @@
 	MinLeaseTTL time.Duration
 	// CPUShare is the share of a CPU core available to the front, 0 if unknown.
 	CPUShare float64
+	// LinkBytesPerSecond is the bandwidth of the machine's link, 0 if unknown.
+	LinkBytesPerSecond float64
 	// SinceBoot returns the time since boot, including the time in which the machine was suspended.
 	SinceBoot func() time.Duration
 }
@@ -111,7 +113,7 @@
 // NewCandidate returns a Candidate that registers the front once Run is called.
 func NewCandidate(o CandidateOptions, s LeaseStore, view Site, log *zap.SugaredLogger) *Candidate {
 	return &Candidate{
-		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString(), Domain: o.Domain}, store: s, site: view,
+		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString(), Domain: o.Domain, LinkBytesPerSecond: o.LinkBytesPerSecond}, store: s, site: view,
 		ttl: max(leaseTTL, o.MinLeaseTTL), bootClock: o.SinceBoot, claimDelay: claimDelayFor(o.CPUShare), log: log,
 	}
 }
--- /dev/null
+++ b/internal/link/pack/doc.go
@@ -0,0 +1,2 @@
+// Package pack compresses values, alone or as changes against another value that both ends have.
+package pack
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -104,7 +104,7 @@
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
 	pool.SetLimit(instanceConnections(settings))
 	candidate := sched.NewCandidate(sched.CandidateOptions{
-		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, SinceBoot: o.SinceBoot,
+		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, LinkBytesPerSecond: settings.LinkBytesPerSecond, SinceBoot: o.SinceBoot,
 	}, o.Store, follower, log.Named("Lead"))
 	planner, closePlanner := sched.New(sched.Settings{
 		Node: settings.Node.Name, ChecksFence: settings.ChecksFence, LoadWindow: settings.Bounds.LoadWindow, HandoverDelay: settings.Bounds.Lease,
@@ -120,6 +120,8 @@
 	quotas.SetCaller(frontPeers)
 	follower.SetMetrics(o.Metrics)
 	follower.SetPeers(frontPeers)
+	follower.SetValues(frontPeers)
+	follower.SetLink(settings.LinkBytesPerSecond, settings.MaxValueBytes)
 	follower.SetProof(follow.ProofOptions{SinceBoot: o.SinceBoot, Bound: settings.Bounds.RevocationBound(), InForce: settings.Bounds.InForce, Source: frontPeers})
 	o.Metrics.GetOrCreateGauge("foxtailcroft_document_proof_age_seconds", follower.ProofAgeSeconds)
 	o.Metrics.GetOrCreateGauge("foxtailcroft_rejected_values", func() float64 { return float64(follower.RejectedValues()) })
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -40,6 +40,9 @@
 	// Lacking are the revisions of the values that the front could not decode, by key; KVs may have
 	// older values of these keys.
 	Lacking map[string]int64 `json:",omitempty"`
+	// Bulk are the large values that were left out, and From is the address of the front that has them.
+	Bulk []BulkValue `json:",omitempty"`
+	From string      `json:"-"`
 	// Stable is true if the front has reached the store for Delays.ReturnGrace or longer, so that
 	// instances that the view lacks are gone.
 	Stable bool
@@ -99,6 +102,11 @@
 	superseded          map[string]int64
 	proofs              proofTracker
 	waits               changeWaits
+	// values fetches large values of other fronts, nil if they come with the changes.
+	values ValueSource
+	// readsDocumentApart is set where a document may take long on the link.
+	readsDocumentApart bool
+	packer             packer
 	// rejections counts the values that could not be decoded, and rejectedValue holds an element after one.
 	rejections    atomic.Uint64
 	rejectedValue chan struct{}
@@ -176,25 +184,11 @@
 			f.awaitRetry(ctx)
 			continue
 		}
-		began := time.Now()
-		// paused is how long changes were left to gather before the call.
-		var paused time.Duration
-		err := f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
+		began, answered := time.Now(), false
+		err := f.watchOnce(ctx, &answered)
+		if answered {
 			failures = 0
-			f.markAvailable()
-			f.applyBatch(b)
-			f.proveByWatch(b)
-			f.recordWatch(b, paused)
-			paused = 0
-			if _, ok := f.parent(); ok {
-				return errFollowParent
-			}
-			if len(b.Events) > 0 {
-				paused = f.batchDelay()
-				sleep.For(ctx, paused)
-			}
-			return nil
-		})
+		}
 		if errors.Is(err, errFollowParent) {
 			continue
 		}
@@ -215,6 +209,33 @@
 	}
 }
 
+// watchOnce applies changes until a call fails or the front is to learn of them in another way; answered is
+// set once the store has answered.
+func (f *Follower) watchOnce(ctx context.Context, answered *bool) error {
+	if f.readsDocumentApart {
+		return f.watchApart(ctx, answered)
+	}
+	// paused is how long changes were left to gather before the call.
+	var paused time.Duration
+	return f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
+		*answered = true
+		f.markAvailable()
+		f.applyBatch(b)
+		f.proveByWatch(b)
+		f.recordWatch(b, paused)
+		paused = 0
+		if _, ok := f.parent(); ok {
+			return errFollowParent
+		}
+		if len(b.Events) > 0 {
+			// More changes have gathered while these were on their way.
+			paused = max(0, f.batchDelay()-b.Transfer)
+			sleep.For(ctx, paused)
+		}
+		return nil
+	})
+}
+
 // answersAfter reports whether the store answers a read after a watch has ended with an error.
 // A waiting watch may be cut at any time, so only an unanswered call begins an outage.
 func (f *Follower) answersAfter(ctx context.Context, watchErr error) bool {
@@ -249,7 +270,7 @@
 // an outage Run reads it.
 func (f *Follower) RunReread(ctx context.Context) {
 	for round := 1; sleep.For(ctx, rereadInterval); round++ {
-		if !f.rereadDue(round) || f.hasReadDocument(rereadInterval) || f.Unavailable(0) {
+		if !f.rereadDue(round) || f.hasReadDocument(rereadInterval) || f.Unavailable(0) || !f.HasNewestDocument() || f.isTransferring() {
 			continue
 		}
 		known := f.documentRevision()
@@ -321,17 +342,18 @@
 // replaceView replaces all keys by those of list, unless list is older. With retain, instances that
 // disappear around an outage are kept for a while.
 func (f *Follower) replaceView(list store.List, retain bool) {
-	f.replaceKeys(list, nil, retain)
+	f.replaceKeys(View{List: list}, retain)
 }
 
 // applyView replaces all keys by those of another front's view, unless that is older.
 func (f *Follower) applyView(v View) {
 	f.recordDocuments(fromView, v.KVs)
-	f.replaceKeys(v.List, v.Lacking, !v.Stable)
+	f.replaceKeys(v, !v.Stable)
 }
 
-// replaceKeys is replaceView with a list that lacks the newest values of some keys.
-func (f *Follower) replaceKeys(list store.List, lacking map[string]int64, retain bool) {
+// replaceKeys is replaceView with a view that lacks the newest values of some keys.
+func (f *Follower) replaceKeys(v View, retain bool) {
+	list, lacking := v.List, lackingWith(v.Lacking, v.Bulk)
 	f.update(func(old *State) *State {
 		if list.Revision < old.Revision {
 			return old
@@ -356,7 +378,8 @@
 		s.dropRejected(func(key string, r rejected) bool {
 			return !listed[key] && lacking[key] == 0 && r.revision <= list.Revision
 		})
-		s.addLacking(lacking)
+		s.addLacking(v.Lacking)
+		s.addBulk(v.Bulk, v.From)
 		s.PlannerChangedAt = time.Now()
 		return s
 	})
@@ -364,8 +387,13 @@
 
 // applyBatch applies the changes of one watch batch.
 func (f *Follower) applyBatch(b store.Batch) {
+	f.applyChanges(b, nil, "")
+}
+
+// applyChanges is applyBatch with large values that are left out and that the front at an address has.
+func (f *Follower) applyChanges(b store.Batch, bulk []BulkValue, address string) {
 	f.update(func(old *State) *State {
-		if len(b.Events) == 0 {
+		if len(b.Events) == 0 && len(bulk) == 0 {
 			if b.Revision <= old.Revision {
 				return old
 			}
@@ -382,6 +410,7 @@
 				s.dropRejected(func(key string, r rejected) bool { return key == e.Key && r.revision < e.Revision })
 			}
 		}
+		s.addBulk(bulk, address)
 		if slices.ContainsFunc(b.Events, func(e store.Event) bool { return e.Key == PlannerKey }) {
 			s.PlannerChangedAt = time.Now()
 		}
@@ -422,6 +451,7 @@
 		return
 	}
 	f.logRemoved(old, s)
+	f.packer.keepOld(old, s)
 	f.keepChange(old, s)
 	f.state.Store(s)
 	close(old.replaced)
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -18,6 +18,8 @@
 	// watchersPerDomain is the number of fronts in a failure domain that watch the store;
 	// the other fronts of the domain follow one of them.
 	watchersPerDomain = 2
+	// slowLinkRatio is how many times faster than a slow link the fastest one of a failure domain is.
+	slowLinkRatio = 4
 	// relayWindow is how long a front that is followed waits for a change before it replies.
 	relayWindow = 500 * time.Millisecond
 	// ownWatchTime is how long a front watches the store itself after a parent failed. It does
@@ -54,6 +56,8 @@
 	// Lacking are the revisions of the values that the front could not decode, by key, if the changes
 	// start from scratch.
 	Lacking map[string]int64 `json:",omitempty"`
+	// Bulk are the large values that were left out of the events.
+	Bulk []BulkValue `json:",omitempty"`
 	// Age is the time since the store last answered.
 	Age time.Duration
 	// AnswerAge is the time from the store's last answer until the question for the changes was received,
@@ -77,6 +81,8 @@
 	Wait     time.Duration
 	// ProofAge is the age of the asking front's proof that its document is current, nil if it has none.
 	ProofAge *time.Duration `json:",omitempty"`
+	// Bulk is true if large values are only to be named.
+	Bulk bool `json:",omitempty"`
 }
 
 // Relay fetches changes from other fronts.
@@ -84,7 +90,7 @@
 	FetchChanges(ctx context.Context, parent Front, r ChangesRequest) (Changes, error)
 }
 
-// change is one replacement of the state.
+// change is one replacement of the state. Its events have no values; those of the newest state count.
 type change struct {
 	number int64
 	madeAt time.Time
@@ -97,17 +103,34 @@
 	f.relay, f.domain, f.maxParentAge = r, domain, maxAge
 }
 
-// watchers returns the fronts of a failure domain that watch the store, sorted by name. The
-// planner, which watches the store in any case and is the busiest, is not among them.
+// watchers returns the fronts of a failure domain that watch the store, sorted by name; their links are not
+// slow beside those of the others. The planner, which watches the store in any case and is the busiest, is
+// among them only in place of one with a slow link.
 func (s *State) watchers(domain string) []Front {
-	var out []Front
+	var fast []Front
+	fastest, slow := 0.0, 0
 	for _, front := range s.Fronts {
-		if front.Domain == domain && (s.Planner == nil || s.Planner.Run != front.Run) {
-			out = append(out, front)
+		if front.Domain == domain {
+			fastest = max(fastest, front.LinkBytesPerSecond)
 		}
 	}
-	slices.SortFunc(out, func(a, b Front) int { return cmp.Compare(a.Name, b.Name) })
-	return out[:min(watchersPerDomain, len(out))]
+	var planner *Front
+	for _, front := range s.Fronts {
+		switch {
+		case front.Domain != domain:
+		case front.LinkBytesPerSecond > 0 && front.LinkBytesPerSecond*slowLinkRatio <= fastest:
+			slow++
+		case s.Planner != nil && s.Planner.Run == front.Run:
+			planner = &front
+		default:
+			fast = append(fast, front)
+		}
+	}
+	slices.SortFunc(fast, func(a, b Front) int { return cmp.Compare(a.Name, b.Name) })
+	if planner != nil && slow > 0 {
+		fast = append(fast[:min(watchersPerDomain, len(fast))], *planner)
+	}
+	return fast[:min(watchersPerDomain, len(fast))]
 }
 
 // parent returns the front to follow, and false if this front watches the store itself.
@@ -137,7 +160,8 @@
 			inDomain++
 		}
 	}
-	return inDomain > watchersPerDomain && slices.ContainsFunc(s.watchers(f.domain), func(x Front) bool { return x.Name == f.self })
+	list := s.watchers(f.domain)
+	return inDomain > len(list) && slices.ContainsFunc(list, func(x Front) bool { return x.Name == f.self })
 }
 
 // errFollowParent ends a watch because the front is to follow another one.
@@ -189,7 +213,7 @@
 func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
 	asked := f.proofs.SinceBoot()
 	began := time.Now()
-	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked)})
+	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked), Bulk: f.values != nil})
 	if err != nil {
 		return err
 	}
@@ -208,9 +232,9 @@
 		if !ok {
 			return errStaleParent
 		}
-		f.replaceKeys(list, changes.Lacking, true)
+		f.replaceKeys(View{List: list, Lacking: changes.Lacking, Bulk: changes.Bulk, From: parent.Address}, true)
 	} else {
-		f.applyBatch(store.Batch{Revision: changes.Revision, Events: changes.Events})
+		f.applyChanges(store.Batch{Revision: changes.Revision, Events: changes.Events}, changes.Bulk, parent.Address)
 	}
 	f.confirmedAt.Store(time.Now().Add(-changes.Age).UnixNano())
 	f.adoptFromParent(asked, changes)
@@ -226,7 +250,14 @@
 		newer[e.Key] = e.KV
 	}
 	list := store.List{Revision: c.Revision}
+	apart := map[string]bool{}
+	for _, b := range c.Bulk {
+		apart[b.Key] = true
+	}
 	for key, revision := range c.Keys {
+		if apart[key] {
+			continue
+		}
 		kv, ok := newer[key]
 		if !ok {
 			kv = known[key]
@@ -245,7 +276,7 @@
 	var events []store.Event
 	for key, kv := range s.Keys {
 		if old.Keys[key].Revision != kv.Revision {
-			events = append(events, store.Event{KV: kv})
+			events = append(events, store.Event{KV: store.KV{Key: key, Revision: kv.Revision}})
 		}
 	}
 	for key, kv := range old.Keys {
@@ -275,7 +306,7 @@
 	for {
 		out, next := f.changesAfter(r, received)
 		out.Spent = time.Since(began)
-		if out.Keys != nil || len(out.Events) > 0 || !out.Available || out.Proof != nil && f.pushesProof(since) {
+		if out.Keys != nil || len(out.Events) > 0 || len(out.Bulk) > 0 || !out.Available || out.Proof != nil && f.pushesProof(since) {
 			return out
 		}
 		select {
@@ -303,32 +334,68 @@
 	if s.usesAccounts() {
 		out.AnswerAge, out.Proof = f.statements(received)
 	}
+	if !f.addChangesSince(&out, r.After, s) {
+		f.addAll(&out, r.Revision, s)
+	}
+	if r.Bulk {
+		out.slim()
+	}
+	return out, s.Next()
+}
+
+// addChangesSince adds the changes after a cursor; false if they are no longer known. The caller holds updateMu.
+func (f *Follower) addChangesSince(out *Changes, after Cursor, s *State) bool {
 	oldest := f.changeNumber + 1
 	if len(f.changes) > 0 {
 		oldest = f.changes[0].number
 	}
-	if r.After.Epoch == f.epoch && r.After.Number+1 >= oldest {
-		for _, c := range f.changes {
-			if c.number > r.After.Number {
-				if out.Waited == 0 {
-					out.Waited = time.Since(c.madeAt)
-				}
-				out.Events = append(out.Events, c.events...)
-			}
+	if after.Epoch != f.epoch || after.Number+1 < oldest {
+		return false
+	}
+	for _, c := range f.changes {
+		if c.number <= after.Number {
+			continue
+		}
+		if out.Waited == 0 {
+			out.Waited = time.Since(c.madeAt)
 		}
-		return out, s.Next()
+		out.Events = append(out.Events, c.events...)
 	}
+	out.Events = newestEvents(out.Events, s.Keys)
+	return true
+}
+
+// addAll adds the revisions of all keys, and the values newer than a revision. The caller holds updateMu.
+func (f *Follower) addAll(out *Changes, after int64, s *State) {
 	out.Keys, out.Lacking = make(map[string]int64, len(s.Keys)), s.lackingKeys()
 	for key, kv := range s.Keys {
 		if f.isMissing(key, kv.Revision) {
 			continue
 		}
 		out.Keys[key] = kv.Revision
-		if kv.Revision > r.Revision {
+		if kv.Revision > after {
 			out.Events = append(out.Events, store.Event{KV: kv})
 		}
 	}
-	return out, s.Next()
+}
+
+// newestEvents returns the last event of each key, in the order of the keys' first ones, with the values of
+// the newest state.
+func newestEvents(events []store.Event, keys map[string]store.KV) []store.Event {
+	var out []store.Event
+	index := map[string]int{}
+	for _, e := range events {
+		if !e.Deleted {
+			e.KV = keys[e.Key]
+		}
+		if i, ok := index[e.Key]; ok {
+			out[i] = e
+			continue
+		}
+		index[e.Key] = len(out)
+		out = append(out, e)
+	}
+	return out
 }
 
 // rereadDue reports whether to read the document in a round of RunReread. A front that
--- a/internal/plat/follow/repair.go
+++ b/internal/plat/follow/repair.go
@@ -32,6 +32,8 @@
 	revision int64
 	// digest is the hash of the value, 0 if another front lacked it as well.
 	digest uint64
+	// bulk is set if the value is only on its way, apart from the changes.
+	bulk *bulkSource
 	// confirmed is set once a read from the store has returned the value that was rejected before.
 	confirmed bool
 }
@@ -179,7 +181,8 @@
 	next  time.Time
 }
 
-// RunRepair fetches rejected values again: from the store, or from other fronts while it is unavailable.
+// RunRepair fetches rejected values again: from the store, or from other fronts while it is unavailable. Large
+// values that are on their way are fetched from the front that has them first.
 func (f *Follower) RunRepair(ctx context.Context) {
 	repairs := map[string]repair{}
 	for f.awaitRejected(ctx) {
@@ -189,7 +192,7 @@
 		for key, r := range s.rejected {
 			x, ok := repairs[key]
 			if !ok {
-				x.next = time.Now().Add(time.Duration(f.random() * float64(maxRepairDelay)))
+				x.next = f.firstRepair(r)
 				repairs[key] = x
 			}
 			if r.confirmed || time.Now().Before(x.next) {
@@ -198,9 +201,13 @@
 			x.next = time.Now().Add(min(maxRepairInterval, minRepairInterval<<min(x.tries, maxRepairDoublings)))
 			x.tries++
 			repairs[key] = x
-			if !f.Unavailable(0) {
+			switch {
+			case r.bulk != nil && f.fetchBulk(ctx, r.bulk, x.tries):
+				// A newer value may be lacking by now.
+				delete(repairs, key)
+			case !f.Unavailable(0):
 				f.refetch(ctx, key, r)
-			} else if !asked {
+			case !asked:
 				asked = true
 				f.askForRejected(ctx)
 			}
@@ -208,6 +215,14 @@
 	}
 }
 
+// firstRepair returns when a rejected value is first fetched again.
+func (f *Follower) firstRepair(r rejected) time.Time {
+	if r.bulk != nil {
+		return time.Now()
+	}
+	return time.Now().Add(time.Duration(f.random() * float64(maxRepairDelay)))
+}
+
 // awaitRejected waits for repairCheckInterval, and then until a value is rejected unless one is; false if the
 // context ends.
 func (f *Follower) awaitRejected(ctx context.Context) bool {
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -29,6 +29,8 @@
 	Run string
 	// Domain is the front's failure domain.
 	Domain string
+	// LinkBytesPerSecond is the bandwidth of the front's link, 0 if unknown.
+	LinkBytesPerSecond float64 `json:",omitempty"`
 }
 
 // Planner is the front with the planner role, and its fencing token.
--- a/internal/plat/follow/waits.go
+++ b/internal/plat/follow/waits.go
@@ -18,6 +18,7 @@
 	fromRead    documentSource = "read"
 	fromView    documentSource = "view"
 	fromChanges documentSource = "changes"
+	fromFront   documentSource = "front"
 )
 
 // changeWaits measures what delays changes: the documents received, by source, and how long changes may
