link/peer: unfinished messages of other processes have a bound

Cause that the tests did not cover: a connection to the listener of the other processes that announces a message of 512 KB and stops a byte short of its end holds it for as long as it likes, 256 to 512 of them. 300 such connections made entry and agent hold 179 MB and a front 167 MB, and also those that name themselves first (179 to 180 MB); bound 64 MB.

Change: before the handshake a message has 4 KB at most. Messages of 16 KB and more wait for memory of a common bound before they are read; while others wait, the oldest one loses its connection after a second.

--- a/internal/link/peer/conn.go
+++ b/internal/link/peer/conn.go
@@ -93,8 +93,9 @@
 
 var discardLogger = log.New(io.Discard, "", 0)
 
-// newConn returns a Conn on an open transport and starts its reader and heartbeat.
-func newConn(ctx context.Context, raw net.Conn, address string, mux *Mux) *Conn {
+// newConn returns a Conn on an open transport and starts its reader and heartbeat. The messages of one that was
+// accepted count as unfinished, which is nil for others, until they have been read.
+func newConn(ctx context.Context, raw net.Conn, address string, mux *Mux, accepted *unfinished) *Conn {
 	transport := &monitoredConn{Conn: raw}
 	transport.lastRead.Store(time.Now().UnixNano())
 	c := &Conn{address: address, mux: mux, transport: transport}
@@ -104,6 +105,11 @@
 		<-ready
 		c.dispatchStream(kind, data)
 	})
+	if accepted != nil {
+		c.frames.bound = c.maxMessageBytes
+		// The only possible error is that the connection is already closed.
+		c.frames.take = func(n int) func() { return accepted.take(n, func() { _ = transport.Close() }) }
+	}
 	c.rpc = jsonrpc2.NewConn(ctx, c.frames, readyHandler{c, ready}, jsonrpc2.SetLogger(discardLogger))
 	close(ready)
 	c.group.Go(c.heartbeat)
@@ -127,6 +133,14 @@
 	g.conn.Handle(ctx, rpc, req)
 }
 
+// maxMessageBytes returns the bound on the next message: a low one until the peer has named itself.
+func (c *Conn) maxMessageBytes() int {
+	if c.RemoteHello() == (Hello{}) {
+		return maxGreetingBytes
+	}
+	return MaxFrameBytes
+}
+
 // RemoteHello returns the peer's handshake message; it is zero until the handshake is done.
 func (c *Conn) RemoteHello() Hello {
 	return *c.remote.Load()
--- a/internal/link/peer/frames.go
+++ b/internal/link/peer/frames.go
@@ -21,14 +21,15 @@
 	streamBit = 1 << 31
 )
 
-// FrameTooLongError reports a message larger than MaxFrameBytes.
+// FrameTooLongError reports a message larger than its bound.
 type FrameTooLongError struct {
 	Bytes int
+	Bound int
 }
 
 // Error returns the message size and the limit.
 func (e *FrameTooLongError) Error() string {
-	return fmt.Sprintf("message of %d bytes exceeds the frame bound of %d bytes", e.Bytes, MaxFrameBytes)
+	return fmt.Sprintf("message of %d bytes exceeds the frame bound of %d bytes", e.Bytes, e.Bound)
 }
 
 // frameStream reads and writes length-prefixed messages on a transport. A frame
@@ -39,11 +40,18 @@
 	conn     io.ReadWriteCloser
 	r        *bufio.Reader
 	onStream func(kind byte, data []byte)
-	writeMu  sync.Mutex
+	// bound returns the most bytes that the next message may have.
+	bound func() int
+	// take waits for the memory of a message, and returns the function that releases it.
+	take    func(bytes int) (release func())
+	writeMu sync.Mutex
 }
 
 func newFrameStream(conn io.ReadWriteCloser, onStream func(kind byte, data []byte)) *frameStream {
-	return &frameStream{conn: conn, r: bufio.NewReader(conn), onStream: onStream}
+	return &frameStream{
+		conn: conn, r: bufio.NewReader(conn), onStream: onStream,
+		bound: func() int { return MaxFrameBytes }, take: func(int) func() { return func() {} },
+	}
 }
 
 // WriteObject writes obj as one JSON-RPC message.
@@ -70,7 +78,7 @@
 func (f *frameStream) writeFrame(frame []byte, flag uint32) error {
 	size := len(frame) - headerBytes
 	if size > MaxFrameBytes {
-		return &FrameTooLongError{size}
+		return &FrameTooLongError{size, MaxFrameBytes}
 	}
 	binary.BigEndian.PutUint32(frame, uint32(size)|flag)
 	f.writeMu.Lock()
@@ -103,9 +111,10 @@
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	stream = size&streamBit != 0
-	if size &^= streamBit; size > MaxFrameBytes {
-		return nil, false, &FrameTooLongError{int(size)}
+	if size &^= streamBit; int(size) > f.bound() {
+		return nil, false, &FrameTooLongError{int(size), f.bound()}
 	}
+	defer f.take(int(size))()
 	data = make([]byte, size)
 	_, err = io.ReadFull(f.r, data)
 	return data, stream, err
--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := newConn(context.Background(), raw, address, p.mux)
+	conn := newConn(context.Background(), raw, address, p.mux, nil)
 	var remote Hello
 	if err := conn.Call(ctx, methodHello, p.hello(), &remote); err != nil {
 		conn.close()
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -21,12 +21,13 @@
 	conns map[*Conn]time.Time
 	// maxUnknown bounds the connections without a handshake; 0 doesn't.
 	maxUnknown int
+	unfinished unfinished
 	group      tasks.Group
 }
 
 // NewServer returns a server for the listener and the function that stops it and closes its connections.
 func NewServer(lis net.Listener, mux *Mux, hello func() Hello) (*Server, func()) {
-	s := &Server{mux: mux, hello: hello, lis: lis, conns: map[*Conn]time.Time{}}
+	s := &Server{mux: mux, hello: hello, lis: lis, conns: map[*Conn]time.Time{}, unfinished: unfinished{limit: defaultMaxUnfinished}}
 	OnCall(mux, methodHello, func(_ context.Context, c *Conn, h Hello) (Hello, error) {
 		c.remote.Store(&h)
 		return s.hello(), nil
@@ -44,6 +45,11 @@
 	s.maxUnknown = n
 }
 
+// SetMaxUnfinished bounds the bytes of messages that have arrived in part. It must be called before Serve.
+func (s *Server) SetMaxUnfinished(bytes int) {
+	s.unfinished.limit = bytes
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
@@ -59,7 +65,7 @@
 			return err
 		}
 		s.closeOldestUnknown()
-		c := newConn(context.WithoutCancel(ctx), raw, raw.RemoteAddr().String(), s.mux)
+		c := newConn(context.WithoutCancel(ctx), raw, raw.RemoteAddr().String(), s.mux, &s.unfinished)
 		s.mu.Lock()
 		s.conns[c] = time.Now()
 		s.mu.Unlock()
--- a/internal/node/front/bounds.go
+++ b/internal/node/front/bounds.go
@@ -22,6 +22,10 @@
 	maxUnknownPeers = 512
 	// unknownPeerDivisor is the share of the descriptors that such connections may have at most.
 	unknownPeerDivisor = 16
+	// unfinishedDivisor is the share of the memory that unfinished messages of other fronts may take, and
+	// minUnfinishedBytes the least that they may.
+	unfinishedDivisor  = 16
+	minUnfinishedBytes = 2 << 20
 	// auxiliaryConnections bounds the connections to the readiness page and to the metrics each.
 	auxiliaryConnections = 16
 	// auxiliaryTimeout bounds reading a header and writing an answer there, auxiliaryIdleTimeout the
@@ -58,3 +62,8 @@
 	}
 	return maxUnknownPeers
 }
+
+// unfinishedBytes returns how much messages of other fronts may take that have arrived in part.
+func unfinishedBytes(settings conf.Front) int {
+	return max(minUnfinishedBytes, int(settings.MemoryBytes/unfinishedDivisor))
+}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -179,6 +179,7 @@
 func (f *Front) Start(t *tree.Supervisor, l Listeners) {
 	peerServer, closePeerServer := peer.NewServer(l.Peers, f.mux, f.hello)
 	peerServer.SetMaxUnknown(unknownPeers(f.settings))
+	peerServer.SetMaxUnfinished(unfinishedBytes(f.settings))
 	t.OnClose(closePeerServer)
 	t.Critical("Peers", peerServer.Serve)
 	t.Critical("Ready", f.auxiliaryServer(t, l.Ready, f.readyHandler()))
--- a/test/procs/entry_test.go
+++ b/test/procs/entry_test.go
@@ -66,6 +66,29 @@
 		Entry("bodies that stop one byte short", "POST /v1/chat/completions", sendWhole),
 		Entry("chunks of one byte that stop short", "POST /v1/chat/completions", sendOneByteChunks),
 		Entry("bodies of operators' requests that stop one byte short", "PUT /admin/v1/Model/x", sendWhole),
+		Entry("bodies far over the limit, announced", "POST /v1/chat/completions", sendOverAnnounced),
+		Entry("bodies far over the limit, not announced", "POST /v1/chat/completions", sendOverInChunks),
+		Entry("a mix of bodies for a service", "POST /services/bookings/x", sendMix),
+		Entry("whole bodies that are no requests", "POST /v1/chat/completions", sendComplete),
+	)
+
+	DescribeTable("messages that stop one byte short stay within the memory",
+		func(process, listener string, send func(*client)) {
+			d := startGuardedEntry(entryLimits)
+			c := &crowd{addresses: []string{d.address(listener)}, size: frameCrowd}
+			c.start(send)
+			during := d.chatOnce()
+			c.release()
+			peak := peakMemoryKb(d.processes[process].Process.Pid)
+			fmt.Fprintf(GinkgoWriter, "peak %d KB; during: %v\n", peak, during)
+			Expect(peak).To(BeNumerically("<", machineMemoryMb<<10), "peak of the resident memory in KB")
+			Expect(during).To(Succeed())
+			Expect(d.chatOnce()).To(Succeed())
+		},
+		Entry("to the entry", "entry-2", "entry-2-peer", sendFrame),
+		Entry("to the agent", "engine-1", "engine-1", sendFrame),
+		Entry("to the entry, from processes that name themselves", "entry-2", "entry-2-peer", sendGreetingAndFrame),
+		Entry("to the agent, from processes that name themselves", "engine-1", "engine-1", sendGreetingAndFrame),
 	)
 
 	DescribeTable("connections without a header leave descriptors",
--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,6 +26,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
 
+	"foxtailcroft/internal/link/peer"
 	"foxtailcroft/internal/plat/store"
 	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/platform"
@@ -42,6 +45,17 @@
 	bodyDescriptors   = 1024
 	headerCrowd       = 500
 	headerDescriptors = 400
+	// siteDescriptors is the number of descriptors of a machine of the usual size.
+	siteDescriptors = 4096
+	// frameCrowd is the number of connections that send a message of another process short of its end;
+	// unreadCrowd that of callers that read no answer.
+	frameCrowd  = 300
+	unreadCrowd = 100
+	// unreadBytes is the size of an answer that is not read.
+	unreadBytes = 2 << 20
+	// documentRoutes make a document of about 1 MB, and documentInterval is the time between two.
+	documentRoutes   = 5000
+	documentInterval = 250 * time.Millisecond
 	// sendPatience bounds one write of a client of the crowd; what a front does not read stays unsent.
 	sendPatience = 5 * time.Second
 	// readDelay is the time for a front to read what is in the buffers of its connections.
@@ -61,6 +75,8 @@
 	// peakDescriptors is the largest count of open descriptors so far.
 	peakDescriptors atomic.Int64
 	exited          atomic.Bool
+	// write writes a key to the store.
+	write func(key string, value []byte)
 }
 
 // startGuardedFront starts a front with the machine's limits and waits until it answers; the front and
@@ -75,14 +91,12 @@
 		_, err := memory.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}})
 		Expect(err).NotTo(HaveOccurred())
 	}
-	write(platform.DocumentKey, []byte(fmt.Sprintf(`{"version":3,"routes":[
-{"name":"u","host":"h.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":30000,"responseGoalMs":500,"service":"desk","attempts":1}],
-"services":[{"name":"desk","health":"/health","connectionLimit":100}],
-"limits":{"headerBytes":16384,"bodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, bodyLimit)))
+	f.write = write
+	write(platform.DocumentKey, guardedDocument(3, 0))
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := fake.NewServer(fake.Spec{ID: "i-desk", Born: 1, Service: "desk", Address: lis.Addr().String(), Zone: "a", Slots: 16}, &fake.ExecutionLog{}, func() {})
-	serveListener(&group, lis, server)
+	serveListener(&group, lis, heavyServer(server))
 	write(server.Key(), server.Announcement())
 	f.start(storeAddress)
 	Eventually(f.request, startTimeout, pollInterval).Should(Succeed())
@@ -90,6 +104,37 @@
 	return f
 }
 
+// guardedDocument returns a version of the document with a number of additional routes.
+func guardedDocument(version, routes int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"version":%d,"routes":[{"name":"u","host":"h.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":30000,"responseGoalMs":500,"service":"desk","attempts":1}`, version)
+	for i := range routes {
+		fmt.Fprintf(&b, `,{"name":"r%x","host":"%x.example","pathPrefix":"/%x/","kind":"unsafe","timeoutMs":5000,"responseGoalMs":800,"priority":2,"service":"desk","attempts":1,"sticky":false}`,
+			i, uint32(i*version)*2654435761, uint32(i)*40503+977)
+	}
+	fmt.Fprintf(&b, `],"services":[{"name":"desk","health":"/health","connectionLimit":100}],
+"limits":{"headerBytes":16384,"bodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, bodyLimit)
+	return []byte(b.String())
+}
+
+// heavyServer returns a handler that answers like a server, with unreadBytes more under /unsafe/large.
+func heavyServer(server http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/unsafe/large" {
+			server.ServeHTTP(w, r)
+			return
+		}
+		rec := httptest.NewRecorder()
+		server.ServeHTTP(rec, r)
+		for name, values := range rec.Header() {
+			w.Header()[name] = values
+		}
+		w.Header().Del("Content-Length")
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(append(rec.Body.Bytes(), make([]byte, unreadBytes)...))
+	})
+}
+
 // serveHandler serves a handler on a loopback port until the test ends, and returns its address.
 func serveHandler(group *conc.WaitGroup, h http.Handler) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -407,6 +452,44 @@
 	ways[c.index%len(ways)](c)
 }
 
+// sendFrame sends a message of another process without its last byte.
+func sendFrame(c *client) {
+	header := make([]byte, 4)
+	binary.BigEndian.PutUint32(header, peer.MaxFrameBytes)
+	c.write(header)
+	c.sendPieces(peer.MaxFrameBytes-1, 0)
+	c.awaitOthers()
+}
+
+// sendGreetingAndFrame names itself like another process, and then sends a message without its last byte.
+func sendGreetingAndFrame(c *client) {
+	greeting := []byte(`{"jsonrpc":"2.0","id":1,"method":"Hello","params":{"Node":"x","Epoch":1}}`)
+	header := make([]byte, 4)
+	binary.BigEndian.PutUint32(header, uint32(len(greeting)))
+	c.write(append(header, greeting...))
+	if c.err == nil {
+		// The reply tells that the greeting was read.
+		_, c.err = c.Read(make([]byte, 1))
+	}
+	sendFrame(c)
+}
+
+// sendAndReadNothing sends whole requests for large answers, which it doesn't read.
+func sendAndReadNothing(c *client) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		c.err = tcp.SetReadBuffer(4 << 10)
+	}
+	c.write(append(c.head("Content-Length: 10"), piece[:10]...))
+	c.awaitOthers()
+}
+
+// sendComplete sends whole bodies.
+func sendComplete(c *client) {
+	c.write(c.head(fmt.Sprintf("Content-Length: %d", bodyLimit)))
+	c.sendPieces(bodyLimit, 0)
+	c.awaitOthers()
+}
+
 func sendNothing(c *client) {
 	c.awaitOthers()
 }
@@ -464,5 +547,44 @@
 		Entry("connections without a header to the readiness page", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.ready }),
 		Entry("connections that send nothing to the other fronts' listener", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.control }),
 		Entry("connections without a header to the metrics", headerCrowd, headerDescriptors, sendNothing, func(f *guardedFront) string { return f.metrics }),
+		Entry("messages to the other fronts' listener that stop one byte short", frameCrowd, siteDescriptors, sendFrame, func(f *guardedFront) string { return f.control }),
+		Entry("messages of processes that name themselves, one byte short", frameCrowd, siteDescriptors, sendGreetingAndFrame, func(f *guardedFront) string { return f.control }),
+		Entry("whole bodies", bodyCrowd, bodyDescriptors, sendComplete),
+	)
+
+	DescribeTable("stays within its machine and answers while large documents come",
+		func(size int, send func(*client), target string) {
+			f := startGuardedFront(binary, bodyDescriptors)
+			c := &crowd{addresses: []string{f.callers}, size: size, target: target}
+			stopped := make(chan struct{})
+			var writer conc.WaitGroup
+			version := 4
+			writer.Go(func() {
+				defer GinkgoRecover()
+				for ; ; version++ {
+					f.write(platform.DocumentKey, guardedDocument(version, documentRoutes))
+					select {
+					case <-stopped:
+						return
+					case <-time.After(documentInterval):
+					}
+				}
+			})
+			c.start(send)
+			close(stopped)
+			writer.Wait()
+			during := f.request()
+			c.release()
+			after := f.request()
+			fmt.Fprintf(GinkgoWriter, "peak %d KB, %d descriptors, version %d; during: %v; after: %v\n", f.peakMemoryKb(), f.peakDescriptors.Load(), version, during, after)
+			Expect(f.exited.Load()).To(BeFalse())
+			Expect(f.peakMemoryKb()).To(BeNumerically("<", machineMemoryMb<<10), "peak of the resident memory in KB")
+			Expect(during).To(Succeed())
+			Expect(after).To(Succeed())
+		},
+		Entry("no crowd", 1, sendSlowly, ""),
+		Entry("bodies that stop one byte short", bodyCrowd, sendWhole, ""),
+		Entry("a mix of bodies", bodyCrowd, sendMix, ""),
+		Entry("answers that nobody reads", unreadCrowd, sendAndReadNothing, "POST /unsafe/large"),
 	)
 })
