--- a/internal/node/front/documents_test.go
+++ b/internal/node/front/documents_test.go
@@ -62,19 +62,16 @@
 		r := &largeDocumentRig{harness: h, fronts: map[string]*Front{}}
 		h.writeKey(platform.DocumentKey, routesDocument(1, 1))
 		for i := range fast + slow {
-			// Names don't tell which links are fast.
-			name := fmt.Sprintf("front-%d", (i*5+3)%(fast+slow))
+			// Those with slow links come first by name.
+			name := fmt.Sprintf("front-%d", fast+slow-i)
 			bandwidth, processor := slowLink, 0.144
 			if i < fast {
 				bandwidth, processor = fastLink, 0.8
 			}
-			for r.fronts[name] != nil {
-				name += "x"
-			}
 			h.links[name] = memnet.NewLink(bandwidth)
 			f, end := h.startWith(conf.Front{
 				Node: conf.Node{Name: name, Domain: "a"}, Listen: conf.FrontListen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3"},
-				ChecksFence: true, Seeds: []string{"front-3:3", "front-1:3"}, LinkBytesPerSecond: bandwidth, MaxValueBytes: 1 << 20, Processor: processor,
+				ChecksFence: true, Seeds: []string{"front-2:3", "front-1:3"}, LinkBytesPerSecond: bandwidth, MaxValueBytes: 1 << 20, Processor: processor,
 				Bounds: conf.Bounds{
 					Grace: grace, InForce: timeInForce, Drain: timeInForce, Lease: 3 * time.Second, Returning: 2 * time.Second,
 					LoadWindow: 5 * time.Second, MinLease: time.Second, Contact: 4 * time.Second, StrictRevocation: true, Revocation: 5 * time.Second,
--- a/internal/plat/follow/apart.go
+++ b/internal/plat/follow/apart.go
@@ -50,14 +50,15 @@
 func (f *Follower) watchApart(ctx context.Context, answered *bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	known := &positions{of: map[string]int64{f.layout.DocumentKey: f.State().Revision}}
+	start := f.State().Revision
+	known := &positions{of: map[string]int64{f.layout.DocumentKey: start}}
 	prefixes := slices.DeleteFunc(slices.Clone(f.layout.Prefixes), func(p string) bool { return strings.HasPrefix(f.layout.DocumentKey, p) })
 	for _, prefix := range prefixes {
-		known.of[prefix] = f.State().Revision
+		known.of[prefix] = start
 	}
 	var group conc.WaitGroup
 	for _, prefix := range prefixes {
-		group.Go(func() { cancel(f.watchPrefix(ctx, prefix, known)) })
+		group.Go(func() { cancel(f.watchPrefix(ctx, prefix, start, known)) })
 	}
 	group.Go(func() { cancel(f.checkDocument(ctx, known)) })
 	group.Wait()
@@ -65,10 +66,10 @@
 	return context.Cause(ctx)
 }
 
-// watchPrefix applies the changes under a prefix until a call fails.
-func (f *Follower) watchPrefix(ctx context.Context, prefix string, known *positions) error {
+// watchPrefix applies the changes under a prefix after a revision until a call fails.
+func (f *Follower) watchPrefix(ctx context.Context, prefix string, after int64, known *positions) error {
 	var paused time.Duration
-	return f.store.Watch(ctx, prefix, f.State().Revision, func(b store.Batch) error {
+	return f.store.Watch(ctx, prefix, after, func(b store.Batch) error {
 		f.markAvailable()
 		b.Revision = known.advance(prefix, b.Revision)
 		f.applyBatch(b)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -129,6 +131,9 @@
 	}
 }
 
+// largeDocumentRoutes are the additional routes of each second version, which make it large.
+const largeDocumentRoutes = 3000
+
 // writeDocument writes a new version of the configuration document. Each version
 // has one route that no other version has.
 func (d *deployment) writeDocument() {
@@ -137,11 +142,19 @@
 		return fmt.Sprintf(`{"name":"%s","host":"h.example","pathPrefix":"/%s/","kind":"%s","timeoutMs":6000,"responseGoalMs":500,"priority":1,"service":"%s","attempts":%d%s}`,
 			name, name, kind, service, attempts, extraFields)
 	}
-	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[{"name":"desk","health":"/health","connectionLimit":100},
+	more := ""
+	if d.documentCount%2 == 0 {
+		var b strings.Builder
+		for i := range largeDocumentRoutes {
+			b.WriteString("," + route(fmt.Sprintf("more%d-%d", d.documentCount, i), "safe", "desk", 1, ""))
+		}
+		more = b.String()
+	}
+	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s,%s%s],"services":[{"name":"desk","health":"/health","connectionLimit":100},
 {"name":"llm","health":"/health","connectionLimit":100,"engine":{"slots":16,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[`,
 		d.documentCount*3, route("safe", "safe", "desk", 2, ""), route("unsafe", "unsafe", "desk", 1, ""),
 		route("resume", "streaming", "llm", 2, `,"canResume":true,"gapTargetMs":400,"sticky":true`),
-		route("stream", "streaming", "llm", 1, `,"gapTargetMs":400,"sticky":true`), route(fmt.Sprintf("v%d", d.documentCount), "safe", "desk", 1, ""))
+		route("stream", "streaming", "llm", 1, `,"gapTargetMs":400,"sticky":true`), route(fmt.Sprintf("v%d", d.documentCount), "safe", "desk", 1, ""), more)
 	for i := range modelCount {
 		if i > 0 {
 			doc += ","
@@ -284,13 +297,16 @@
 	return f
 }
 
+// linksMbps are the bandwidths that fronts are told to have, in turn.
+var linksMbps = []int{200, 10, 10}
+
 // writeSettings writes a front's settings file.
 func (d *deployment) writeSettings(f *frontProcess, seeds []string) {
 	metrics := d.freePort()
 	data, err := json.Marshal(map[string]any{
 		"node": f.name, "role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r", "seeds": seeds, "beatMs": 400,
 		"listenAddresses": map[string]string{"front": f.callers, "ready": f.ready, "control": f.control},
-		"internalPorts":   []int{metrics, metrics}, "limits": map[string]int{"memoryMb": frontMemoryMb},
+		"internalPorts":   []int{metrics, metrics}, "limits": map[string]int{"memoryMb": frontMemoryMb, "linkMbps": linksMbps[max(0, slices.Index(d.fronts, f))%len(linksMbps)]},
 		"bounds": map[string]any{
 			"graceS": 4, "configurationMs": 2000, "leaseMs": 1500, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58,
 			"fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000,
