plat/follow: a front is followed only if another one does not watch the store

Since fronts with slow links may leave a failure domain one watcher, a front beside the planner alone counted as followed: it would have read the document more often, and asked the store earlier, for nobody. Whether a front is followed is now asked of the state, and in the table of TestFrontsWithFastLinksWatch.

--- a/internal/plat/follow/bulk_test.go
+++ b/internal/plat/follow/bulk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -135,14 +136,20 @@
 		links   []float64
 		planner string
 		want    []string
+		// unfollowed is set if all others watch the store themselves.
+		unfollowed bool
 	}{
-		{"unknown", []float64{0, 0, 0, 0}, "", []string{"a", "b"}},
-		{"equal, the planner spared", []float64{9, 9, 9, 9}, "a", []string{"b", "c"}},
-		{"two fast", []float64{1, 1, 9, 9}, "", []string{"c", "d"}},
-		{"two fast, one plans", []float64{1, 9, 1, 9}, "b", []string{"d", "b"}},
-		{"three fast, one plans", []float64{9, 1, 9, 9}, "a", []string{"c", "d"}},
-		{"one fast", []float64{1, 1, 9, 1}, "", []string{"c"}},
-		{"one fast, and it plans", []float64{1, 1, 9, 1}, "c", []string{"c"}},
+		{"unknown", []float64{0, 0, 0, 0}, "", []string{"a", "b"}, false},
+		{"equal, the planner spared", []float64{9, 9, 9, 9}, "a", []string{"b", "c"}, false},
+		{"equal, two and the planner", []float64{9, 9, 9}, "a", []string{"b", "c"}, true},
+		{"equal, one and the planner", []float64{9, 9}, "a", []string{"b"}, true},
+		{"one fast, one slow", []float64{1, 9}, "", []string{"b"}, false},
+		{"one fast, one slow that plans", []float64{1, 9}, "a", []string{"b"}, true},
+		{"two fast", []float64{1, 1, 9, 9}, "", []string{"c", "d"}, false},
+		{"two fast, one plans", []float64{1, 9, 1, 9}, "b", []string{"d", "b"}, false},
+		{"three fast, one plans", []float64{9, 1, 9, 9}, "a", []string{"c", "d"}, false},
+		{"one fast", []float64{1, 1, 9, 1}, "", []string{"c"}, false},
+		{"one fast, and it plans", []float64{1, 1, 9, 1}, "c", []string{"c"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &State{Fronts: map[string]Front{}}
@@ -157,7 +164,11 @@
 			for _, f := range s.watchers("z") {
 				names = append(names, f.Name)
 			}
-			NewWithT(t).Expect(names).To(Equal(c.want))
+			g := NewWithT(t)
+			g.Expect(names).To(Equal(c.want))
+			for name := range s.Fronts {
+				g.Expect(s.isFollowed(name, "z")).To(Equal(!c.unfollowed && slices.Contains(c.want, name)), name)
+			}
 		})
 	}
 }
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -153,15 +153,24 @@
 
 // isFollowed reports whether other fronts follow this one.
 func (f *Follower) isFollowed() bool {
-	s := f.State()
-	inDomain := 0
+	return f.State().isFollowed(f.self, f.domain)
+}
+
+// isFollowed reports whether a front of a failure domain watches the store for another one that does not.
+func (s *State) isFollowed(name, domain string) bool {
+	list := s.watchers(domain)
+	watches := func(name string) bool {
+		return slices.ContainsFunc(list, func(x Front) bool { return x.Name == name })
+	}
+	if !watches(name) {
+		return false
+	}
 	for _, front := range s.Fronts {
-		if front.Domain == f.domain {
-			inDomain++
+		if front.Domain == domain && !watches(front.Name) && (s.Planner == nil || s.Planner.Run != front.Run) {
+			return true
 		}
 	}
-	list := s.watchers(f.domain)
-	return inDomain > len(list) && slices.ContainsFunc(list, func(x Front) bool { return x.Name == f.self })
+	return false
 }
 
 // errFollowParent ends a watch because the front is to follow another one.
