link/fanout: an empty view of a peer is no first configuration

Its log: store refused the first read of both the entry and the agent, both listed instances a moment later and pulled from each other, and got views of revision 0. The entry took that for its first configuration, was ready, and followed nothing: a node without a revision leaves the first one to Bootstrap. The agent reads the store again after it has registered, so it recovered.

Ruled out: ports taken between choice and use (below those of outgoing connections, and the agent's processes answered), a lost event of the watch (the entry had none), requests that hang (the planner saw no model, either).

--- a/internal/link/fanout/follow.go
+++ b/internal/link/fanout/follow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -180,7 +181,8 @@
 
 // Bootstrap loads the first configuration from the store or, if the store does
 // not answer, from listed instances. It reports whether it came from the store,
-// which an agent requires before it loads a model into a slot.
+// which an agent requires before it loads a model into a slot. The caller
+// retries after an error, as nothing else loads a first configuration.
 func (f *Follower) Bootstrap(ctx context.Context) (bool, error) {
 	_, err := LoadFromStore(ctx, f.Store, f.Holder)
 	if err == nil {
@@ -194,13 +196,14 @@
 	return false, f.pullFromPeers(ctx, instances)
 }
 
-// pullFromPeers pulls from up to maxBootstrapPeers instances, nearest first. The holder keeps the highest
-// revision among them. It fails only if no instance could be pulled from.
+// pullFromPeers pulls from up to maxBootstrapPeers instances, nearest first, without those that have no
+// configuration themselves. The holder keeps the highest revision among them. It fails if the holder has no
+// configuration afterwards.
 func (f *Follower) pullFromPeers(ctx context.Context, instances []fleet.Instance) error {
 	slices.SortStableFunc(instances, func(a, b fleet.Instance) int {
 		return cmp.Compare(f.distance(a), f.distance(b))
 	})
-	var lastErr error
+	lastErr := errNoConfiguration
 	pulled := 0
 	for _, i := range instances {
 		if i.Name == f.Self.Name || i.Address == "" || pulled == maxBootstrapPeers {
@@ -210,18 +213,22 @@
 		if err == nil {
 			err = Pull(ctx, conn, f.Holder, PullOptions{})
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			lastErr = err
-			continue
+		case f.Holder.View().Revision() > 0:
+			pulled++
 		}
-		pulled++
 	}
-	if pulled > 0 {
+	if f.Holder.View().Revision() > 0 {
 		return nil
 	}
 	return lastErr
 }
 
+// errNoConfiguration is the error of a start at which no other instance has a configuration.
+var errNoConfiguration = errors.New("no listed instance has a configuration")
+
 // maxBootstrapPeers is how many peers a node pulls from at start when the store is unreachable.
 const maxBootstrapPeers = 3
 
