agent/runs, back/plain: one bound for all answers that an agent holds

Clients that read no answers, or only many at a time, made the agent of a plain service hold 746 MB (100 answers of 2 MB, one run on; the bound of the test is 64 MB, the crowd that of the fronts' test).

Cause: what was kept counted when a request came, but all came before there was an answer; what was read counted until its end, and buffers that double held up to three times that; an answer that had been read was not counted while its pieces waited for the connection. Answers of attempts that their entry had given up were kept until the deadline, and new requests were refused for them for 30 s.

A call waits for room before it is sent, so it has not run if there is none by its deadline; answers being read wait for room, and the oldest goes on while what is kept is within the bound. Bodies are read into blocks and joined once. Revoking an attempt releases its answer.

Weighed: failing what doesn't fit (calls that have run end as unsettled); waiting for a bound per call (16 MB each, so 32 calls need 512 MB).

--- a/cmd/foxtailcroft/agent.go
+++ b/cmd/foxtailcroft/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -34,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.MemoryBytes * softMemoryLimitPercent / 100)
 	node := plan.Node{Name: settings.Node.Name, Role: plan.Agent, Region: settings.Node.Region, Domain: settings.Node.Domain, Back: plan.ServiceEndpoint}
 	var backs agent.BackEnds
 	if settings.Engine != nil {
--- a/internal/agent/runs/attempt.go
+++ b/internal/agent/runs/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,8 +31,8 @@
 	// Ctx is canceled, with a *fault.Refusal as its cause, to stop the attempt on a revocation or Abort.
 	Ctx    context.Context
 	cancel context.CancelCauseFunc
-	// heldBytes is the registry's count of the bytes of bodies and kept answers.
-	heldBytes *atomic.Int64
+	// memory is charged for the body and the answer.
+	memory *Memory
 
 	mu     sync.Mutex
 	phase  phase
@@ -46,7 +45,7 @@
 	endedAt time.Time
 	// conn is the connection of the attached entry, nil for none.
 	conn *peer.Conn
-	// acked is true once the entry has acknowledged the answer.
+	// acked is true once the entry has acknowledged the answer, or has given the attempt up.
 	acked bool
 }
 
@@ -77,10 +76,13 @@
 func (a *Attempt) Emit(tokens int, data []byte, head *wire.PlainHead) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.acked {
+		return
+	}
 	p := wire.Piece{Attempt: a.Run.Attempt, Seq: len(a.pieces), Tokens: tokens, Data: data, Head: head}
 	a.pieces = append(a.pieces, p)
 	a.answerBytes += len(data)
-	a.heldBytes.Add(int64(len(data)))
+	a.memory.Add(int64(len(data)))
 	// Writing to a hash never fails.
 	_, _ = a.digest.Write(data)
 	a.sendPiece(p)
@@ -102,6 +104,9 @@
 	d.Attempt, d.Pieces, d.Digest = a.Run.Attempt, len(a.pieces), a.digest.Sum64()
 	a.done = &d
 	a.notify(wire.MethodDone, d)
+	if a.acked {
+		a.releaseBuffers()
+	}
 }
 
 // notify sends a message to the attached entry. A connection that fails is
@@ -137,10 +142,12 @@
 }
 
 // revoke ends the attempt and reports whether it certainly did not run. A running
-// one is canceled only if it may be repeated: a generation or an idempotent call.
+// one is canceled only if it may be repeated: a generation or an idempotent call. The
+// entry that revokes an attempt no longer collects its answer, so none is kept.
 func (a *Attempt) revoke() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.acked, a.conn = true, nil
 	refused := fault.NotRun(fault.Revoked, "attempt %s was revoked", a.Run.Attempt)
 	switch a.phase {
 	case pending:
@@ -153,6 +160,7 @@
 		}
 		return false
 	}
+	a.releaseBuffers()
 	return a.done.Refusal != nil && a.done.Refusal.NotRun
 }
 
@@ -174,7 +182,7 @@
 
 // releaseBuffers releases the body and the answer. The caller holds the lock.
 func (a *Attempt) releaseBuffers() {
-	a.heldBytes.Add(-int64(a.answerBytes + len(a.Body)))
+	a.memory.Add(-int64(a.answerBytes + len(a.Body)))
 	a.pieces, a.Body, a.answerBytes = nil, nil, 0
 }
 
--- a/internal/agent/runs/registry.go
+++ b/internal/agent/runs/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +19,6 @@
 	tombstoneRetention = 10 * time.Minute
 	// bodyRetention is how long a body is kept while its Run has not arrived.
 	bodyRetention = 30 * time.Second
-	// maxHeldBytes bounds the bytes of bodies and kept answers.
-	maxHeldBytes = 48 << 20
 	// maxBodyBytes bounds one request's body.
 	maxBodyBytes = 8 << 20
 	// sweepPeriod is the interval between removals of what has expired.
@@ -39,8 +36,8 @@
 	mu       sync.Mutex
 	attempts map[string]*Attempt
 	bodies   map[string]*earlyBody
-	// heldBytes sums the bytes of bodies and kept answers.
-	heldBytes atomic.Int64
+	// Memory bounds the bytes of bodies and answers.
+	Memory *Memory
 	// tombstones are the removed attempts, and those revoked before their Run arrived, by id.
 	tombstones map[string]tombstone
 }
@@ -51,9 +48,9 @@
 	recordedAt time.Time
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{attempts: map[string]*Attempt{}, bodies: map[string]*earlyBody{}, tombstones: map[string]tombstone{}}
+// NewRegistry returns an empty registry, whose bodies and answers are charged to the memory.
+func NewRegistry(memory *Memory) *Registry {
+	return &Registry{Memory: memory, attempts: map[string]*Attempt{}, bodies: map[string]*earlyBody{}, tombstones: map[string]tombstone{}}
 }
 
 // AddPart adds a part to a request's body. A part that is out of order or exceeds
@@ -67,14 +64,14 @@
 		r.bodies[p.Attempt] = b
 	}
 	if p.Offset == 0 {
-		r.heldBytes.Add(-int64(len(b.data)))
+		r.Memory.Add(-int64(len(b.data)))
 		b.data = nil
 	}
-	if p.Offset != len(b.data) || len(b.data)+len(p.Data) > maxBodyBytes || r.isFull() {
+	if p.Offset != len(b.data) || len(b.data)+len(p.Data) > maxBodyBytes || r.Memory.IsFull() {
 		return
 	}
 	b.data = append(b.data, p.Data...)
-	r.heldBytes.Add(int64(len(p.Data)))
+	r.Memory.Add(int64(len(p.Data)))
 }
 
 // Open returns the attempt of a Run, attached to the connection; fresh is true if
@@ -94,7 +91,7 @@
 	b := r.bodies[run.Attempt]
 	delete(r.bodies, run.Attempt)
 	if b != nil {
-		r.heldBytes.Add(-int64(len(b.data)))
+		r.Memory.Add(-int64(len(b.data)))
 	}
 	if a, ok := r.attempts[run.Attempt]; ok {
 		return a, false, nil
@@ -105,8 +102,8 @@
 	if run.Remaining <= 0 {
 		return nil, false, fault.NotRun(fault.DeadlineExceeded, "attempt %s came after its deadline", run.Attempt)
 	}
-	if r.isFull() {
-		return nil, false, fault.NotRun(fault.Overloaded, "the agent keeps %d bytes of requests and answers", r.heldBytes.Load())
+	if r.Memory.IsFull() {
+		return nil, false, fault.NotRun(fault.Overloaded, "the agent keeps %d bytes of requests and answers", r.Memory.Held())
 	}
 	var data []byte
 	if b != nil {
@@ -116,8 +113,8 @@
 		return nil, false, fault.NotRun(fault.Overloaded, "body of attempt %s has %d of %d bytes", run.Attempt, len(data), run.BodyBytes)
 	}
 	a := newAttempt(c, run, data)
-	a.heldBytes = &r.heldBytes
-	r.heldBytes.Add(int64(len(data)))
+	a.memory = r.Memory
+	r.Memory.Add(int64(len(data)))
 	r.attempts[run.Attempt] = a
 	return a, true, nil
 }
@@ -157,11 +154,6 @@
 	a.acknowledge()
 }
 
-// isFull reports whether bodies and kept answers exceed maxHeldBytes.
-func (r *Registry) isFull() bool {
-	return r.heldBytes.Load() > maxHeldBytes
-}
-
 // ActiveAttempts returns the attempts that have not ended.
 func (r *Registry) ActiveAttempts() []*Attempt {
 	r.mu.Lock()
@@ -221,7 +213,7 @@
 	}
 	for id, b := range r.bodies {
 		if now.Sub(b.firstPartAt) > bodyRetention {
-			r.heldBytes.Add(-int64(len(b.data)))
+			r.Memory.Add(-int64(len(b.data)))
 			delete(r.bodies, id)
 		}
 	}
--- a/internal/agent/worker/plain.go
+++ b/internal/agent/worker/plain.go
@@ -21,15 +21,18 @@
 	if a.Run.Key != "" && !a.Run.Plain.Idempotent {
 		return w.callWithKey(ctx, a, startedAt)
 	}
-	answer, refusal := w.dispatch(ctx, a)
+	var reading runs.Reading
+	defer reading.Close()
+	answer, refusal := w.dispatch(ctx, a, &reading)
 	if refusal != nil {
 		return wire.Done{Refusal: refusal}
 	}
-	return emitAnswer(a, answer, startedAt)
+	return emitAnswer(a, answer, startedAt, &reading)
 }
 
-// dispatch waits until the call may run and makes it once, unless the attempt was revoked.
-func (w *Worker) dispatch(ctx context.Context, a *runs.Attempt) (plain.Answer, *fault.Refusal) {
+// dispatch waits until the call may run and makes it once, unless the attempt was revoked. The answer is charged
+// to the reading, which the caller closes.
+func (w *Worker) dispatch(ctx context.Context, a *runs.Attempt, reading *runs.Reading) (plain.Answer, *fault.Refusal) {
 	release, err := w.Limiter.Acquire(ctx, a.Run.Class, a.Deadline)
 	if err != nil {
 		return plain.Answer{}, fault.AsRefusal(err)
@@ -38,9 +41,10 @@
 	if !a.Begin() {
 		return plain.Answer{}, fault.NotRun(fault.Revoked, "attempt %s was revoked", a.Run.Attempt)
 	}
+	w.Registry.Memory.Open(reading)
 	p := a.Run.Plain
 	answer, err := w.Plain.Do(ctx, plain.Call{
-		Method: p.Method, Path: p.Path, Query: p.Query, Header: p.Header, Body: a.Body,
+		Method: p.Method, Path: p.Path, Query: p.Query, Header: p.Header, Body: a.Body, Memory: reading,
 	})
 	var notSent *plain.NotSent
 	switch {
@@ -52,13 +56,15 @@
 	return answer, fault.Failed(fault.Unsettled, "service %q: %v", a.Run.Service, err)
 }
 
-// emitAnswer emits a whole answer in pieces and returns the attempt's Done message.
-func emitAnswer(a *runs.Attempt, answer plain.Answer, startedAt time.Time) wire.Done {
+// emitAnswer emits a whole answer in pieces, whose memory passes from the reading to the attempt, and returns the
+// attempt's Done message.
+func emitAnswer(a *runs.Attempt, answer plain.Answer, startedAt time.Time, reading *runs.Reading) wire.Done {
 	wait := time.Since(startedAt)
 	head := &wire.PlainHead{Status: answer.Status, Header: answer.Header}
 	for data := answer.Body; ; {
 		n := min(len(data), wire.MaxPartBytes)
 		a.Emit(0, data[:n], head)
+		reading.Release(int64(n))
 		head, data = nil, data[n:]
 		if len(data) == 0 {
 			return wire.Done{Wait: wait}
@@ -81,7 +87,7 @@
 	case claim.Mismatch:
 		return wire.Done{Refusal: fault.NotRun(fault.KeyReused, "idempotency key %q was used for a different call", wire.CallerKey(a.Run.Key))}
 	case claim.Completed:
-		d := emitAnswer(a, out.Answer.(plain.Answer), startedAt)
+		d := emitAnswer(a, out.Answer.(plain.Answer), startedAt, &runs.Reading{})
 		d.Replayed = true
 		return d
 	case claim.Dispatchable:
@@ -92,11 +98,13 @@
 
 // dispatchClaimed makes the call of a newly claimed key and records its outcome in the claim log.
 func (w *Worker) dispatchClaimed(ctx context.Context, a *runs.Attempt, log *claim.Log, startedAt time.Time) wire.Done {
-	answer, refusal := w.dispatch(ctx, a)
+	var reading runs.Reading
+	defer reading.Close()
+	answer, refusal := w.dispatch(ctx, a, &reading)
 	switch {
 	case refusal == nil:
 		log.Settle(a.Run.Key, claim.Outcome{State: claim.Completed, Answer: answer})
-		return emitAnswer(a, answer, startedAt)
+		return emitAnswer(a, answer, startedAt, &reading)
 	case refusal.NotRun:
 		log.Settle(a.Run.Key, claim.Outcome{State: claim.Dispatchable})
 	default:
--- a/internal/back/plain/plain.go
+++ b/internal/back/plain/plain.go
@@ -11,6 +11,8 @@
 	"net/url"
 
 	"golang.org/x/sync/semaphore"
+
+	"foxtailcroft/internal/base/memory"
 )
 
 // Call is one request to a plain service.
@@ -20,6 +22,16 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// Memory is charged for the answer, and the call waits for it before it is sent; nil doesn't.
+	Memory Memory
+}
+
+// Memory is the memory of one answer.
+type Memory interface {
+	// Grow waits for n more bytes. The error is that of the context.
+	Grow(ctx context.Context, n int64) error
+	// Release gives back n bytes.
+	Release(n int64)
 }
 
 // Answer is the complete response to a call.
@@ -71,7 +83,7 @@
 	// maxBufferedBytes bounds the memory of all bodies that are being read; a faulty service may
 	// send them without end.
 	maxBufferedBytes = 32 << 20
-	// bodyBlockBytes is the unit in which that memory is reserved, after the first block of a body.
+	// bodyBlockBytes is the most by which that memory is reserved at a time, after the first block of a body.
 	bodyBlockBytes = 64 << 10
 )
 
@@ -115,6 +127,11 @@
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.ContentLength = int64(len(call.Body))
 	}
+	if call.Memory != nil {
+		if err := call.Memory.Grow(ctx, bodyBlockBytes); err != nil {
+			return Answer{}, &NotSent{err}
+		}
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		var dial *net.OpError
@@ -124,32 +141,64 @@
 		return Answer{}, &LostResponse{err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := c.readBody(resp.Body)
+	body, err := c.readBody(ctx, resp.Body, call.Memory)
 	if err != nil {
 		return Answer{}, &LostResponse{err}
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-// readBody reads a body to its end within the bounds on its memory.
-func (c *Client) readBody(body io.Reader) ([]byte, error) {
-	reserved := int64(0)
+// readBody reads a body to its end within the bounds on its memory. It is read into blocks, and then joined.
+func (c *Client) readBody(ctx context.Context, body io.Reader, m Memory) ([]byte, error) {
+	var (
+		reserved, charged int64
+		sizes             memory.BlockSizes
+		blocks            []*bytes.Buffer
+		total             int
+	)
 	defer func() { c.bodyMemory.Release(reserved) }()
-	var buffer bytes.Buffer
 	for {
-		n, err := io.CopyN(&buffer, body, bodyBlockBytes)
+		size := sizes.Next(bodyBlockBytes)
+		if len(blocks) > 0 {
+			if !c.bodyMemory.TryAcquire(size) {
+				return nil, fmt.Errorf("answers being read take over %d bytes of memory", maxBufferedBytes)
+			}
+			reserved += size
+		}
+		if m != nil {
+			if err := m.Grow(ctx, 2*size); err != nil {
+				return nil, err
+			}
+			charged += 2 * size
+		}
+		// ReadFrom grows the buffer unless there is room for bytes.MinRead.
+		block := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+		n, err := io.CopyN(block, body, size)
+		total += int(n)
+		blocks = append(blocks, block)
 		switch {
-		case errors.Is(err, io.EOF) && buffer.Len() <= maxAnswerBytes:
-			return buffer.Bytes(), nil
 		case err != nil && !errors.Is(err, io.EOF):
 			return nil, err
-		case buffer.Len() > maxAnswerBytes:
+		case total > maxAnswerBytes:
 			return nil, fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
-		case !c.bodyMemory.TryAcquire(n):
-			return nil, fmt.Errorf("answers being read take over %d bytes of memory", maxBufferedBytes)
+		case err == nil:
+			continue
+		}
+		whole := joinBlocks(blocks, total)
+		if m != nil {
+			m.Release(charged - int64(total))
 		}
-		reserved += n
+		return whole, nil
+	}
+}
+
+// joinBlocks returns what the blocks hold, total bytes.
+func joinBlocks(blocks []*bytes.Buffer, total int) []byte {
+	whole := make([]byte, 0, total)
+	for _, b := range blocks {
+		whole = append(whole, b.Bytes()...)
 	}
+	return whole
 }
 
 var _ Service = (*Client)(nil)
--- a/internal/base/conf/settings.go
+++ b/internal/base/conf/settings.go
@@ -110,8 +110,11 @@
 	Platform Platform    `yaml:"Platform"`
 	Engine   *Engine     `yaml:"Engine" validate:"required_without=Service,excluded_with=Service"`
 	Service  *Service    `yaml:"Service"`
-	Drain    Drain       `yaml:"Drain"`
-	Log      Log         `yaml:"Log"`
+	// MemoryBytes is the memory of the process, an eighth of it for bodies and answers; ReadAgent replaces 0 by
+	// defaultMemoryBytes.
+	MemoryBytes int64 `yaml:"MemoryBytes" validate:"gte=0"`
+	Drain       Drain `yaml:"Drain"`
+	Log         Log   `yaml:"Log"`
 }
 
 // The defaults of settings that the file leaves out.
@@ -157,7 +160,7 @@
 
 // DefaultAgent returns the default settings of an agent.
 func DefaultAgent() Agent {
-	return Agent{Platform: platformDefaults(), Drain: drainDefaults(), Log: Log{Level: "info"}}
+	return Agent{Platform: platformDefaults(), MemoryBytes: defaultMemoryBytes, Drain: drainDefaults(), Log: Log{Level: "info"}}
 }
 
 // ReadAgent reads the settings of an agent from a file, completed by the defaults.
@@ -169,6 +172,9 @@
 	if a.Engine != nil && a.Engine.OrderTimeout == 0 {
 		a.Engine.OrderTimeout = kinds.Duration(defaultOrderTimeout)
 	}
+	if a.MemoryBytes == 0 {
+		a.MemoryBytes = defaultMemoryBytes
+	}
 	return a, nil
 }
 
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -58,6 +58,9 @@
 	keyExpiryInterval = time.Minute
 )
 
+// heldShareDivisor is the share of the process's memory for bodies and answers.
+const heldShareDivisor = 8
+
 // maxConnections bounds the connections to the metrics and the health checks.
 const maxConnections = 64
 
@@ -65,7 +68,7 @@
 func New(settings conf.Agent, o member.Options, backEnds BackEnds) (*Agent, func()) {
 	m, closeMember := member.New(o)
 	a := &Agent{
-		Member: m, HTTPServer: httpd.NewServer(o.Metrics, 0), Registry: runs.NewRegistry(), settings: settings, log: o.Log,
+		Member: m, HTTPServer: httpd.NewServer(o.Metrics, 0), Registry: runs.NewRegistry(runs.NewMemory(settings.MemoryBytes / heldShareDivisor)), settings: settings, log: o.Log,
 		guard: fence.New(o.Store, o.Self.Name), deposed: make(chan struct{}),
 	}
 	a.HTTPServer.SetLimit(serve.Limit{Connections: maxConnections})
--- a/test/procs/entry_test.go
+++ b/test/procs/entry_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 )
 
 // startGuardedEntry starts one entry with an engine and its agent, and waits until it answers. Settings
@@ -26,7 +27,8 @@
 Instances:
   - {Name: entry-2, Role: entry, Address: %q, Region: here, Domain: a}
   - {Name: engine-1, Role: agent, Address: %q, Region: here, Domain: a}
-`, d.address("platform"), d.address("entry-2-peer"), d.address("engine-1")), "standin", "platform")
+  - {Name: bookings-1, Role: agent, Address: %q, Region: here, Domain: a}
+`, d.address("platform"), d.address("entry-2-peer"), d.address("engine-1"), d.address("bookings-1")), "standin", "platform")
 	d.startEngine("engine-1")
 	d.startEngineAgent("engine-1", "a")
 	d.start("entry-2", d.nodeSettings("entry-2", "a")+fmt.Sprintf("GoneAfter: 5s\nListen: {Callers: %q, Peers: %q}\n", d.address("entry-2"), d.address("entry-2-peer"))+settings, "entry")
@@ -37,6 +39,24 @@
 	return d
 }
 
+// startLargeService starts an agent for a service whose answers have unreadBytes.
+func (d *deployment) startLargeService() {
+	var group conc.WaitGroup
+	DeferCleanup(group.Wait)
+	address := serveHandler(&group, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, unreadBytes)) }))
+	d.start("bookings-1", d.nodeSettings("bookings-1", "a")+fmt.Sprintf("Listen: {Peers: %q, Metrics: %q}\nService: {Name: bookings, URL: \"http://%s\"}\nMemoryBytes: %d\n",
+		d.address("bookings-1"), d.address("bookings-1-metrics"), address, machineMemoryMb<<20), "agent")
+}
+
+// bookOnce makes one call of the service; nil if it was answered with unreadBytes.
+func (d *deployment) bookOnce() error {
+	text, status, err := d.book("x", "")
+	if err == nil && (status != http.StatusOK || len(text) != unreadBytes) {
+		err = fmt.Errorf("status %d, %d bytes", status, len(text))
+	}
+	return err
+}
+
 // chatOnce sends one short chat request; nil if it was answered with 200.
 func (d *deployment) chatOnce() error {
 	_, status, err := d.chat("entry-2", "hello", 2)
@@ -91,6 +111,26 @@
 		Entry("to the agent, from processes that name themselves", "engine-1", "engine-1", sendGreetingAndFrame),
 	)
 
+	DescribeTable("answers of a service that nobody reads stay within the memory",
+		func(process string) {
+			d := startGuardedEntry(entryLimits)
+			d.startLargeService()
+			Eventually(d.bookOnce, startTimeout, pollInterval).Should(Succeed())
+			c := &crowd{addresses: []string{d.address("entry-2")}, size: unreadCrowd, target: "POST /services/bookings/large"}
+			c.start(sendAndReadNothing)
+			during := d.chatOnce()
+			c.release()
+			after := d.chatOnce()
+			peak := peakMemoryKb(d.processes[process].Process.Pid)
+			fmt.Fprintf(GinkgoWriter, "peak %d KB; during: %v; after: %v\n", peak, during, after)
+			Expect(peak).To(BeNumerically("<", machineMemoryMb<<10), "peak of the resident memory in KB")
+			Expect(during).To(Succeed())
+			Expect(after).To(Succeed())
+			Eventually(d.bookOnce, startTimeout, pollInterval).Should(Succeed())
+		},
+		Entry("of the agent", "bookings-1"),
+	)
+
 	DescribeTable("connections without a header leave descriptors",
 		func(process, listener string) {
 			d := startGuardedEntry(entryLimits)
