entry/calls, entry/caller: answers of plain services within the budget of memory

Cause: an entry holds such an answer until it is whole and verified. It held it twice, pieces and a buffer that doubles, until its caller had read it or the deadline had passed, and only the number of requests bounded that.

Pieces are charged to the entry's budget as they arrive, and written to the caller as they are. An answer that doesn't fit is dropped; its agent keeps it, and it is fetched again once memory for all of it is reserved, or ends as unsettled at the deadline. So answers in parts don't wait for each other, and connections are not held up.

Weighed: refusing what doesn't fit (the call has run); not reading the connection (it is shared by all requests to that agent).

TestInboxDropsAnswerWithoutMemory.

--- a/internal/base/memory/budget.go
+++ b/internal/base/memory/budget.go
@@ -211,6 +211,18 @@
 	}
 }
 
+// TryGrow charges n more bytes if they fit, and reports whether it did. It ends no bodies and doesn't wait.
+func (l *Lease) TryGrow(n int64) bool {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	return l.budget.charge(l, n)
+}
+
+// Limit returns the most that one holder may hold.
+func (l *Lease) Limit() int64 {
+	return l.budget.maxPerAddress
+}
+
 // awaitFreed waits for memory to be released, and reports whether it was; the caller holds the lock.
 func (b *Budget) awaitFreed(timeout <-chan time.Time) bool {
 	if b.freed == nil {
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"foxtailcroft/internal/base/intake"
+	"foxtailcroft/internal/base/memory"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/entry/calls"
 	"foxtailcroft/internal/entry/route"
@@ -48,8 +48,12 @@
 		return
 	}
 	defer release()
+	var answerMemory memory.Lease
+	s.settings.Memory.Open(&answerMemory, intake.CallerAddress(r))
+	defer answerMemory.Close()
+	req.AnswerMemory = &answerMemory
 	setWriteDeadline(w, req.Deadline)
-	var answer serviceAnswer
+	answer := serviceAnswer{deadline: req.Deadline.Add(writeDeadlineGrace)}
 	res, err := s.dispatcher.Do(r.Context(), req, &answer)
 	refundNotRun(refund, err)
 	s.recordEnd(req, req.Target.Service, res, began, err)
@@ -108,22 +112,27 @@
 	return out
 }
 
-// serviceAnswer is a Sink that buffers the whole answer of a plain service.
+// serviceAnswer is a Sink that holds the whole answer of a plain service, in the pieces in which it came.
 type serviceAnswer struct {
-	head wire.PlainHead
-	body bytes.Buffer
+	head   wire.PlainHead
+	pieces [][]byte
+	size   int
+	// deadline is when the answer must have been written.
+	deadline time.Time
 }
 
-// WritePiece appends a piece to the buffered answer.
+// WritePiece appends a piece to the answer.
 func (a *serviceAnswer) WritePiece(p wire.Piece) error {
 	if p.Head != nil {
 		a.head = *p.Head
 	}
-	a.body.Write(p.Data)
+	a.pieces = append(a.pieces, p.Data)
+	a.size += len(p.Data)
 	return nil
 }
 
-// write writes the buffered answer to the caller; a head without a status gives 200.
+// write writes the answer to the caller; a head without a status gives 200. It gives up if the caller reads
+// nothing for intake.DefaultIdleTimeout, as the answer holds memory.
 func (a *serviceAnswer) write(w http.ResponseWriter, id string, res calls.Result) {
 	h := w.Header()
 	for k, v := range endToEndHeaders(a.head.Header) {
@@ -136,8 +145,19 @@
 	if res.Replayed {
 		h.Set(headerReplayed, "true")
 	}
-	h.Set("Content-Length", strconv.Itoa(a.body.Len()))
+	h.Set("Content-Length", strconv.Itoa(a.size))
 	w.WriteHeader(max(a.head.Status, http.StatusOK))
-	// A write error means that the caller has gone.
-	_, _ = w.Write(a.body.Bytes())
+	control := http.NewResponseController(w)
+	for _, data := range a.pieces {
+		deadline := time.Now().Add(intake.DefaultIdleTimeout)
+		if a.deadline.Before(deadline) {
+			deadline = a.deadline
+		}
+		// A transport that doesn't support deadlines writes without one.
+		_ = control.SetWriteDeadline(deadline)
+		if _, err := w.Write(data); err != nil {
+			// The caller has gone, or reads nothing.
+			return
+		}
+	}
 }
--- a/internal/entry/calls/attempt.go
+++ b/internal/entry/calls/attempt.go
@@ -43,8 +43,6 @@
 	inbox      *inbox
 	progress   *progress
 	sink       Sink
-	// heldPieces holds a plain service's answer until it is whole and verified.
-	heldPieces []wire.Piece
 	conn       *peer.Conn
 	// endConnWork marks conn as having no more work for this attempt.
 	endConnWork func()
@@ -56,8 +54,8 @@
 }
 
 // runAttempt sends a request to a node and returns the outcome.
-func (d *Dispatcher) runAttempt(ctx context.Context, req Request, node plan.Node, delivered *progress, sink Sink, settleMargin time.Duration) outcome {
-	a := &attempt{dispatcher: d, req: req, node: node, inbox: newInbox(), progress: delivered, sink: sink, endConnWork: func() {}, settleMargin: settleMargin}
+func (d *Dispatcher) runAttempt(ctx context.Context, req Request, node plan.Node, delivered *progress, sink Sink, settleMargin time.Duration) (out outcome) {
+	a := &attempt{dispatcher: d, req: req, node: node, inbox: newInbox(req.PlainCall != nil, req.AnswerMemory), progress: delivered, sink: sink, endConnWork: func() {}, settleMargin: settleMargin}
 	a.run = wire.Run{
 		Attempt: uuid.NewString(), Request: req.ID, Class: req.Class, Model: req.Target.Model, Adapter: req.Adapter,
 		Service: req.Target.Service, Plain: req.PlainCall, Key: req.IdempotencyKey, BodyBytes: len(req.Body),
@@ -70,7 +68,7 @@
 	defer func() {
 		release()
 		a.endConnWork()
-		a.inbox.close()
+		a.inbox.close(out.refusal == nil)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.inboxes, a.run.Attempt)
@@ -100,22 +98,21 @@
 			return a.abandon(fault.Failed(fault.Canceled, "the caller has gone: %v", err))
 		}
 		if missing {
-			if out, ok := a.connect(ctx); !ok {
+			if out, ok := a.fetchMissing(ctx); !ok {
 				return out
 			}
 			continue
 		}
 		if done != nil {
-			return a.finishAnswer(ctx, done)
+			return a.finishAnswer(ctx, done, pieces)
 		}
 	}
 }
 
-// deliver passes tokens to the caller as they arrive, and holds a plain
-// service's answer back until it is whole. An error means that the caller has gone.
+// deliver passes tokens to the caller as they arrive; a plain service's answer is delivered as a whole by
+// finishAnswer. An error means that the caller has gone.
 func (a *attempt) deliver(pieces []wire.Piece) error {
 	if a.req.PlainCall != nil {
-		a.heldPieces = append(a.heldPieces, pieces...)
 		return nil
 	}
 	for _, p := range pieces {
@@ -128,9 +125,46 @@
 	return nil
 }
 
+const (
+	// minMemoryDelay and maxMemoryDelay bound the exponential backoff between tries to get memory for an answer.
+	minMemoryDelay = 100 * time.Millisecond
+	maxMemoryDelay = time.Second
+)
+
+// fetchMissing has the agent send the missing pieces again. If the attempt has ended instead, ok is false and out
+// is its outcome.
+func (a *attempt) fetchMissing(ctx context.Context) (out outcome, ok bool) {
+	if out, ok := a.awaitMemory(ctx); !ok {
+		return out, false
+	}
+	return a.connect(ctx)
+}
+
+// awaitMemory waits for the memory of an answer that was dropped for want of it, which the agent keeps
+// meanwhile. If the attempt has ended instead, ok is false and out is its outcome.
+func (a *attempt) awaitMemory(ctx context.Context) (out outcome, ok bool) {
+	n := a.inbox.missingBytes()
+	if n == 0 {
+		return outcome{}, true
+	}
+	memory := a.req.AnswerMemory
+	if n > memory.Limit() {
+		return a.abandon(fault.Failed(fault.Overloaded, "an answer of about %d bytes exceeds the memory for answers", n)), false
+	}
+	for delay := minMemoryDelay; memory.Grow(n) != nil; delay = min(maxMemoryDelay, 2*delay) {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return a.settle(ctx), false
+		}
+	}
+	a.inbox.acceptAgain(n)
+	return outcome{}, true
+}
+
 // finishAnswer acknowledges the end of the answer, verifies the answer, and
-// delivers the pieces that were held back.
-func (a *attempt) finishAnswer(ctx context.Context, done *wire.Done) outcome {
+// delivers a plain service's whole answer.
+func (a *attempt) finishAnswer(ctx context.Context, done *wire.Done, pieces []wire.Piece) outcome {
 	// If the acknowledgement is lost, the agent keeps the answer until the deadline.
 	_ = a.conn.Notify(wire.MethodAck, wire.Ack{Attempt: a.run.Attempt})
 	a.dispatcher.table.RecordLoad(a.node.Name, a.req.Target, done.Load)
@@ -141,7 +175,10 @@
 	if mismatch := a.inbox.verify(done); mismatch != nil {
 		return refused(mismatch)
 	}
-	for _, p := range a.heldPieces {
+	if a.req.PlainCall == nil {
+		return outcome{done: *done}
+	}
+	for _, p := range pieces {
 		if err := a.sink.WritePiece(p); err != nil {
 			return refused(fault.Failed(fault.Canceled, "the caller has gone: %v", err))
 		}
--- a/internal/entry/calls/inbox.go
+++ b/internal/entry/calls/inbox.go
@@ -19,10 +19,21 @@
 	digest  *xxhash.Digest
 	changed chan struct{}
 	closed  bool
+	// whole is true if the pieces stay here until all have arrived; memory, if it is not nil, is charged for them.
+	whole  bool
+	memory AnswerMemory
+	// charged is what memory was charged, and reserved the part of it that no piece takes.
+	charged, reserved int64
+	// short is true once a piece did not fit. The answer is dropped then, and kept by the agent.
+	short bool
+	// expected is the number of pieces of an answer that was missing some.
+	expected int
 }
 
-func newInbox() *inbox {
-	return &inbox{digest: xxhash.New(), changed: make(chan struct{}, 1)}
+// newInbox returns an empty inbox. If whole is true, it holds the pieces until all have arrived, and charges the
+// memory for them unless that is nil.
+func newInbox(whole bool, memory AnswerMemory) *inbox {
+	return &inbox{digest: xxhash.New(), changed: make(chan struct{}, 1), whole: whole, memory: memory}
 }
 
 // addPiece adds the next piece in sequence and drops any other: a duplicate, or
@@ -30,7 +41,14 @@
 func (i *inbox) addPiece(p wire.Piece) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.closed || p.Seq != i.nextSeq {
+	if i.closed || i.short || p.Seq != i.nextSeq {
+		return
+	}
+	if !i.charge(int64(len(p.Data))) {
+		i.short = true
+		i.nextSeq, i.undelivered = 0, nil
+		i.digest.Reset()
+		i.release()
 		return
 	}
 	i.nextSeq++
@@ -40,6 +58,47 @@
 	i.notifyReader()
 }
 
+// charge charges a piece of n bytes, and reports whether it fits.
+func (i *inbox) charge(n int64) bool {
+	if i.memory == nil {
+		return true
+	}
+	if n <= i.reserved {
+		i.reserved -= n
+		return true
+	}
+	if !i.memory.TryGrow(n) {
+		return false
+	}
+	i.charged += n
+	return true
+}
+
+// release gives back the memory of the pieces.
+func (i *inbox) release() {
+	if i.memory != nil {
+		i.memory.Release(i.charged)
+	}
+	i.charged, i.reserved = 0, 0
+}
+
+// missingBytes returns a bound on the size of an answer that was dropped for want of memory, 0 if it was not.
+func (i *inbox) missingBytes() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.short {
+		return 0
+	}
+	return int64(i.expected) * wire.MaxPartBytes
+}
+
+// acceptAgain makes the inbox accept an answer that was dropped, for which n bytes have been charged.
+func (i *inbox) acceptAgain(n int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.short, i.charged, i.reserved = false, n, n
+}
+
 // setDone records the end of the answer.
 func (i *inbox) setDone(d wire.Done) {
 	i.mu.Lock()
@@ -60,19 +119,18 @@
 
 // takeNew returns the pieces that arrived since the last call, and the end of
 // the answer if all pieces have arrived. If the end arrived before some piece,
-// missing is true and the end is discarded until the answer is sent again.
+// missing is true and the end is discarded until the answer is sent again. Pieces
+// of an answer that is held until it is whole are returned only with the end.
 func (i *inbox) takeNew() (pieces []wire.Piece, done *wire.Done, missing bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	pieces, i.undelivered = i.undelivered, nil
-	if i.done == nil {
-		return pieces, nil, false
+	if i.done != nil && i.nextSeq < i.done.Pieces {
+		i.expected, i.done, missing = i.done.Pieces, nil, true
 	}
-	if i.nextSeq < i.done.Pieces {
-		i.done = nil
-		return pieces, nil, true
+	if !i.whole || i.done != nil {
+		pieces, i.undelivered = i.undelivered, nil
 	}
-	return pieces, i.done, false
+	return pieces, i.done, missing
 }
 
 // verify checks an answer against the agent's piece count and digest and returns
@@ -93,9 +151,14 @@
 	return i.nextSeq
 }
 
-// close makes the inbox drop all later messages of the attempt.
-func (i *inbox) close() {
+// close makes the inbox drop all later messages of the attempt, and gives back the memory of its pieces unless
+// they were delivered.
+func (i *inbox) close(delivered bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.closed = true
+	if !delivered {
+		i.undelivered = nil
+		i.release()
+	}
 }
--- a/internal/entry/calls/inbox_test.go
+++ b/internal/entry/calls/inbox_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			in := newInbox()
+			in := newInbox(false, nil)
 			for _, seq := range c.seqs {
 				in.addPiece(wire.Piece{Seq: seq, Data: []byte(whole[seq])})
 			}
@@ -51,7 +52,7 @@
 
 func TestInboxRefusesAnswerThatDoesNotMatchItsDigest(t *testing.T) {
 	g := NewWithT(t)
-	in := newInbox()
+	in := newInbox(false, nil)
 	in.addPiece(wire.Piece{Seq: 0, Data: []byte("another's answer")})
 	in.setDone(wire.Done{Pieces: 1, Digest: xxhash.Sum64String("its own answer")})
 	_, done, _ := in.takeNew()
@@ -60,11 +61,70 @@
 
 func TestClosedInboxDropsLateAnswers(t *testing.T) {
 	g := NewWithT(t)
-	in := newInbox()
-	in.close()
+	in := newInbox(false, nil)
+	in.close(false)
 	in.addPiece(wire.Piece{Seq: 0, Data: []byte("late")})
 	in.setDone(wire.Done{Pieces: 1})
 	pieces, done, _ := in.takeNew()
 	g.Expect(pieces).To(BeEmpty())
 	g.Expect(done).To(BeNil())
 }
+
+// answerMemory is the memory of an answer with a fixed size.
+type answerMemory struct{ left, limit int64 }
+
+func (m *answerMemory) TryGrow(n int64) bool {
+	if n > m.left {
+		return false
+	}
+	m.left -= n
+	return true
+}
+
+func (m *answerMemory) Grow(n int64) error {
+	if !m.TryGrow(n) {
+		return errors.New("short")
+	}
+	return nil
+}
+
+func (m *answerMemory) Release(n int64) { m.left += n }
+func (m *answerMemory) Limit() int64    { return m.limit }
+
+// TestInboxDropsAnswerWithoutMemory checks that an answer which doesn't fit is dropped as a whole, and is
+// accepted when it comes again after memory was charged for it.
+func TestInboxDropsAnswerWithoutMemory(t *testing.T) {
+	g := NewWithT(t)
+	memory := &answerMemory{left: 7}
+	in := newInbox(true, memory)
+	send := func() (text string, missing bool) {
+		for seq, data := range []string{"one ", "two ", "three"} {
+			in.addPiece(wire.Piece{Seq: seq, Data: []byte(data)})
+		}
+		pieces, _, _ := in.takeNew()
+		g.Expect(pieces).To(BeEmpty())
+		in.setDone(wire.Done{Pieces: 3, Digest: xxhash.Sum64String("one two three")})
+		pieces, done, missing := in.takeNew()
+		for _, p := range pieces {
+			text += string(p.Data)
+		}
+		if done != nil {
+			g.Expect(in.verify(done)).To(BeNil())
+		}
+		return text, missing
+	}
+	_, missing := send()
+	g.Expect(missing).To(BeTrue())
+	g.Expect(memory.left).To(Equal(int64(7)))
+	g.Expect(in.resumeSeq()).To(BeZero())
+	needed := in.missingBytes()
+	g.Expect(needed).To(Equal(int64(3 * wire.MaxPartBytes)))
+	memory.left = needed
+	g.Expect(memory.Grow(needed)).To(Succeed())
+	in.acceptAgain(needed)
+	text, missing := send()
+	g.Expect(missing).To(BeFalse())
+	g.Expect(text).To(Equal("one two three"))
+	in.close(false)
+	g.Expect(memory.left).To(Equal(needed))
+}
--- a/internal/entry/calls/request.go
+++ b/internal/entry/calls/request.go
@@ -23,6 +23,21 @@
 	// IdempotencyKey is empty unless the call's method isn't idempotent and the caller sent a key.
 	IdempotencyKey string
 	Body           []byte
+	// AnswerMemory is charged for the answer of a plain call, which is held until it is whole; nil doesn't.
+	AnswerMemory AnswerMemory
+}
+
+// AnswerMemory is the memory of one answer.
+type AnswerMemory interface {
+	// TryGrow charges n more bytes if they fit, and reports whether it did.
+	TryGrow(n int64) bool
+	// Grow charges n more bytes, for which unfinished bodies may give way; it waits for them. An error means
+	// that there is no memory now.
+	Grow(n int64) error
+	// Release gives back n bytes.
+	Release(n int64)
+	// Limit returns the most that one answer may hold.
+	Limit() int64
 }
 
 // idempotent reports whether the request may be sent again after an attempt that may have run.
--- a/test/procs/entry_test.go
+++ b/test/procs/entry_test.go
@@ -128,6 +128,7 @@
 			Expect(after).To(Succeed())
 			Eventually(d.bookOnce, startTimeout, pollInterval).Should(Succeed())
 		},
+		Entry("of the entry", "entry-2"),
 		Entry("of the agent", "bookings-1"),
 	)
 
