test/procs: whole chat requests of the largest size at an entry and its agent

Bodies that an agent keeps for requests that wait for their model were bounded at 48 MB whatever its machine.

--- a/test/procs/entry_test.go
+++ b/test/procs/entry_test.go
@@ -30,7 +30,7 @@
   - {Name: bookings-1, Role: agent, Address: %q, Region: here, Domain: a}
 `, d.address("platform"), d.address("entry-2-peer"), d.address("engine-1"), d.address("bookings-1")), "standin", "platform")
 	d.startEngine("engine-1")
-	d.startEngineAgent("engine-1", "a")
+	d.startEngineAgent("engine-1", "a", fmt.Sprintf("MemoryBytes: %d\n", machineMemoryMb<<20))
 	d.start("entry-2", d.nodeSettings("entry-2", "a")+fmt.Sprintf("GoneAfter: 5s\nListen: {Callers: %q, Peers: %q}\n", d.address("entry-2"), d.address("entry-2-peer"))+settings, "entry")
 	file := filepath.Join(d.dir, "resources.yaml")
 	Expect(os.WriteFile(file, []byte(resources), 0o600)).To(Succeed())
@@ -111,6 +111,21 @@
 		Entry("to the agent, from processes that name themselves", "engine-1", "engine-1", sendGreetingAndFrame),
 	)
 
+	DescribeTable("whole requests to a model stay within the memory",
+		func(process string) {
+			d := startGuardedEntry(entryLimits)
+			c := &crowd{addresses: []string{d.address("entry-2")}, size: bodyCrowd, target: "POST /v1/chat/completions"}
+			c.start(sendChat)
+			c.release()
+			peak := peakMemoryKb(d.processes[process].Process.Pid)
+			fmt.Fprintf(GinkgoWriter, "peak %d KB\n", peak)
+			Expect(peak).To(BeNumerically("<", machineMemoryMb<<10), "peak of the resident memory in KB")
+			Eventually(d.chatOnce, startTimeout, pollInterval).Should(Succeed())
+		},
+		Entry("of the entry", "entry-2"),
+		Entry("of the agent", "engine-1"),
+	)
+
 	DescribeTable("answers of a service that nobody reads stay within the memory",
 		func(process string) {
 			d := startGuardedEntry(entryLimits)
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -132,8 +132,9 @@
 		d.address("standin-"+name)), "standin", "engine")
 }
 
-func (d *deployment) startEngineAgent(name, domain string) {
-	d.start(name, d.nodeSettings(name, domain)+fmt.Sprintf("Listen: {Peers: %q, Metrics: %q}\nEngine: {URL: \"http://%s\", MemoryBytes: 64000, ChecksFence: true, ReportLag: 100ms}\n",
+// startEngineAgent starts the agent of an engine; settings are added to its own.
+func (d *deployment) startEngineAgent(name, domain string, settings ...string) {
+	d.start(name, d.nodeSettings(name, domain)+strings.Join(settings, "")+fmt.Sprintf("Listen: {Peers: %q, Metrics: %q}\nEngine: {URL: \"http://%s\", MemoryBytes: 64000, ChecksFence: true, ReportLag: 100ms}\n",
 		d.address(name), d.address(name+"-metrics"), d.address("standin-"+name)), "agent")
 }
 
--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -490,6 +490,19 @@
 	c.awaitOthers()
 }
 
+// sendChat sends a whole chat request of the largest size, and waits for its answer.
+func sendChat(c *client) {
+	start, end := `{"model":"letter-reader","max_tokens":2,"messages":[{"role":"user","content":"`, `"}]}`
+	c.write(c.head(fmt.Sprintf("Content-Length: %d", bodyLimit)))
+	c.write([]byte(start))
+	c.sendPieces(bodyLimit-len(start)-len(end), 0)
+	c.write([]byte(end))
+	c.awaitOthers()
+	if c.err == nil {
+		_, c.err = c.Read(make([]byte, 1))
+	}
+}
+
 func sendNothing(c *client) {
 	c.awaitOthers()
 }
