agent/worker: a call that waits for memory has not begun

A call marked its attempt as running, and then waited for memory for the answer. An entry that revoked it meanwhile, at the deadline, learned that it may have run, and a call that can't be repeated ended as unsettled though nothing had been sent.

It waits before it begins, so a revoked one has not run, and one without memory is refused as not run.

--- a/internal/agent/worker/plain.go
+++ b/internal/agent/worker/plain.go
@@ -30,6 +30,9 @@
 	return emitAnswer(a, answer, startedAt, &reading)
 }
 
+// firstAnswerBytes is the memory that must be free for an answer before its call is made.
+const firstAnswerBytes = 64 << 10
+
 // dispatch waits until the call may run and makes it once, unless the attempt was revoked. The answer is charged
 // to the reading, which the caller closes.
 func (w *Worker) dispatch(ctx context.Context, a *runs.Attempt, reading *runs.Reading) (plain.Answer, *fault.Refusal) {
@@ -38,10 +41,13 @@
 		return plain.Answer{}, fault.AsRefusal(err)
 	}
 	defer release()
+	w.Registry.Memory.Open(reading)
+	if err := reading.Grow(ctx, firstAnswerBytes); err != nil {
+		return plain.Answer{}, fault.NotRun(fault.DeadlineExceeded, "no memory for an answer of service %q came free in time", a.Run.Service)
+	}
 	if !a.Begin() {
 		return plain.Answer{}, fault.NotRun(fault.Revoked, "attempt %s was revoked", a.Run.Attempt)
 	}
-	w.Registry.Memory.Open(reading)
 	p := a.Run.Plain
 	answer, err := w.Plain.Do(ctx, plain.Call{
 		Method: p.Method, Path: p.Path, Query: p.Query, Header: p.Header, Body: a.Body, Memory: reading,
--- a/internal/back/plain/plain.go
+++ b/internal/back/plain/plain.go
@@ -22,7 +22,7 @@
 	Query  string
 	Header http.Header
 	Body   []byte
-	// Memory is charged for the answer, and the call waits for it before it is sent; nil doesn't.
+	// Memory is charged for the answer as it is read; nil doesn't.
 	Memory Memory
 }
 
@@ -127,11 +127,6 @@
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.ContentLength = int64(len(call.Body))
 	}
-	if call.Memory != nil {
-		if err := call.Memory.Grow(ctx, bodyBlockBytes); err != nil {
-			return Answer{}, &NotSent{err}
-		}
-	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		var dial *net.OpError
