standin/kvsim, platform/fake: the store returns from a copy

The stand-in takes copies of what it holds and returns from one: revisions and numbers of leases go back and are given out again, leases granted since are gone, a watch from a revision that the copy lacks gets 410, and the era that all responses name rises by one. The leases of the copy are gone with their keys, gone while their keys lapse, or run on.

Over HTTP revisions and leases are plain numbers, which the store judges in the era in which it executes the call; the Go methods name positions. platform/fake's TestStoreReturnsFromACopy and TestReturnedStoreNamesItsEra show both.

--- a/internal/standin/kvsim/memory.go
+++ b/internal/standin/kvsim/memory.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/plat/store"
 )
 
@@ -40,11 +39,15 @@
 type lease struct {
 	ttl     time.Duration
 	expires time.Time
+	// lost is set if the lease is gone, while its keys stay until it expires.
+	lost bool
 }
 
 // MemoryStore is an in-memory store with fault switches. It implements store.Store.
 type MemoryStore struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// era counts the returns from a copy, from 1.
+	era         int64
 	revision    int64
 	current     map[string]store.KV
 	log         []logEntry
@@ -64,7 +67,7 @@
 // NewMemoryStore returns an empty store; the seed determines which answers LoseAnswers affects.
 func NewMemoryStore(seed uint64) *MemoryStore {
 	return &MemoryStore{
-		current: map[string]store.KV{}, leases: map[int64]lease{}, revision: 1,
+		current: map[string]store.KV{}, leases: map[int64]lease{}, era: 1, revision: 1,
 		changed: make(chan struct{}), rnd: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -91,58 +94,6 @@
 	return m.calls
 }
 
-// startCall counts a call, waits for the Delay fault, and returns an error while
-// the Away fault is set.
-func (m *MemoryStore) startCall(ctx context.Context, count *int64) error {
-	m.mu.Lock()
-	f := m.faults
-	*count++
-	m.mu.Unlock()
-	if f.Delay > 0 {
-		select {
-		case <-time.After(f.Delay):
-		case <-ctx.Done():
-			return &fault.Unavailable{Service: "store", Err: ctx.Err(), MayHaveApplied: true}
-		}
-	}
-	if f.Away {
-		return &fault.Unavailable{Service: "store", Err: errUnavailable, MayHaveApplied: true}
-	}
-	return nil
-}
-
-// Range returns the keys with a prefix.
-func (m *MemoryStore) Range(ctx context.Context, prefix string) (store.List, error) {
-	if err := m.startCall(ctx, &m.calls.Reads); err != nil {
-		return store.List{}, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireLeases()
-	state, revision := m.readableState()
-	list := store.List{Revision: revision}
-	for key, kv := range state {
-		if strings.HasPrefix(key, prefix) {
-			list.KVs = append(list.KVs, kv)
-		}
-	}
-	slices.SortFunc(list.KVs, func(a, b store.KV) int { return strings.Compare(a.Key, b.Key) })
-	return list, nil
-}
-
-// Get returns one key.
-func (m *MemoryStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
-	if err := m.startCall(ctx, &m.calls.Reads); err != nil {
-		return store.KV{}, false, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireLeases()
-	state, _ := m.readableState()
-	kv, ok := state[key]
-	return kv, ok, nil
-}
-
 // readableState returns the state that reads see and its revision; while StaleBy
 // is set, that is an earlier state rebuilt from the log.
 func (m *MemoryStore) readableState() (map[string]store.KV, int64) {
@@ -164,26 +115,6 @@
 	return old, staleRevision
 }
 
-// Commit runs a transaction.
-func (m *MemoryStore) Commit(ctx context.Context, t store.Txn) (store.Result, error) {
-	if err := m.startCall(ctx, &m.calls.Writes); err != nil {
-		return store.Result{}, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireLeases()
-	for _, p := range t.Puts {
-		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
-			return store.Result{}, &fault.NotFoundError{Key: "lease"}
-		}
-	}
-	res := m.apply(t)
-	if m.faults.LoseAnswers > 0 && m.rnd.Float64() < m.faults.LoseAnswers {
-		return store.Result{}, &fault.Unavailable{Service: "store", Err: errors.New("answer lost"), MayHaveApplied: true}
-	}
-	return res, nil
-}
-
 func (m *MemoryStore) apply(t store.Txn) store.Result {
 	comparesHold := true
 	var found []store.KV
@@ -246,45 +177,40 @@
 	}
 }
 
+// Range returns the keys with a prefix.
+func (m *MemoryStore) Range(ctx context.Context, prefix string) (store.List, error) {
+	return m.namedCall().Range(ctx, prefix)
+}
+
+// Get returns one key.
+func (m *MemoryStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
+	return m.namedCall().Get(ctx, key)
+}
+
+// Commit runs a transaction.
+func (m *MemoryStore) Commit(ctx context.Context, t store.Txn) (store.Result, error) {
+	return m.namedCall().Commit(ctx, t)
+}
+
 // Grant returns a new lease.
 func (m *MemoryStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
-	if err := m.startCall(ctx, &m.calls.Leases); err != nil {
-		return 0, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastLeaseID++
-	m.leases[m.lastLeaseID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
-	return m.lastLeaseID, nil
+	return m.namedCall().Grant(ctx, ttl)
 }
 
 // KeepAlive renews a lease; it returns false if the lease does not exist.
 func (m *MemoryStore) KeepAlive(ctx context.Context, id int64) (bool, error) {
-	if err := m.startCall(ctx, &m.calls.Leases); err != nil {
-		return false, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireLeases()
-	l, ok := m.leases[id]
-	if ok {
-		m.leases[id] = lease{ttl: l.ttl, expires: time.Now().Add(l.ttl)}
-	}
-	return ok, nil
+	return m.namedCall().KeepAlive(ctx, id)
 }
 
 // Release ends a lease and deletes its keys.
 func (m *MemoryStore) Release(ctx context.Context, id int64) error {
-	if err := m.startCall(ctx, &m.calls.Leases); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, ok := m.leases[id]; ok {
-		m.leases[id] = lease{}
-		m.expireLeases()
-	}
-	return nil
+	return m.namedCall().Release(ctx, id)
+}
+
+// Watch calls fn with the changes under the prefix after a revision until the
+// context ends, fn fails, or the store is unavailable.
+func (m *MemoryStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
+	return m.namedCall().Watch(ctx, prefix, after, fn)
 }
 
 // Compact discards the history up to the current revision. Watches that are
@@ -296,39 +222,6 @@
 	m.wakeWatches()
 }
 
-// Watch calls fn with the changes under the prefix after a revision until the
-// context ends, fn fails, or the store is unavailable.
-func (m *MemoryStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
-	if err := m.startCall(ctx, &m.calls.Watches); err != nil {
-		return err
-	}
-	for {
-		m.mu.Lock()
-		if m.faults.Away {
-			m.mu.Unlock()
-			return &fault.Unavailable{Service: "store watch", Err: errUnavailable}
-		}
-		if after < m.compactedRevision {
-			m.mu.Unlock()
-			return &store.Compacted{Revision: after}
-		}
-		batch, changed := m.eventsSince(prefix, after), m.changed
-		m.mu.Unlock()
-		if len(batch.Events) > 0 {
-			if err := fn(batch); err != nil {
-				return err
-			}
-			after = batch.Revision
-			continue
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // eventsSince returns the events under the prefix after a revision; none while
 // MuteWatches or StaleBy is set.
 func (m *MemoryStore) eventsSince(prefix string, after int64) store.Batch {
