platform: decode the version of a server's software and Resumes

Servers of several software versions may serve side by side, and a stream may only go on at the version that began it. Neither the version in an announcement nor the header with which a client names the attempt that brought its first event was decoded, so that nothing could keep to that.

A successor that was found at the address of an instance while the store is away has an unknown version, as nothing tells it.

--- a/internal/core/site/instance.go
+++ b/internal/core/site/instance.go
@@ -15,6 +15,9 @@
 	Service string
 	Address string
 	Domain  string
+	// Version is the version of the instance's software, empty if it is unknown. Unknown versions are not
+	// equal to each other.
+	Version string
 	// ConcurrentRequests bounds the concurrent requests of the instance.
 	ConcurrentRequests int
 	// Draining is true if the instance has announced that it is draining; it gets no new requests or orders.
--- a/internal/core/site/request.go
+++ b/internal/core/site/request.go
@@ -25,6 +25,9 @@
 	PartHashes []uint64
 	// LastEventID is the ID of the last event that the caller received, from which a stream resumes.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream to resume;
+	// empty if the caller names none.
+	Resumes string
 	// Key is the key of a client account, empty if the request has none or more than one.
 	Key string
 }
--- a/internal/plat/follow/successor.go
+++ b/internal/plat/follow/successor.go
@@ -33,7 +33,7 @@
 		s.Instances, s.replaced = maps.Clone(old.Instances), make(chan struct{})
 		delete(s.Instances, x.Old.ID)
 		if _, announced := s.Instances[x.New.ID]; !announced {
-			in.InstanceKey, in.Models, in.Revision = x.New, nil, 0
+			in.InstanceKey, in.Models, in.Version, in.Revision = x.New, nil, "", 0
 			in.Draining = f.leaving[x.New]
 			s.Instances[x.New.ID] = in
 		}
