front/proxy: a stream goes on only at the version that began it

Callers got streams whose events came from two software versions of a service, with nothing in the answer to show it: a front resumed a broken answer at any instance of the service, and a caller that took a stream up with Last-Event-Id was sent to any instance. No part of a front knew of versions.

Once the first event has been relayed, the answer goes on only at instances of the version that sent it. A stream that a caller takes up goes on at the version that began the attempt named in Resumes: from the front's memory of the streams that it began, or because only one version can have begun it. The versions in play are those of the announced instances, those that this front saw serving lately, and those with a marker in the store, which outlives all fronts and is removed once the planner has seen no instance of the version for two minutes or twice the longest timeout of a resumable route. Markers have no leases, since a store may let these expire while it is away. Unknown versions equal nothing, not even each other. What can't be decided is refused at once with 503, which promises that nothing ran. New streams prefer versions whose marker is older than the time in which views follow, so that no front takes a version for the only one while others begin streams at another. The planner names holders of the version that a request needs and loads an adapter there; it loads no model for that.

With one version in play there are no more calls to the store than one marker for each version.

--- /dev/null
+++ b/internal/front/begun/versions.go
@@ -0,0 +1,214 @@
+package begun
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/store"
+)
+
+const (
+	// markDelay and maxMarkJitter delay the markers of fronts without the planner's role, which are
+	// only needed if the planner's fails.
+	markDelay     = time.Second
+	maxMarkJitter = 2 * time.Second
+	// maxMarkers bounds the markers that one call writes or removes.
+	maxMarkers = 16
+	// storeTimeout bounds a call to the store.
+	storeTimeout = time.Second
+)
+
+// version is a version of a service's instances that may have begun streams.
+type version struct {
+	// isAnnounced is true while an instance of the version is announced, and announcedAt is when one last was.
+	isAnnounced bool
+	announcedAt time.Time
+	// markedAt is the revision of its marker, 0 if it has none.
+	markedAt int64
+	// settledAt is when all fronts know the version, zero before it has a marker.
+	settledAt time.Time
+	// markDue is when this front writes the marker.
+	markDue time.Time
+}
+
+// sync brings the versions in play up to date; the caller holds the lock.
+func (w *Watcher) sync() {
+	state := w.site.State()
+	if state == w.synced {
+		return
+	}
+	// Markers of the first state may be old.
+	settledAt := time.Now()
+	if w.synced != nil && w.synced.Document != nil {
+		settledAt = settledAt.Add(w.settleTime)
+	}
+	w.synced = state
+	w.syncDocument(state.Document)
+	for _, s := range w.services {
+		for _, v := range s.versions {
+			v.isAnnounced, v.markedAt = false, 0
+		}
+	}
+	for _, in := range state.Instances {
+		v := w.version(in.Service, in.Version)
+		v.isAnnounced, v.announcedAt = true, time.Now()
+	}
+	for key, kv := range state.Keys {
+		if strings.HasPrefix(key, markerPrefix) {
+			w.syncMarker(kv, settledAt)
+		}
+	}
+	w.dropVersions()
+}
+
+// syncDocument derives what depends on the document; the caller holds the lock.
+func (w *Watcher) syncDocument(doc *site.Document) {
+	if doc == nil || doc == w.document {
+		return
+	}
+	w.document = doc
+	clear(w.resumable)
+	for _, r := range doc.Routes {
+		if r.Kind != site.Streaming || !r.Resumable {
+			continue
+		}
+		// Streams that began under an earlier document may last longer than this one allows.
+		w.window = min(maxWindow, max(w.window, r.Timeout))
+		for _, s := range r.Split {
+			w.resumable[s.Service] = true
+		}
+	}
+}
+
+// syncMarker applies a marker of the newest state; the caller holds the lock.
+func (w *Watcher) syncMarker(kv store.KV, settledAt time.Time) {
+	var m marker
+	if json.Unmarshal(kv.Value, &m) != nil || kv.Key != markerKey(m.Service, m.Version) {
+		return
+	}
+	v := w.version(m.Service, m.Version)
+	v.markedAt = kv.Revision
+	if v.settledAt.IsZero() {
+		v.settledAt = settledAt
+	}
+}
+
+// version returns a version that is in play from now on; the caller holds the lock.
+func (w *Watcher) version(serviceName, name string) *version {
+	s := w.service(serviceName)
+	v := s.versions[name]
+	if v == nil {
+		now := time.Now()
+		v = &version{announcedAt: now, markDue: now.Add(markDelay + rand.N(maxMarkJitter))}
+		if w.isPlanner() {
+			v.markDue = now
+		}
+		s.versions[name] = v
+		if s.isMixed() {
+			w.log.Infow("several versions in play", "Service", serviceName, "Versions", len(s.versions), "Added", name)
+		}
+	}
+	return v
+}
+
+// dropVersions drops versions whose streams can't be taken up any more; the caller holds the lock.
+func (w *Watcher) dropVersions() {
+	for serviceName, s := range w.services {
+		for name, v := range s.versions {
+			if !v.isAnnounced && v.markedAt == 0 && time.Since(v.announcedAt) > 2*w.window {
+				delete(s.versions, name)
+				w.log.Infow("version no longer in play", "Service", serviceName, "Version", name)
+			}
+		}
+	}
+}
+
+// Unsettled returns the versions in play of a service at which no streams should begin yet if others serve,
+// since other fronts may not know them; nil if there are none.
+func (w *Watcher) Unsettled(serviceName string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sync()
+	s := w.services[serviceName]
+	if s == nil || !s.isMixed() {
+		return nil
+	}
+	var out []string
+	for name, v := range s.versions {
+		if v.settledAt.IsZero() || time.Now().Before(v.settledAt) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// isPlanner reports whether this front has the planner's role.
+func (w *Watcher) isPlanner() bool {
+	planner := w.site.State().Planner
+	return planner != nil && planner.Run == w.self.Run
+}
+
+// writeMarkers writes the markers that versions in play lack.
+func (w *Watcher) writeMarkers(ctx context.Context) {
+	var t store.Txn
+	w.mu.Lock()
+	for serviceName, s := range w.services {
+		for name, v := range s.versions {
+			recent := v.isAnnounced || time.Since(v.announcedAt) < w.window
+			due := w.isPlanner() || !time.Now().Before(v.markDue)
+			if v.markedAt != 0 || !recent || !due || !w.resumable[serviceName] || len(t.Puts) == maxMarkers {
+				continue
+			}
+			if value, err := json.Marshal(marker{Service: serviceName, Version: name}); err == nil {
+				t.Puts = append(t.Puts, store.Put{Key: markerKey(serviceName, name), Value: value})
+			}
+		}
+	}
+	w.mu.Unlock()
+	if len(t.Puts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := w.store.Commit(ctx, t)
+	if err != nil || !res.Succeeded {
+		w.log.Warnw("versions not marked; marking them in the next round", "Versions", len(t.Puts))
+		return
+	}
+	for _, p := range t.Puts {
+		w.site.ApplyWritten(store.KV{Key: p.Key, Value: p.Value, Revision: res.Revision})
+	}
+}
+
+// removeMarkers removes the markers of versions that this front has not seen announced for so long that
+// none of their streams can be taken up any more; only the planner does.
+func (w *Watcher) removeMarkers(ctx context.Context) {
+	if !w.isPlanner() {
+		return
+	}
+	var t store.Txn
+	w.mu.Lock()
+	for serviceName, s := range w.services {
+		for name, v := range s.versions {
+			if !v.isAnnounced && v.markedAt != 0 && time.Since(v.announcedAt) > 2*w.window && len(t.Deletes) < maxMarkers {
+				key := markerKey(serviceName, name)
+				t.If = append(t.If, store.Compare{Key: key, Revision: v.markedAt})
+				t.Deletes = append(t.Deletes, key)
+			}
+		}
+	}
+	w.mu.Unlock()
+	if len(t.Deletes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := w.store.Commit(ctx, t)
+	slices.Sort(t.Deletes)
+	w.log.Infow("markers of versions removed", "Keys", t.Deletes, "Succeeded", err == nil && res.Succeeded)
+}
--- /dev/null
+++ b/internal/front/begun/watcher.go
@@ -0,0 +1,166 @@
+package begun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"foxtailcroft/internal/base/sleep"
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/origin"
+)
+
+const (
+	// minWindow and maxWindow bound the time for which a begun stream may be taken up again: the
+	// longest timeout of a route with streams.
+	minWindow = time.Minute
+	maxWindow = 5 * time.Minute
+	// markInterval is the pause between two rounds of Run.
+	markInterval = 500 * time.Millisecond
+	// maxOwn bounds the streams in memory that began at this front.
+	maxOwn = 1 << 16
+)
+
+// Site is the front's view of the site.
+type Site interface {
+	State() *follow.State
+	// ApplyWritten applies a key that this front has written, ahead of the watch.
+	ApplyWritten(kv store.KV)
+	// Unavailable reports whether the store is unavailable or recovered less than span ago.
+	Unavailable(span time.Duration) bool
+	// IsIsolated reports whether changes may have been missed that other fronts know.
+	IsIsolated() bool
+}
+
+// Store is the part of the metadata store that a Watcher uses.
+type Store interface {
+	Commit(ctx context.Context, t store.Txn) (store.Result, error)
+}
+
+// Watcher knows at which versions streams began.
+type Watcher struct {
+	self  follow.Front
+	site  Site
+	store Store
+	// settleTime is the time after which all fronts know a version that the store has.
+	settleTime time.Duration
+	meters     *metrics.Set
+	log        *zap.SugaredLogger
+
+	mu sync.Mutex
+	// synced is the state that services and learned were last brought up to date with.
+	synced *follow.State
+	// document is the one that window and resumable were derived from.
+	document *site.Document
+	window   time.Duration
+	// resumable are the services with streams that may be resumed.
+	resumable map[string]bool
+	services  map[string]*service
+}
+
+// service is what is known of the streams of one service.
+type service struct {
+	versions map[string]*version
+	own      *memory
+}
+
+// New returns a watcher without memory.
+func New(self follow.Front, view Site, s Store, settleTime time.Duration, meters *metrics.Set, log *zap.SugaredLogger) *Watcher {
+	w := &Watcher{
+		self: self, site: view, store: s, settleTime: settleTime, meters: meters, log: log,
+		window: minWindow, resumable: map[string]bool{}, services: map[string]*service{},
+	}
+	meters.GetOrCreateGauge("foxtailcroft_services_of_mixed_versions", w.mixedServices)
+	return w
+}
+
+// RecordBegin records that the stream of a request began at an instance of a version, empty if that is unknown.
+func (w *Watcher) RecordBegin(service, id, version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sync()
+	w.service(service).own.add(entry{key: keyOf(service, id), version: version, at: time.Now()})
+}
+
+// Origin returns the version that began the stream whose first event came with a request, empty unless the
+// basis is a known one.
+func (w *Watcher) Origin(_ context.Context, service, id string) (string, origin.Basis) {
+	version, basis := w.decide(service, id)
+	w.meters.GetOrCreateCounter(`foxtailcroft_streams_taken_up_total{basis="` + string(basis) + `"}`).Inc()
+	return version, basis
+}
+
+func (w *Watcher) decide(service, id string) (string, origin.Basis) {
+	isolated := w.site.IsIsolated()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sync()
+	s := w.service(service)
+	e := origin.Evidence{IsIsolated: isolated}
+	for v := range s.versions {
+		e.InPlay = append(e.InPlay, v)
+	}
+	if v, ok := s.own.versions[keyOf(service, id)]; ok && id != "" {
+		e.Named = append(e.Named, v)
+	}
+	return origin.Decide(e)
+}
+
+// Run writes markers until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		w.sync()
+		w.forgetOld()
+		w.mu.Unlock()
+		if !w.site.Unavailable(0) && w.site.State().Document != nil {
+			w.writeMarkers(ctx)
+			w.removeMarkers(ctx)
+		}
+		sleep.For(ctx, markInterval)
+	}
+}
+
+// forgetOld forgets the streams that can't be taken up any more; the caller holds the lock.
+func (w *Watcher) forgetOld() {
+	now := time.Now()
+	for name, s := range w.services {
+		s.own.dropBefore(now.Add(-w.window))
+		if len(s.versions) == 0 && len(s.own.entries) == 0 {
+			delete(w.services, name)
+		}
+	}
+}
+
+// service returns what is known of a service; the caller holds the lock.
+func (w *Watcher) service(name string) *service {
+	s := w.services[name]
+	if s == nil {
+		s = &service{versions: map[string]*version{}, own: newMemory(maxOwn)}
+		w.services[name] = s
+	}
+	return s
+}
+
+// isMixed reports whether several versions are in play.
+func (s *service) isMixed() bool {
+	return len(s.versions) > 1
+}
+
+// mixedServices returns the number of services with streams that may be resumed and several versions in play.
+func (w *Watcher) mixedServices() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0.0
+	for name, s := range w.services {
+		if s.isMixed() && w.resumable[name] {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -41,6 +41,8 @@
 type InstanceRequest struct {
 	Service string
 	Target  site.Target
+	// Version is the only version whose instances can serve the request, empty for any.
+	Version string `json:",omitempty"`
 	// Account is the request's client account, empty if it has none.
 	Account string
 	// Priority is that which the request carries at instances, 0 for the most urgent.
--- a/internal/front/proxy/attempts_test.go
+++ b/internal/front/proxy/attempts_test.go
@@ -278,7 +278,7 @@
 		log, err := logs.New(io.Discard, "error", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f", Domain: "a"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: holders{r}, Crashes: r, Pacer: r, Identities: r}, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: holders{r}, Crashes: r, Pacer: r, Identities: r, Origins: r}, metrics.NewSet(), log.Sugar())
 		p.proxy = r.proxy
 		ctx, leave := context.WithCancel(r.t.Context())
 		defer leave()
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -75,6 +75,9 @@
 	attemptEvents int
 	// brokenStarts counts the attempts that broke off after the head of the answer, before it was under way.
 	brokenStarts int
+	// bound is true once the stream has begun, which only instances of version may go on with.
+	bound   bool
+	version string
 	// trial is nil unless the request tries a blocked part of its prompt.
 	trial *trial
 	// lastChoice is the instance chosen for the latest attempt.
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -44,7 +44,7 @@
 	}
 	for {
 		c.state = c.server.stateSource.State()
-		list := c.untried(c.candidates())
+		list := c.preferSettled(c.untried(c.candidates()))
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
 			c.lastChoice.options = options{}
@@ -95,7 +95,7 @@
 
 // candidates returns the instances that could serve the request, including those already tried.
 func (c *call) candidates() []site.Instance {
-	list := c.state.Serving(c.service)
+	list := c.serving()
 	if !c.needsLoadedModel() {
 		return list
 	}
@@ -117,6 +117,10 @@
 func (c *call) waitForInstance(ctx context.Context) bool {
 	waitStart := time.Now()
 	defer func() { c.waited += time.Since(waitStart) }()
+	if c.bound && len(c.serving()) == 0 {
+		c.refuse(http.StatusServiceUnavailable, "no instance of the version that began the stream", 0)
+		return false
+	}
 	if c.needsLoadedModel() {
 		return c.waitForModel(ctx)
 	}
@@ -143,7 +147,7 @@
 		return false
 	}
 	askedAt := time.Now()
-	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Account: c.accountName(), Priority: c.priority(), Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
+	found, err := c.server.finder.RequestInstances(ctx, peers.InstanceRequest{Service: c.service, Target: c.request.Target, Version: c.version, Account: c.accountName(), Priority: c.priority(), Wait: remaining, Answer: plannerAskInterval, Avoid: c.unusableInstances()})
 	if c.endIfExpired(ctx) {
 		return false
 	}
@@ -171,10 +175,19 @@
 		c.refuse(http.StatusServiceUnavailable, "model not loaded: "+found.Reason, max(defaultRetryAfter, found.ReadyIn))
 		return false
 	}
-	c.server.tracker.setHolders(c.request.Target, append(found.Instances, c.overLimitHolders()...))
+	if c.bound {
+		// The planner has named the holders of one version only.
+		c.server.tracker.addHolders(c.request.Target, found.Instances)
+	} else {
+		c.server.tracker.setHolders(c.request.Target, append(found.Instances, c.overLimitHolders()...))
+	}
 	clear(c.tried)
 	clear(c.overLimit)
 	if len(c.candidates()) == 0 {
+		if c.bound {
+			c.refuse(http.StatusServiceUnavailable, "no instance of the version that began the stream has the model", 0)
+			return false
+		}
 		sleep.For(ctx, fullInstanceDelay)
 	}
 	return !c.endIfExpired(ctx)
--- a/internal/front/proxy/late_test.go
+++ b/internal/front/proxy/late_test.go
@@ -28,7 +28,7 @@
 	r.state.Document.Routes[3].Priority, r.state.Document.Routes[3].ResponseGoal = 3, time.Duration(len(paths))*time.Second
 	var proxies []*Server
 	for i := range fronts {
-		proxies = append(proxies, New(r.proxy.settings, r, r.proxy.pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), r.proxy.log))
+		proxies = append(proxies, New(r.proxy.settings, r, r.proxy.pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r, Origins: r}, metrics.NewSet(), r.proxy.log))
 		proxies[i].tracker.rejectsLate = rejectsLate
 	}
 	r.proxy = proxies[0]
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/origin"
 	"foxtailcroft/internal/policy/pace"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/fake"
@@ -62,6 +63,11 @@
 	isOutdated bool
 	// isBehind tells that a newer document is on its way.
 	isBehind bool
+	// began are the versions that began streams, by request.
+	began map[string]string
+	// versionsInPlay and unsettled are the versions of other streams, and those that other fronts may not know.
+	versionsInPlay []string
+	unsettled      []string
 	// onProof is called when the proof is judged, nil for nothing.
 	onProof func()
 }
@@ -81,6 +87,30 @@
 	return !r.isBehind
 }
 
+// RecordBegin, Origin and Unsettled know one version and the streams that began here.
+func (r *harness) RecordBegin(_, id, version string) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	if r.began == nil {
+		r.began = map[string]string{}
+	}
+	r.began[id] = version
+}
+
+func (r *harness) Origin(_ context.Context, _, id string) (string, origin.Basis) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	version, ok := r.began[id]
+	if !ok {
+		return origin.Decide(origin.Evidence{InPlay: r.versionsInPlay})
+	}
+	return origin.Decide(origin.Evidence{Named: []string{version}})
+}
+
+func (r *harness) Unsettled(string) []string {
+	return r.unsettled
+}
+
 // brokenAttempt is an attempt that broke off before its answer was under way.
 type brokenAttempt struct {
 	instance string
@@ -191,7 +221,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r, Origins: r}, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
@@ -208,7 +238,7 @@
 	}, r.executions, func() {}, "m")
 	r.stopServer[address] = r.net.Serve(address, s)
 	r.servers = append(r.servers, s)
-	in := site.Instance{InstanceKey: site.InstanceKey{ID: id}, Service: service, Address: address, Domain: "a", ConcurrentRequests: 4}
+	in := site.Instance{InstanceKey: site.InstanceKey{ID: id}, Service: service, Address: address, Domain: "a", Version: "v1", ConcurrentRequests: 4}
 	if service == "llm" {
 		in.Models = []string{"m"}
 	}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -21,6 +21,7 @@
 	"foxtailcroft/internal/front/lender"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/policy/origin"
 	"foxtailcroft/internal/policy/retry"
 )
 
@@ -97,6 +98,17 @@
 	Suspect(in site.Instance)
 }
 
+// StreamOrigins knows at which versions of instances streams began.
+type StreamOrigins interface {
+	// RecordBegin records that the stream of a request began at a version, empty if it is unknown.
+	RecordBegin(service, id, version string)
+	// Origin returns the version that began the stream whose first event came with a request; empty
+	// unless the basis is a known one.
+	Origin(ctx context.Context, service, id string) (version string, basis origin.Basis)
+	// Unsettled returns the versions at which no streams should begin if others serve.
+	Unsettled(service string) []string
+}
+
 // Helpers decide together with other fronts.
 type Helpers struct {
 	Finder     InstanceFinder
@@ -106,6 +118,7 @@
 	Currency   Currency
 	Quotas     Quotas
 	Caches     PromptCaches
+	Origins    StreamOrigins
 }
 
 // Currency tells how current the document is. Its answers hold for a state that is loaded afterwards.
@@ -137,6 +150,7 @@
 	identities  IdentityFinder
 	currency    Currency
 	quotas      Quotas
+	origins     StreamOrigins
 	tracker     *instanceTracker
 	promises    retryPromises
 	log         *zap.SugaredLogger
@@ -165,7 +179,7 @@
 	tracker.caches = helpers.Caches
 	return &Server{
 		stopped: stopped, endAll: endAll,
-		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, quotas: helpers.Quotas, tracker: tracker,
+		settings: settings, stateSource: stateSource, pool: pool, dialect: d, finder: helpers.Finder, crashes: helpers.Crashes, pacer: helpers.Pacer, identities: helpers.Identities, currency: helpers.Currency, quotas: helpers.Quotas, origins: helpers.Origins, tracker: tracker,
 		log: log, meters: meters, memory: budget, retryBudgets: map[string]retry.BudgetShare{},
 	}
 }
@@ -239,6 +253,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(s.stopped, cancel)()
+	if !c.findOrigin(ctx) {
+		return
+	}
 	s.creditFirstSend(c.service)
 	c.tryInstances(ctx)
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -77,7 +77,7 @@
 			c.fail(http.StatusBadGateway, err.Error())
 			return requestEnded
 		}
-		if err := c.relayEvent(in.InstanceKey, res, event, id); err != nil {
+		if err := c.relayEvent(in, res, event, id); err != nil {
 			res.Finish(false)
 			c.endCallerLeft()
 		}
@@ -96,11 +96,12 @@
 }
 
 // relayEvent writes one event to the caller, preceded by the header if it is the first.
-func (c *call) relayEvent(key site.InstanceKey, res *conns.Response, event []byte, id string) error {
+func (c *call) relayEvent(in site.Instance, res *conns.Response, event []byte, id string) error {
 	c.answerBegan = true
 	if c.attemptEvents++; c.attemptEvents == eventsUnderWay {
 		c.recordAnswer()
 	}
+	c.bindStream(in)
 	c.writeHead(res)
 	if id != "" {
 		c.stream.lastEventID = id
@@ -110,7 +111,7 @@
 		gap := now.Sub(c.stream.lastEventAt)
 		c.stream.longestPause = max(c.stream.longestPause, gap)
 		if c.route.MaxTokenGap > 0 && gap > c.route.MaxTokenGap/recordedPauseDivisor {
-			c.server.tracker.recordPause(key, min(gap, c.route.MaxTokenGap*maxRecordedPausePercent/100))
+			c.server.tracker.recordPause(in.InstanceKey, min(gap, c.route.MaxTokenGap*maxRecordedPausePercent/100))
 		}
 	}
 	c.stream.eventCount++
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -365,6 +365,19 @@
 	t.holders[target] = holderSet
 }
 
+// addHolders adds to the instances that hold a model or adapter.
+func (t *instanceTracker) addHolders(target site.Target, keys []site.InstanceKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holders[target] == nil {
+		t.holders[target] = map[site.InstanceKey]bool{}
+	}
+	for _, k := range keys {
+		t.holders[target][k] = true
+		delete(t.statsOf(k).absentAt, target)
+	}
+}
+
 // filterHolders returns the instances of the list that are known to hold a model or adapter.
 func (t *instanceTracker) filterHolders(list []site.Instance, target site.Target) []site.Instance {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/front/proxy/version_test.go
@@ -0,0 +1,138 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/platform/fake"
+)
+
+// setVersions sets the versions of the servers of llm, in their order.
+func (r *harness) setVersions(versions ...string) {
+	for i, v := range versions {
+		id := fmt.Sprintf("llm-%d", i+1)
+		in := r.state.Instances[id]
+		in.Version = v
+		r.state.Instances[id] = in
+	}
+}
+
+// versionsOf returns the versions of the servers that ran a request.
+func (r *harness) versionsOf(id string) []string {
+	var out []string
+	for _, e := range r.executions.Runs(id) {
+		out = append(out, r.state.Instances[e.Server].Version)
+	}
+	return out
+}
+
+// TestAnswerGoesOnAtItsVersion guards against answers that are resumed at another software version, or at
+// one that is unknown.
+func TestAnswerGoesOnAtItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		resumed  bool
+	}{
+		{"one version", []string{"a", "a", "a"}, true},
+		{"another version", []string{"a", "b", "c"}, false},
+		{"two of each", []string{"a", "b", "a", "b"}, true},
+		{"unknown versions", []string{"", "", ""}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, len(c.versions), func(r *harness) {
+				r.setVersions(c.versions...)
+				r.setFaults(fake.Faults{TruncatedResponses: 1, TruncateAfterEvent: 2})
+				// All servers break their first stream, and those tried next answer in whole.
+				for n := range 8 {
+					id := fmt.Sprintf("id-%d", n)
+					w, aborted := r.send(r.t.Context(), "/resume/x", id)
+					ran := r.versionsOf(id)
+					for _, v := range ran[1:] {
+						r.g.Expect(v).To(Equal(ran[0]), "versions %q", ran)
+						r.g.Expect(v).NotTo(BeEmpty())
+					}
+					r.g.Expect(aborted).To(Equal(w.Body.String() != completeStream))
+				}
+				r.setFaults(fake.Faults{TruncatedResponses: 1, TruncateAfterEvent: 2})
+				r.send(r.t.Context(), "/resume/x", "last")
+				r.g.Expect(len(r.executions.Runs("last")) > 1).To(Equal(c.resumed))
+			})
+		})
+	}
+}
+
+// TestStreamIsTakenUpAtItsVersion guards against streams that callers take up at another version, and
+// against refusals that claim less or more than is known.
+func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		began  map[string]string
+		inPlay []string
+		// leaving are the servers that drain.
+		leaving []int
+		status  int
+	}{
+		{"begun here", map[string]string{"first": "b"}, []string{"a", "b"}, nil, 200},
+		{"begun elsewhere, one version", nil, []string{"b"}, nil, 200},
+		{"begun elsewhere, two versions", nil, []string{"a", "b"}, nil, 503},
+		{"begun at an unknown version", map[string]string{"first": ""}, []string{"b"}, nil, 503},
+		{"unknown version", nil, []string{""}, nil, 503},
+		{"its version has left", map[string]string{"first": "b"}, []string{"a", "b"}, []int{2, 4}, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 4, func(r *harness) {
+				r.setVersions("a", "b", "a", "b")
+				r.began, r.versionsInPlay = c.began, c.inPlay
+				for _, n := range c.leaving {
+					r.MarkDraining(r.state.Instances[fmt.Sprintf("llm-%d", n)].InstanceKey)
+				}
+				for n := range 6 {
+					id := fmt.Sprintf("id-%d", n)
+					w, aborted := r.serve(r.t.Context(), "/resume/x", id, http.Header{"Last-Event-Id": {"3"}, "Resumes": {"first"}})
+					r.g.Expect(aborted).To(BeFalse())
+					r.g.Expect(w.Code).To(Equal(c.status))
+					if c.status == 200 {
+						r.g.Expect(r.versionsOf(id)).To(Equal([]string{"b"}))
+					} else {
+						r.g.Expect(r.versionsOf(id)).To(BeEmpty())
+						r.g.Expect(w.Header()).NotTo(HaveKey("Retry-After"), "the version does not come back")
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNewVersionsWaitUntilAllFrontsKnowThem guards against streams that begin at a version that other
+// fronts don't know, and against versions that serve nothing.
+func TestNewVersionsWaitUntilAllFrontsKnowThem(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		path      string
+		versions  []string
+		unsettled []string
+		want      string
+	}{
+		{"known", "/resume/x", []string{"b", "a"}, nil, "b"},
+		{"new", "/resume/x", []string{"b", "a"}, []string{"b"}, "a"},
+		{"only new ones serve", "/resume/x", []string{"b", "b"}, []string{"b"}, "b"},
+		{"stream that isn't resumed", "/stream/x", []string{"b", "a"}, []string{"b"}, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 2, func(r *harness) {
+				r.setVersions(c.versions...)
+				r.unsettled = c.unsettled
+				// The proxy prefers the first server, as it is in its domain.
+				near := r.state.Instances["llm-1"]
+				near.Domain = ""
+				r.state.Instances["llm-1"] = near
+				r.send(r.t.Context(), c.path, "id")
+				r.g.Expect(r.versionsOf("id")).To(Equal([]string{c.want}))
+			})
+		})
+	}
+}
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -215,8 +215,9 @@
 func (p *Planner) placeAdapter(ctx context.Context, service string, t site.Target, ahead func(adapterPlace) bool) {
 	engine := engineOf(p.state(), service)
 	holders := p.serversWithModel(service, t.Model)
-	present := slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil && !p.isOverLimit(s, t) })
-	holders = slices.DeleteFunc(holders, func(s *server) bool { return s.adapters[t] != nil })
+	version := p.missingVersion(t)
+	present := version == "" && slices.ContainsFunc(holders, func(s *server) bool { return s.adapters[t] != nil && !p.isOverLimit(s, t) })
+	holders = slices.DeleteFunc(holders, func(s *server) bool { return s.adapters[t] != nil || version != "" && s.inst.Version != version })
 	if p.adaptersLoading[t] || present || engine == nil || engine.Model(t.Model) == nil {
 		return
 	}
--- a/internal/front/sched/wants.go
+++ b/internal/front/sched/wants.go
@@ -198,7 +198,7 @@
 // p.mu.
 func (p *Planner) findInstances(req peers.InstanceRequest) (found peers.InstanceReply, wait bool) {
 	for _, s := range p.servers {
-		if s.inst.Service == req.Service && s.serves(req.Target) && !slices.Contains(req.Avoid, s.inst.InstanceKey) {
+		if s.inst.Service == req.Service && (req.Version == "" || s.inst.Version == req.Version) && s.serves(req.Target) && !slices.Contains(req.Avoid, s.inst.InstanceKey) {
 			found.Instances = append(found.Instances, s.inst.InstanceKey)
 			s.markUsed(req.Target, time.Now())
 		}
@@ -211,6 +211,10 @@
 		found.Reason = "the service has no such model"
 		return found, false
 	}
+	if req.Version != "" && !p.versionHasModel(req) {
+		found.Reason = "no server of the version has the model"
+		return found, false
+	}
 	if ready, ok := p.forecastReady(req.Target.Model); ok {
 		found.ReadyIn = time.Until(ready)
 		if found.ReadyIn > req.Wait {
@@ -227,6 +231,34 @@
 	return found, true
 }
 
+// versionHasModel reports whether a server of the version that a request needs serves the model or loads
+// it; no model is loaded for the sake of a version. The caller must hold p.mu.
+func (p *Planner) versionHasModel(req peers.InstanceRequest) bool {
+	for _, s := range p.servers {
+		if s.inst.Service == req.Service && s.inst.Version == req.Version && (s.loadingModel == req.Target.Model || s.serves(site.Target{Model: req.Target.Model})) {
+			return true
+		}
+	}
+	return false
+}
+
+// missingVersion returns a version that a request which waits for a target needs and of which no server
+// serves the target; empty if there is none. The caller must hold p.mu.
+func (p *Planner) missingVersion(t site.Target) string {
+	wanted := p.wants[t]
+	if wanted == nil {
+		return ""
+	}
+	for w := range wanted.waiters {
+		version := w.request.Version
+		isServed := func(s *server) bool { return s.inst.Version == version && s.serves(t) }
+		if version != "" && !slices.ContainsFunc(p.serversWithModel(wanted.service, t.Model), isServed) {
+			return version
+		}
+	}
+	return ""
+}
+
 // planningTimeout is how long after the first request for a target a server should be
 // preparing for it.
 const planningTimeout = 400 * time.Millisecond
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -17,6 +17,7 @@
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/base/tree"
 	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/front/begun"
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/ident"
 	"foxtailcroft/internal/front/kept"
@@ -78,6 +79,7 @@
 	candidate      *sched.Candidate
 	planner        *sched.Planner
 	crashes        *crash.Watcher
+	origins        *begun.Watcher
 	quotas         *lender.Lender
 	kept           *kept.Watcher
 	peers          *peers.Client
@@ -131,11 +133,12 @@
 	candidate.SetWitnesses(frontPeers)
 	crashes, closeCrashes := crash.New(candidate.Self, follower, o.Store, pool, o.Metrics, log.Named("Crashes"))
 	crashes.SetClaims(frontPeers)
+	origins := begun.New(candidate.Self, follower, o.Store, min(settings.Bounds.InForce, settings.Bounds.Drain), o.Metrics, log.Named("Streams"))
 	caches := kept.New(settings.Node.Name, follower.State, pool, o.Dialect, o.Metrics, log.Named("Kept"))
 	f := &Front{
-		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, kept: caches, quotas: quotas, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
+		settings: settings, follower: follower, candidate: candidate, planner: planner, crashes: crashes, origins: origins, kept: caches, quotas: quotas, peers: frontPeers, pool: pool, mux: mux, hello: hello, options: o, log: log,
 		reverseProxy: proxy.New(settings, follower, pool, o.Dialect, proxy.Helpers{
-			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Currency: follower, Quotas: quotas, Caches: caches,
+			Finder: frontPeers, Crashes: crashes, Pacer: pacer.New(candidate.Self, follower.State, issuer, frontPeers, log.Named("Pacer")), Identities: identities, Currency: follower, Quotas: quotas, Caches: caches, Origins: origins,
 		}, o.Metrics, log.Named("Relay")),
 	}
 	f.callerServer = serve.New(&http.Server{Handler: f.reverseProxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})
@@ -203,6 +206,7 @@
 	t.KeepRunning("Planner", f.planner.Run)
 	t.KeepRunning("Reports", f.planner.RunReports)
 	t.KeepRunning("Crashes", f.crashes.Run)
+	t.KeepRunning("Streams", f.origins.Run)
 	t.KeepRunning("Kept", f.kept.Run)
 	t.KeepRunning("Uses", f.reportUsage)
 	t.KeepRunning("Quotas", f.quotas.Run)
