front/proxy: an instance that may have restarted proves that it has not

A server may start again under its ID as another software version, and its announcement lags.

After a request has broken off at an instance, and until its next announcement, a front now asks the instance for its report before it sends a stream there. Unless the report has the start that was announced, the instance goes on with no stream, and one that begins there has an unknown version, which nobody may go on with. That costs one report for each break at most.

A restart that no request of the front ran into still goes unnoticed until the announcement.

--- a/internal/front/ident/finder.go
+++ b/internal/front/ident/finder.go
@@ -93,6 +93,17 @@
 	})
 }
 
+// verifyTimeout bounds the question whether an incarnation still runs, for which a request waits.
+const verifyTimeout = 300 * time.Millisecond
+
+// IsRunning reports whether the incarnation that an announcement names proves to run at its address.
+func (f *Finder) IsRunning(ctx context.Context, in site.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	report, err := f.askReport(ctx, in)
+	return err == nil && report.Born != 0 && report.Born == in.Born
+}
+
 // isDue reports whether an inquiry about an instance may begin, and notes that it does.
 func (f *Finder) isDue(k site.InstanceKey) bool {
 	f.mu.Lock()
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -78,6 +78,8 @@
 	// bound is true once the stream has begun, which only instances of version may go on with.
 	bound   bool
 	version string
+	// hasAnnouncedVersion is true unless the instance of the latest attempt may have restarted.
+	hasAnnouncedVersion bool
 	// trial is nil unless the request tries a blocked part of its prompt.
 	trial *trial
 	// lastChoice is the instance chosen for the latest attempt.
@@ -113,7 +115,7 @@
 			return
 		}
 		c.tried[in.InstanceKey] = true
-		if c.sendTo(ctx, in) == requestEnded {
+		if c.checkVersion(ctx, in) && c.sendTo(ctx, in) == requestEnded {
 			return
 		}
 		if c.endIfExpired(ctx) {
@@ -229,6 +231,7 @@
 		return requestEnded
 	}
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
+	c.server.tracker.recordBreak(in)
 	if sent {
 		c.recordBroken(in, false)
 	} else {
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -23,7 +23,6 @@
 	"foxtailcroft/internal/front/crash"
 	"foxtailcroft/internal/front/peers"
 	"foxtailcroft/internal/plat/follow"
-	"foxtailcroft/internal/policy/origin"
 	"foxtailcroft/internal/policy/pace"
 	"foxtailcroft/platform"
 	"foxtailcroft/platform/fake"
@@ -32,6 +31,7 @@
 
 // harness is a proxy in front of simulated servers in one synctest bubble.
 type harness struct {
+	versions
 	t            *testing.T
 	g            *WithT
 	net          *memnet.Network
@@ -63,11 +63,6 @@
 	isOutdated bool
 	// isBehind tells that a newer document is on its way.
 	isBehind bool
-	// began are the versions that began streams, by request.
-	began map[string]string
-	// versionsInPlay and unsettled are the versions of other streams, and those that other fronts may not know.
-	versionsInPlay []string
-	unsettled      []string
 	// onProof is called when the proof is judged, nil for nothing.
 	onProof func()
 }
@@ -87,30 +82,6 @@
 	return !r.isBehind
 }
 
-// RecordBegin, Origin and Unsettled know one version and the streams that began here.
-func (r *harness) RecordBegin(_, id, version string) {
-	r.watchMu.Lock()
-	defer r.watchMu.Unlock()
-	if r.began == nil {
-		r.began = map[string]string{}
-	}
-	r.began[id] = version
-}
-
-func (r *harness) Origin(_ context.Context, _, id string) (string, origin.Basis) {
-	r.watchMu.Lock()
-	defer r.watchMu.Unlock()
-	version, ok := r.began[id]
-	if !ok {
-		return origin.Decide(origin.Evidence{InPlay: r.versionsInPlay})
-	}
-	return origin.Decide(origin.Evidence{Named: []string{version}})
-}
-
-func (r *harness) Unsettled(string) []string {
-	return r.unsettled
-}
-
 // brokenAttempt is an attempt that broke off before its answer was under way.
 type brokenAttempt struct {
 	instance string
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -156,6 +156,7 @@
 		return tryAnother
 	}
 	c.server.tracker.recordOutcome(in.InstanceKey, true)
+	c.server.tracker.recordBreak(in)
 	if c.attemptEvents < eventsUnderWay {
 		c.brokenStarts++
 		c.recordBroken(in, true)
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -64,6 +64,8 @@
 
 // instanceStats is what this front knows of one instance.
 type instanceStats struct {
+	// brokenAt is the revision of the announcement that was the newest when a request last broke off, 0 for none.
+	brokenAt      int64
 	inFlight      map[site.Target]int
 	totalInFlight int
 	// newRequests counts the requests sent since the last usage report.
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -25,15 +25,38 @@
 	return true
 }
 
-// bindStream binds a stream whose first event is about to be sent to the version of its instance.
+// bindStream binds a stream whose first event is about to be sent to the version of its instance, which
+// is unknown if a restarted instance may have sent it.
 func (c *call) bindStream(in site.Instance) {
 	if c.bound || c.route.Kind != site.Streaming {
 		return
 	}
-	c.bound, c.version = true, in.Version
+	c.bound = true
+	if c.hasAnnouncedVersion {
+		c.version = in.Version
+	}
 	if c.route.Resumable {
-		c.server.origins.RecordBegin(c.service, c.request.ID, in.Version)
+		c.server.origins.RecordBegin(c.service, c.request.ID, c.version)
+	}
+}
+
+// checkVersion finds out whether an instance has the version that it announced: after a request broke off
+// there, another incarnation may run under its ID until the next announcement. It reports whether the
+// request may be sent there.
+func (c *call) checkVersion(ctx context.Context, in site.Instance) bool {
+	c.hasAnnouncedVersion = true
+	if c.route.Kind != site.Streaming || !c.bound && !c.route.Resumable || !c.server.tracker.mayHaveRestarted(in) {
+		return true
+	}
+	if c.server.identities.IsRunning(ctx, in) {
+		c.server.tracker.recordRunning(in.InstanceKey)
+		return true
 	}
+	c.hasAnnouncedVersion = false
+	if c.bound {
+		c.logAttempt("may have restarted", in, "not verified")
+	}
+	return !c.bound
 }
 
 // serving returns the instances of the service that may serve the request by their versions.
@@ -61,3 +84,26 @@
 	}
 	return settled
 }
+
+// recordBreak records that a request to an instance broke off, so that it may have restarted.
+func (t *instanceTracker) recordBreak(in site.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsOf(in.InstanceKey)
+	s.brokenAt = max(s.brokenAt, in.Revision)
+}
+
+// recordRunning records that an instance has not restarted since a request broke off there.
+func (t *instanceTracker) recordRunning(k site.InstanceKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statsOf(k).brokenAt = 0
+}
+
+// mayHaveRestarted reports whether a request to an instance has broken off since its newest announcement.
+func (t *instanceTracker) mayHaveRestarted(in site.Instance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	brokenAt := t.statsOf(in.InstanceKey).brokenAt
+	return brokenAt != 0 && brokenAt >= in.Revision
+}
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -1,15 +1,57 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"foxtailcroft/internal/core/site"
+	"foxtailcroft/internal/policy/origin"
 	"foxtailcroft/platform/fake"
 )
 
+// versions is what the harness knows of versions.
+type versions struct {
+	// began are the versions that began streams, by request.
+	began map[string]string
+	// versionsInPlay and unsettled are the versions of other streams, and those that other fronts may not know.
+	versionsInPlay []string
+	unsettled      []string
+	// isRestarted tells that instances prove to have restarted.
+	isRestarted bool
+}
+
+// RecordBegin, Origin and Unsettled know one version and the streams that began here.
+func (r *harness) RecordBegin(_, id, version string) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	if r.began == nil {
+		r.began = map[string]string{}
+	}
+	r.began[id] = version
+}
+
+func (r *harness) Origin(_ context.Context, _, id string) (string, origin.Basis) {
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	version, ok := r.began[id]
+	if !ok {
+		return origin.Decide(origin.Evidence{InPlay: r.versionsInPlay})
+	}
+	return origin.Decide(origin.Evidence{Named: []string{version}})
+}
+
+func (r *harness) Unsettled(string) []string {
+	return r.unsettled
+}
+
+func (r *harness) IsRunning(context.Context, site.Instance) bool {
+	return !r.isRestarted
+}
+
 // setVersions sets the versions of the servers of llm, in their order.
 func (r *harness) setVersions(versions ...string) {
 	for i, v := range versions {
--- a/internal/node/front/versions_test.go
+++ b/internal/node/front/versions_test.go
@@ -21,12 +21,14 @@
 type versionsRig struct {
 	*harness
 	mu sync.Mutex
-	// stopFront and stopServer stop what runs, by name and ID; versions are those of all servers.
-	stopFront  map[string]func()
-	stopServer map[string]func()
-	versions   map[string]string
-	streams    []*clientStream
-	clients    conc.WaitGroup
+	// stopFront and stopServer stop what runs, by name and ID, and crashServer leaves the announcement;
+	// versions are those of all servers.
+	stopFront   map[string]func()
+	stopServer  map[string]func()
+	crashServer map[string]func()
+	versions    map[string]string
+	streams     []*clientStream
+	clients     conc.WaitGroup
 }
 
 // clientStream is a stream over all attempts of its client.
@@ -42,22 +44,36 @@
 // streamEvents is the number of events of a stream, one in 100 ms.
 const streamEvents = 40
 
-// startVersion starts a server that announces a JSON value as its version.
-func (r *versionsRig) startVersion(id string, n int, version string) {
+// startVersion starts a server that announces a JSON value as its version, after a delay.
+func (r *versionsRig) startVersion(id string, n, born int, version string, delay time.Duration) {
 	address := fmt.Sprintf("10.0.2.%d:80", n)
 	s := fake.NewServer(fake.Spec{
-		ID: id, Born: int64(n), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
+		ID: id, Born: int64(born), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
 		Sizes: map[string]float64{"m": 70000}, WeightsMb: 220000, AdapterSlots: 8, ChecksFence: true,
 	}, r.executions, func() {}, "m")
 	stop := r.net.Serve(address, s)
-	r.writeKey(s.Key(), string(s.Announcement()))
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.versions[id] = version
+	r.crashServer[id] = stop
 	r.stopServer[id] = func() {
 		stop()
 		r.deleteKey(s.Key())
 	}
+	r.mu.Unlock()
+	r.clients.Go(func() {
+		time.Sleep(delay)
+		r.writeKey(s.Key(), string(s.Announcement()))
+	})
+}
+
+// restart restarts a server under its ID at another version, which is announced late.
+func (r *versionsRig) restart(n int, version string) {
+	id := fmt.Sprintf("i-%d", n)
+	r.crashServer[id]()
+	r.clients.Go(func() {
+		time.Sleep(100 * time.Millisecond)
+		r.startVersion(id, n, 2, version, 2*time.Second)
+	})
 }
 
 // startServers starts two servers of each version.
@@ -65,7 +81,7 @@
 	for _, v := range versions {
 		for range 2 {
 			n := len(r.versions) + 1
-			r.startVersion(fmt.Sprintf("i-%d", n), n, v)
+			r.startVersion(fmt.Sprintf("i-%d", n), n, 1, v, 0)
 		}
 	}
 }
@@ -189,7 +205,7 @@
 	stream := func(id string) string { return id[:strings.LastIndex(id, "-")] }
 	var out []string
 	for _, e := range r.executions.Executions() {
-		version := r.versions[e.Server]
+		version := e.Version
 		if e.LastEventID == "" {
 			began[stream(e.ID)] = version
 		} else if version != began[stream(e.ID)] || !strings.HasPrefix(version, `"`) || version == `""` {
@@ -243,6 +259,11 @@
 			time.Sleep(time.Second)
 			r.startFronts(fronts...)
 		}, 0},
+		{"servers restart under their IDs as another version", []string{v1}, func(r *versionsRig) {
+			r.restart(1, v2)
+			r.restart(2, v2)
+		}, 0},
+		{"one of two servers restarts under its ID as another version", []string{v1}, func(r *versionsRig) { r.restart(1, v2) }, 0.5},
 		{"one version, all fronts killed", []string{v1}, func(r *versionsRig) {
 			r.stopFronts(fronts...)
 			time.Sleep(time.Second)
@@ -266,7 +287,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
-				r := &versionsRig{harness: h, stopFront: map[string]func(){}, stopServer: map[string]func(){}, versions: map[string]string{}}
+				r := &versionsRig{harness: h, stopFront: map[string]func(){}, stopServer: map[string]func(){}, crashServer: map[string]func(){}, versions: map[string]string{}}
 				r.writeKey(platform.DocumentKey, `{"version":1,"routes":[
 {"name":"s","host":"h.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":20000,"responseGoalMs":800,"service":"llm","attempts":3,"canResume":true,"gapTargetMs":400}],
 "services":[{"name":"llm","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[{"name":"m","weightsMb":70000,"loadS":1}]}}],
