front/proxy: a stream is taken up at the service that began it

On a route that is split over several services, the service was chosen by the ID of each attempt, so that a stream that a caller took up went on at another service, with other software, as often as the weights had it. The choice for a stream that is taken up rests on the ID of the attempt that began it now.

Evidence: TestStreamIsTakenUpAtItsService fails where the choice rests on the attempt's own ID, as before.

--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -243,7 +243,7 @@
 	if !c.authenticate() {
 		return
 	}
-	c.service = c.route.PickService(xxhash.Sum64String(c.request.ID))
+	c.service = c.route.PickService(xxhash.Sum64String(c.splitID()))
 	c.hashParts()
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	c.setWriteDeadline(c.deadline)
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -8,10 +8,23 @@
 	"foxtailcroft/internal/core/site"
 )
 
+// isTakeUp reports whether the caller takes up a stream that has begun before.
+func (c *call) isTakeUp() bool {
+	return c.route.Kind == site.Streaming && c.request.LastEventID != ""
+}
+
+// splitID returns the ID by which the request's service is chosen: a stream goes on at the service that began it.
+func (c *call) splitID() string {
+	if c.isTakeUp() && c.request.Resumes != "" {
+		return c.request.Resumes
+	}
+	return c.request.ID
+}
+
 // findOrigin finds out which version began the stream that a caller takes up, if it does; false if the
 // request has ended because the version is not known.
 func (c *call) findOrigin(ctx context.Context) bool {
-	if c.route.Kind != site.Streaming || c.request.LastEventID == "" {
+	if !c.isTakeUp() {
 		return true
 	}
 	version, basis := c.server.origins.Origin(ctx, c.service, c.request.Resumes)
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 
 	"foxtailcroft/internal/core/site"
@@ -178,3 +179,19 @@
 		})
 	}
 }
+
+// TestStreamIsTakenUpAtItsService guards against streams of a route with several services that go on at
+// another service than the one that began them.
+func TestStreamIsTakenUpAtItsService(t *testing.T) {
+	g := NewWithT(t)
+	route := &site.Route{Kind: site.Streaming, Resumable: true, Split: []site.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}}}
+	service := func(r site.RequestInfo) string {
+		c := call{route: route, request: r}
+		return route.PickService(xxhash.Sum64String(c.splitID()))
+	}
+	for n := range 50 {
+		first, next := fmt.Sprint("first-", n), fmt.Sprint("next-", n)
+		g.Expect(service(site.RequestInfo{ID: next, LastEventID: "3", Resumes: first})).To(Equal(service(site.RequestInfo{ID: first})))
+		g.Expect(service(site.RequestInfo{ID: next, Resumes: first})).To(Equal(service(site.RequestInfo{ID: next})))
+	}
+}
