front/begun: record streams that may still be taken up only

While several versions are in play, a front wrote a record of every stream, also of those that their callers already had in whole, and all fronts learned them. Streams that have ended are left out now, and all fronts together record 2,000 streams a second at most, the newest first, so that what each of them learns stays bounded. Streams that are left out are counted; they are refused if their front dies.

--- a/internal/front/begun/memory.go
+++ b/internal/front/begun/memory.go
@@ -28,10 +28,12 @@
 	// first is the number of entries that were dropped, and so the number of the first one held.
 	first    int
 	versions map[streamKey]string
+	// ended are the streams that their callers have in whole, so that nobody takes them up.
+	ended map[streamKey]bool
 }
 
 func newMemory(limit int) *memory {
-	return &memory{limit: limit, versions: map[streamKey]string{}}
+	return &memory{limit: limit, versions: map[streamKey]string{}, ended: map[streamKey]bool{}}
 }
 
 // add adds a stream; one that is held with another version has an unknown version from then on.
@@ -62,14 +64,26 @@
 func (m *memory) drop(n int) {
 	for _, e := range m.entries[:n] {
 		delete(m.versions, e.key)
+		delete(m.ended, e.key)
 	}
 	m.entries = m.entries[n:]
 	m.first += n
 }
 
-// from returns at most n entries from the one with a number on, and the number of the entry after them.
-func (m *memory) from(number, n int) (entries []entry, next int) {
-	begin := max(0, number-m.first)
-	end := min(len(m.entries), begin+n)
-	return m.entries[begin:end], m.first + end
+// end marks a stream as ended.
+func (m *memory) end(k streamKey) {
+	if _, ok := m.versions[k]; ok {
+		m.ended[k] = true
+	}
+}
+
+// unended returns the streams from the one with a number on that have not ended, and the number of the
+// stream after them.
+func (m *memory) unended(number int) (entries []entry, next int) {
+	for _, e := range m.entries[min(len(m.entries), max(0, number-m.first)):] {
+		if !m.ended[e.key] {
+			entries = append(entries, e)
+		}
+	}
+	return entries, m.first + len(m.entries)
 }
--- a/internal/front/begun/records.go
+++ b/internal/front/begun/records.go
@@ -18,10 +18,12 @@
 	writeIntervalPerFront = 12 * time.Millisecond
 	// writeTime is the time that a write usually takes at most.
 	writeTime = 100 * time.Millisecond
-	// segmentStreams is the number of streams up to which further ones are added to a record, and
-	// maxStreams bounds those of one record.
+	// segmentStreams is the number of streams up to which further ones are added to a record.
 	segmentStreams = 32
-	maxStreams     = 2048
+	// recordRate is the number of streams a second that all fronts record, as each learns them all, and
+	// minStreams the number that one front may record in any case with one write.
+	recordRate = 2000
+	minStreams = 8
 	// maxPuts bounds the records of one call.
 	maxPuts = 16
 )
@@ -33,6 +35,8 @@
 	streams []entry
 	// next is the number of the first stream that no record has.
 	next int
+	// skipped is the number of streams that are left out.
+	skipped int
 }
 
 // writer is the state of writing; only Run uses it.
@@ -89,6 +93,7 @@
 	defer w.mu.Unlock()
 	for name, s := range segments {
 		w.service(name).segment = s
+		w.meters.GetOrCreateCounter("foxtailcroft_streams_unrecorded_total").Add(s.skipped)
 		w.writer.written[s.key] = writtenRecord{at: time.Now(), revision: res.Revision}
 	}
 	w.meters.GetOrCreateCounter("foxtailcroft_stream_records_total").Add(len(t.Puts))
@@ -100,15 +105,19 @@
 	defer w.mu.Unlock()
 	var t store.Txn
 	segments := map[string]segment{}
+	limit := max(minStreams, int(recordRate*w.writeInterval().Seconds())/max(1, len(w.site.State().Fronts)))
 	for name, s := range w.services {
 		if !s.isMixed() || !w.resumable[name] || len(t.Puts) == maxPuts {
 			continue
 		}
-		added, next := s.own.from(s.segment.next, maxStreams)
+		added, next := s.own.unended(s.segment.next)
 		if len(added) == 0 {
 			continue
 		}
-		following := segment{key: s.segment.key, streams: slices.Concat(s.segment.streams, added), next: next}
+		// The newest ones are the most likely to be taken up.
+		skipped := max(0, len(added)-limit)
+		added = added[skipped:]
+		following := segment{key: s.segment.key, streams: slices.Concat(s.segment.streams, added), next: next, skipped: skipped}
 		if s.segment.key == "" || len(following.streams) > segmentStreams {
 			w.writer.records++
 			following.key, following.streams = fmt.Sprintf("%s%s/%d", recordPrefix, w.self.Run, w.writer.records), slices.Clone(added)
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -107,6 +107,13 @@
 	w.service(service).own.add(entry{key: keyOf(service, id), version: version, at: time.Now()})
 }
 
+// RecordEnd records that the caller of a request has its stream in whole.
+func (w *Watcher) RecordEnd(service, id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.service(service).own.end(keyOf(service, id))
+}
+
 // Origin returns the version that began the stream whose first event came with a request, empty unless the
 // basis is a known one. It may read records, at most until the context ends.
 func (w *Watcher) Origin(ctx context.Context, service, id string) (string, origin.Basis) {
--- a/internal/front/begun/watcher_test.go
+++ b/internal/front/begun/watcher_test.go
@@ -284,6 +284,9 @@
 		group.Go(func() { w.Run(ctx) })
 		for n := 0; ctx.Err() == nil; n++ {
 			w.RecordBegin("llm", fmt.Sprint(n), "a")
+			if n%10 != 0 {
+				w.RecordEnd("llm", fmt.Sprint(n))
+			}
 			time.Sleep(2 * time.Millisecond)
 		}
 		group.Wait()
@@ -291,6 +294,7 @@
 		fresh, _ := r.watcher("front-2")
 		r.expectOrigin(fresh, "0", "a", origin.Named)
 		r.expectOrigin(fresh, "14000", "a", origin.Named)
+		r.expectOrigin(fresh, "14001", "", origin.Unrecorded)
 	})
 }
 
@@ -343,12 +347,16 @@
 	g.Expect(m.versions).To(HaveLen(3))
 	m.add(entry{key: 4, version: "b", at: now.Add(5 * time.Second)})
 	g.Expect(m.versions[4]).To(BeEmpty())
-	entries, next := m.from(0, 2)
+	m.end(2)
+	m.end(9)
+	entries, next := m.unended(0)
 	g.Expect(entries).To(HaveLen(2))
-	g.Expect(next).To(Equal(4))
+	g.Expect(next).To(Equal(5))
 	m.dropBefore(now.Add(4 * time.Second))
-	entries, next = m.from(next, 2)
+	entries, _ = m.unended(0)
 	g.Expect(entries).To(HaveLen(1))
-	g.Expect(next).To(Equal(5))
+	entries, _ = m.unended(next)
+	g.Expect(entries).To(BeEmpty())
 	g.Expect(m.versions).To(HaveLen(1))
+	g.Expect(m.ended).To(BeEmpty())
 }
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -104,6 +104,8 @@
 type StreamOrigins interface {
 	// RecordBegin records that the stream of a request began at a version, empty if it is unknown.
 	RecordBegin(service, id, version string)
+	// RecordEnd records that the caller of a request has its stream in whole.
+	RecordEnd(service, id string)
 	// Origin returns the version that began the stream whose first event came with a request; empty
 	// unless the basis is a known one.
 	Origin(ctx context.Context, service, id string) (version string, basis origin.Basis)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -145,6 +145,7 @@
 	c.writeHead(res)
 	c.server.tracker.recordOutcome(in.InstanceKey, false)
 	c.recordAnswer()
+	c.recordStreamComplete()
 	c.outcome, c.status = outcomeAnswered, res.Status
 	return requestEnded
 }
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// recordStreamComplete records that the caller has the stream in whole.
+func (c *call) recordStreamComplete() {
+	if !c.route.Resumable {
+		return
+	}
+	id := c.request.ID
+	if c.isTakeUp() {
+		id = c.request.Resumes
+	}
+	c.server.origins.RecordEnd(c.service, id)
+}
+
 // checkVersion finds out whether an instance has the version that it announced: after a request broke off
 // there, another incarnation may run under its ID until the next announcement. It reports whether the
 // request may be sent there.
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -35,6 +35,8 @@
 	r.began[id] = version
 }
 
+func (r *harness) RecordEnd(string, string) {}
+
 func (r *harness) Origin(_ context.Context, _, id string) (string, origin.Basis) {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
