front/sched: test of requests that need one version

The planner names holders of that version, loads an adapter there, and refuses at once if no server of it has the model. Without the placement by version the adapter of the second version isn't loaded, and the test fails.

--- a/internal/front/sched/planner_test.go
+++ b/internal/front/sched/planner_test.go
@@ -39,6 +39,8 @@
 // cluster is a set of model servers and planners on one network and one store, in a
 // synctest bubble.
 type cluster struct {
+	// version is the JSON value of the version of servers that are added, empty for the usual one.
+	version  string
 	g        *WithT
 	ctx      context.Context
 	net      *memnet.Network
@@ -162,7 +164,7 @@
 		_, _ = c.memory.Commit(c.ctx, store.Txn{Puts: []store.Put{{Key: s.Key(), Value: s.Announcement()}}})
 	}
 	s = fake.NewServer(fake.Spec{
-		ID: fmt.Sprintf("i-%d", i), Born: born, Service: "llm", Address: address, Zone: "a", Slots: 8, Sizes: sizes, WeightsMb: 220000,
+		ID: fmt.Sprintf("i-%d", i), Born: born, Service: "llm", Address: address, Zone: "a", Version: c.version, Slots: 8, Sizes: sizes, WeightsMb: 220000,
 		AdapterSlots: 8, LoadTime: loadTime, AdapterTime: 8 * time.Millisecond, EventTime: 20 * time.Millisecond, ChecksFence: c.checksFence, AdapterSizeMb: adapterSizeMB, ReportLag: c.reportLag,
 	}, c.orderLog, announce, models...)
 	stop := c.net.Serve(address, s)
