front/ident: ask whether an instance still runs over a connection that is kept

A front asks for the report of an instance at which a request has broken off before it sends the next stream there. The question opened a connection and closed it, so that the stream needed another one. It uses an idle connection now, or leaves its own to the stream.

--- a/internal/front/ident/finder.go
+++ b/internal/front/ident/finder.go
@@ -100,7 +100,7 @@
 func (f *Finder) IsRunning(ctx context.Context, in site.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
-	report, err := f.askReport(ctx, in)
+	report, err := f.askReport(ctx, in, false)
 	return err == nil && report.Born != 0 && report.Born == in.Born
 }
 
@@ -130,7 +130,7 @@
 	if err != nil {
 		return site.InstanceKey{}, err
 	}
-	report, err := f.askReport(ctx, in)
+	report, err := f.askReport(ctx, in, true)
 	switch {
 	case err != nil:
 		return site.InstanceKey{}, err
@@ -155,7 +155,7 @@
 	if err != nil {
 		return "", err
 	}
-	res, _, err := f.send(ctx, in, req)
+	res, _, err := f.send(ctx, in, req, true)
 	if err != nil {
 		return "", err
 	}
@@ -167,12 +167,12 @@
 }
 
 // askReport returns the report of the instance at an address.
-func (f *Finder) askReport(ctx context.Context, in site.Instance) (site.ServerReport, error) {
+func (f *Finder) askReport(ctx context.Context, in site.Instance, newConnection bool) (site.ServerReport, error) {
 	req, err := f.dialect.ReportRequest(in.Address)
 	if err != nil {
 		return site.ServerReport{}, err
 	}
-	res, body, err := f.send(ctx, in, req)
+	res, body, err := f.send(ctx, in, req, newConnection)
 	if err != nil {
 		return site.ServerReport{}, err
 	}
@@ -182,16 +182,16 @@
 	return f.dialect.Report(body)
 }
 
-// send sends a request over a connection of its own and returns the response with its body read.
-func (f *Finder) send(ctx context.Context, in site.Instance, req *http.Request) (*conns.Response, []byte, error) {
+// send sends a request, over a connection of its own if that is asked for, and returns the response with its body read.
+func (f *Finder) send(ctx context.Context, in site.Instance, req *http.Request, newConnection bool) (*conns.Response, []byte, error) {
 	res, err := f.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
-		Method: req.Method, URI: req.URL.RequestURI(), Host: in.Address, Header: req.Header, NewConnection: true,
+		Method: req.Method, URI: req.URL.RequestURI(), Host: in.Address, Header: req.Header, NewConnection: newConnection,
 	})
 	if err != nil {
 		return nil, nil, err
 	}
-	defer res.Finish(false)
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	res.Finish(err == nil && !newConnection)
 	return res, body, err
 }
 
