front/begun: instances of unknown versions settle without the store

While the store is away, fronts find restarted instances by themselves, and don't know their versions. Such a version has no marker then, so that new streams avoided these instances for the whole outage if any others served. It settles after the time in which views follow now.

What remains are streams that began at instances of unknown versions, and take-ups after the loss of their front while the store is away.

--- a/internal/front/begun/versions.go
+++ b/internal/front/begun/versions.go
@@ -116,6 +116,10 @@
 		if w.isPlanner() {
 			v.markDue = now
 		}
+		if name == "" {
+			// While the store is away, instances of unknown versions are learned of without it.
+			v.settledAt = now.Add(w.settleTime)
+		}
 		s.versions[name] = v
 		if s.isMixed() {
 			w.log.Infow("several versions in play", "Service", serviceName, "Versions", len(s.versions), "Added", name)
--- a/internal/front/begun/watcher_test.go
+++ b/internal/front/begun/watcher_test.go
@@ -315,6 +315,15 @@
 		}
 		fresh, _ := r.watcher("front-2")
 		r.g.Expect(fresh.Unsettled("llm")).To(BeNil(), "a front that starts")
+		r.memory.SetFaults(kvsim.Faults{Away: true})
+		s := *v.state
+		s.Instances = maps.Clone(s.Instances)
+		s.Instances["i-3"] = site.Instance{InstanceKey: site.InstanceKey{ID: "i-3"}, Service: "llm"}
+		v.state = &s
+		for _, want := range [][]string{{""}, nil} {
+			r.g.Expect(w.Unsettled("llm")).To(Equal(want), "found while the store is away")
+			time.Sleep(settleTime)
+		}
 	})
 }
 
