--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -31,6 +31,7 @@
 
 // harness is a proxy in front of simulated servers in one synctest bubble.
 type harness struct {
+	versions
 	t            *testing.T
 	g            *WithT
 	net          *memnet.Network
@@ -191,7 +192,7 @@
 		log, err := logs.New(r.log, "info", "f")
 		r.g.Expect(err).NotTo(HaveOccurred())
 		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), log.Sugar())
+		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r, Origins: r}, metrics.NewSet(), log.Sugar())
 		defer r.group.Wait()
 		defer r.net.Close()
 		defer closePool()
@@ -208,7 +209,7 @@
 	}, r.executions, func() {}, "m")
 	r.stopServer[address] = r.net.Serve(address, s)
 	r.servers = append(r.servers, s)
-	in := site.Instance{InstanceKey: site.InstanceKey{ID: id}, Service: service, Address: address, Domain: "a", ConcurrentRequests: 4}
+	in := site.Instance{InstanceKey: site.InstanceKey{ID: id}, Service: service, Address: address, Domain: "a", Version: "v1", ConcurrentRequests: 4}
 	if service == "llm" {
 		in.Models = []string{"m"}
 	}
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -64,6 +64,8 @@
 
 // instanceStats is what this front knows of one instance.
 type instanceStats struct {
+	// brokenAt is the revision of the announcement that was the newest when a request last broke off, 0 for none.
+	brokenAt      int64
 	inFlight      map[site.Target]int
 	totalInFlight int
 	// newRequests counts the requests sent since the last usage report.
@@ -365,6 +367,19 @@
 	t.holders[target] = holderSet
 }
 
+// addHolders adds to the instances that hold a model or adapter.
+func (t *instanceTracker) addHolders(target site.Target, keys []site.InstanceKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holders[target] == nil {
+		t.holders[target] = map[site.InstanceKey]bool{}
+	}
+	for _, k := range keys {
+		t.holders[target][k] = true
+		delete(t.statsOf(k).absentAt, target)
+	}
+}
+
 // filterHolders returns the instances of the list that are known to hold a model or adapter.
 func (t *instanceTracker) filterHolders(list []site.Instance, target site.Target) []site.Instance {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/front/proxy/version.go
@@ -0,0 +1,134 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"foxtailcroft/internal/core/site"
+)
+
+// isTakeUp reports whether the caller takes up a stream that has begun before.
+func (c *call) isTakeUp() bool {
+	return c.route.Kind == site.Streaming && c.request.LastEventID != ""
+}
+
+// splitID returns the ID by which the request's service is chosen: a stream goes on at the service that began it.
+func (c *call) splitID() string {
+	if c.isTakeUp() && c.request.Resumes != "" {
+		return c.request.Resumes
+	}
+	return c.request.ID
+}
+
+// findOrigin finds out which version began the stream that a caller takes up, if it does; false if the
+// request has ended because the version is not known.
+func (c *call) findOrigin(ctx context.Context) bool {
+	if !c.isTakeUp() {
+		return true
+	}
+	version, basis := c.server.origins.Origin(ctx, c.service, c.request.Resumes)
+	if !basis.IsKnown() {
+		if !c.endIfExpired(ctx) {
+			c.refuse(http.StatusServiceUnavailable, "the version that began the stream is not known: "+string(basis), 0)
+		}
+		return false
+	}
+	c.bound, c.version = true, version
+	return true
+}
+
+// bindStream binds a stream whose first event is about to be sent to the version of its instance, which
+// is unknown if a restarted instance may have sent it.
+func (c *call) bindStream(in site.Instance) {
+	if c.bound || c.route.Kind != site.Streaming {
+		return
+	}
+	c.bound = true
+	if c.hasAnnouncedVersion {
+		c.version = in.Version
+	}
+	if c.route.Resumable {
+		c.server.origins.RecordBegin(c.service, c.request.ID, c.version)
+	}
+}
+
+// recordStreamComplete records that the caller has the stream in whole.
+func (c *call) recordStreamComplete() {
+	if !c.route.Resumable {
+		return
+	}
+	id := c.request.ID
+	if c.isTakeUp() {
+		id = c.request.Resumes
+	}
+	c.server.origins.RecordEnd(c.service, id)
+}
+
+// checkVersion finds out whether an instance has the version that it announced: after a request broke off
+// there, another incarnation may run under its ID until the next announcement. It reports whether the
+// request may be sent there.
+func (c *call) checkVersion(ctx context.Context, in site.Instance) bool {
+	c.hasAnnouncedVersion = true
+	if c.route.Kind != site.Streaming || !c.bound && !c.route.Resumable || !c.server.tracker.mayHaveRestarted(in) {
+		return true
+	}
+	if c.server.identities.IsRunning(ctx, in) {
+		c.server.tracker.recordRunning(in.InstanceKey)
+		return true
+	}
+	c.hasAnnouncedVersion = false
+	if c.bound {
+		c.logAttempt("may have restarted", in, "not verified")
+	}
+	return !c.bound
+}
+
+// serving returns the instances of the service that may serve the request by their versions.
+func (c *call) serving() []site.Instance {
+	list := c.state.Serving(c.service)
+	if !c.bound {
+		return list
+	}
+	return slices.DeleteFunc(list, func(in site.Instance) bool { return in.Version != c.version || in.Version == "" })
+}
+
+// preferSettled leaves out the instances of versions that other fronts may not know yet, unless there are
+// no others or the stream has begun.
+func (c *call) preferSettled(list []site.Instance) []site.Instance {
+	if c.bound || !c.route.Resumable || c.route.Kind != site.Streaming {
+		return list
+	}
+	unsettled := c.server.origins.Unsettled(c.service)
+	if len(unsettled) == 0 {
+		return list
+	}
+	settled := slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return slices.Contains(unsettled, in.Version) })
+	if len(settled) == 0 {
+		return list
+	}
+	return settled
+}
+
+// recordBreak records that a request to an instance broke off, so that it may have restarted.
+func (t *instanceTracker) recordBreak(in site.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsOf(in.InstanceKey)
+	s.brokenAt = max(s.brokenAt, in.Revision)
+}
+
+// recordRunning records that an instance has not restarted since a request broke off there.
+func (t *instanceTracker) recordRunning(k site.InstanceKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statsOf(k).brokenAt = 0
+}
+
+// mayHaveRestarted reports whether a request to an instance has broken off since its newest announcement.
+func (t *instanceTracker) mayHaveRestarted(in site.Instance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	brokenAt := t.statsOf(in.InstanceKey).brokenAt
+	return brokenAt != 0 && brokenAt >= in.Revision
+}
