--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -38,6 +38,8 @@
 	client     *http.Client
 	// links are the links of fronts by name; those of others are unlimited.
 	links map[string]*memnet.Link
+	// log is the log of all fronts.
+	log *zap.Logger
 }
 
 const grace = 8 * time.Second
@@ -45,7 +47,7 @@
 // withHarness runs a test with a new harness.
 func withHarness(t *testing.T, test func(*harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}, links: map[string]*memnet.Link{}}
+		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}, links: map[string]*memnet.Link{}, log: zap.NewNop()}
 		r.store = fake.NewStore(r.memory)
 		r.net.Serve("store:1", r.store)
 		transport := &http.Transport{DialContext: r.dial}
@@ -116,7 +118,7 @@
 			DocumentKey: platform.DocumentKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.SystemPrefix},
 		},
-		DialInstance: dial, DialPeer: dial, ReadyPath: platform.ReadyPath, Metrics: meters, Log: zap.NewNop(),
+		DialInstance: dial, DialPeer: dial, ReadyPath: platform.ReadyPath, Metrics: meters, Log: r.log,
 	})
 	parts, closeTree := tree.New(r.ctx, zap.NewNop())
 	f.Start(parts, Listeners{Callers: r.listenAt(name, set.Listen.Callers), Ready: r.listenAt(name, set.Listen.Ready), Peers: r.listenAt(name, set.Listen.Peers)})
