platform, plat/follow: revisions are ordered by the era of the store first

Callers were refused on routes that had been added, or served as an older document allows, and requests reached servers that had said that they leave, from the moment when the store had come back from a copy until its revisions passed the lost ones.

The class is an order that holds within one history only, used over two. Fronts ordered all by bare revision: a list below their own was dropped, an event below its key's revision too, and the watch went on from the old position, which the store answers with 410 or, once the number has been given out again, with the changes of another history. Leases are numbered likewise, so that a renewal could renew the lease of another front.

--- /dev/null
+++ b/internal/plat/follow/era_test.go
@@ -0,0 +1,55 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/standin/kvsim"
+)
+
+// TestValuesOfACopyHoldAsLongAsTheyMay guards against fronts and planners of a lost history that stay in the view,
+// and against ones of earlier versions, which name no era, that are dropped.
+func TestValuesOfACopyHoldAsLongAsTheyMay(t *testing.T) {
+	const self = `{"Name":"me","Run":"1","Era":1}`
+	cases := []struct {
+		name string
+		// era is what the value of the other front says of its era, and again what it says if it is written again.
+		era        string
+		again      string
+		known      bool
+		knownLater bool
+		planner    bool
+	}{
+		{"of this version", `,"Era":1`, "", true, false, false},
+		{"written again", `,"Era":1`, `,"Era":2`, true, true, true},
+		{"of an earlier version", "", "", true, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runFollower(t, nil, func(w *followerTest) {
+				value := func(era string) string { return `{"Name":"other","Run":"1"` + era + `}` }
+				w.put(FrontPrefix+"me", self)
+				w.put(FrontPrefix+"other", value(c.era))
+				w.put(PlannerKey, value(c.era))
+				time.Sleep(time.Second)
+				taken := w.Copy()
+				w.put("op/doc", "v7")
+				time.Sleep(time.Second)
+				w.ReturnFrom(taken, kvsim.LeasesKept)
+				if c.again != "" {
+					w.put(FrontPrefix+"other", value(c.again))
+					w.put(PlannerKey, value(c.again))
+				}
+				time.Sleep(1500 * time.Millisecond)
+				has := func() bool { _, ok := w.follower.State().Fronts["other"]; return ok }
+				w.g.Expect(has()).To(Equal(c.known))
+				w.g.Expect(w.follower.State().Planner != nil).To(Equal(c.planner))
+				w.g.Expect(w.documentVersion()).To(BeEquivalentTo(7), "a document in force stays")
+				time.Sleep(testReturnGrace)
+				w.g.Expect(has()).To(Equal(c.knownLater))
+			})
+		})
+	}
+}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -100,6 +100,7 @@
 	successors          []Successor
 	forgottenSuccessors int64
 	superseded          map[string]int64
+	eras                eraMemory
 	proofs              proofTracker
 	waits               changeWaits
 	// values fetches large values of other fronts, nil if they come with the changes.
@@ -122,7 +123,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, random: rand.Float64, epoch: uuid.NewString(), rejectedValue: make(chan struct{}, 1)}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, eras: newEraMemory(), random: rand.Float64, epoch: uuid.NewString(), rejectedValue: make(chan struct{}, 1)}
 	f.proofs.SinceBoot, f.proofs.renewed = clock.SinceBoot, make(chan struct{})
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
@@ -194,7 +195,7 @@
 		}
 		var compacted *store.Compacted
 		if errors.As(err, &compacted) {
-			f.log.Infow("history lost, reading all again", "Revision", compacted.Revision)
+			f.log.Infow("history lost, reading all again", "Era", store.EraOf(compacted.Revision), "Revision", store.RevisionOf(compacted.Revision))
 			return
 		}
 		if ctx.Err() != nil {
@@ -293,7 +294,7 @@
 // RunMissingCheck removes instances that did not announce themselves after an outage.
 func (f *Follower) RunMissingCheck(ctx context.Context) {
 	for sleep.For(ctx, missingCheckInterval) {
-		if f.Unavailable(f.delays.ReturnGrace) {
+		if f.mayReturn(f.State()) {
 			continue
 		}
 		f.update(func(old *State) *State {
@@ -304,7 +305,7 @@
 				}
 				delete(f.missing, key)
 			}
-			if len(keys) == len(old.Keys) && len(f.successors) == 0 {
+			if changed := f.forgetOutdated() || old.hasFrontsOfCopy(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
 				return old
 			}
 			f.forgetSuccessors()
@@ -322,7 +323,7 @@
 	if s.Revision <= after {
 		return View{}, s, false
 	}
-	view := View{List: store.List{Revision: s.Revision}, Lacking: s.lackingKeys(), Stable: !f.Unavailable(f.delays.ReturnGrace)}
+	view := View{List: store.List{Revision: s.Revision}, Lacking: s.lackingKeys(), Stable: !f.mayReturn(s)}
 	for key, kv := range s.Keys {
 		if !f.isMissing(key, kv.Revision) {
 			view.KVs = append(view.KVs, kv)
@@ -373,7 +374,7 @@
 				keys[key] = kv
 			}
 		}
-		f.retainMissing(old, keys, retain)
+		f.retainMissing(old, keys, list.Revision, retain)
 		s := f.deriveState(old, keys, list.Revision)
 		s.dropRejected(func(key string, r rejected) bool {
 			return !listed[key] && lacking[key] == 0 && r.revision <= list.Revision
@@ -403,7 +404,7 @@
 			return &s
 		}
 		keys := applyEvents(old.Keys, b.Events)
-		f.retainMissing(old, keys, true)
+		f.retainMissing(old, keys, b.Revision, true)
 		s := f.deriveState(old, keys, max(old.Revision, b.Revision))
 		for _, e := range b.Events {
 			if e.Deleted {
@@ -419,13 +420,14 @@
 }
 
 // retainMissing restores in keys a document that is missing there and, if instances is set, the
-// instances that disappeared during an outage or within Delays.ReturnGrace after it, unless they
-// were draining.
-func (f *Follower) retainMissing(old *State, keys map[string]store.KV, instances bool) {
+// instances that disappeared during an outage, as an era began, or within Delays.ReturnGrace after it, unless
+// they were draining; revision is that of the keys.
+func (f *Follower) retainMissing(old *State, keys map[string]store.KV, revision int64, instances bool) {
+	beginsEra := store.EraOf(revision) > store.EraOf(old.Revision)
 	if kv, ok := old.Keys[f.layout.DocumentKey]; ok && keys[f.layout.DocumentKey].Revision == 0 {
 		keys[f.layout.DocumentKey] = kv
 	}
-	if !instances || !f.Unavailable(f.delays.ReturnGrace) {
+	if !instances || !beginsEra && !f.mayReturn(old) {
 		return
 	}
 	for _, in := range old.Instances {
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -31,6 +31,14 @@
 	Domain string
 	// LinkBytesPerSecond is the bandwidth of the front's link, 0 if unknown.
 	LinkBytesPerSecond float64 `json:",omitempty"`
+	// Era is the store's era in which the value was written, 0 if the front does not tell. In a later era
+	// the value is from the copy that the store came back from.
+	Era int64 `json:",omitempty"`
+}
+
+// isOfCopy reports whether a value that the store lists at a position was written in an earlier era.
+func (f Front) isOfCopy(position int64) bool {
+	return f.Era > 0 && f.Era < store.EraOf(position)
 }
 
 // Planner is the front with the planner role, and its fencing token.
@@ -50,6 +58,8 @@
 	// PlannerChangedAt is when this view last learned of a change of the planner's key;
 	// a view that was read anew may have missed changes and counts as one.
 	PlannerChangedAt time.Time
+	// EraBeganAt is when this view first was one of the current era of the store, zero in the first era.
+	EraBeganAt time.Time
 	// rejected are the newest values of keys that could not be decoded.
 	rejected map[string]rejected
 	replaced chan struct{}
@@ -115,7 +125,8 @@
 // deriveState returns the state for keys, reusing what is unchanged from old. A value in keys that can't
 // be decoded is replaced by that of old.
 func (f *Follower) deriveState(old *State, keys map[string]store.KV, revision int64) *State {
-	s := &State{Revision: revision, Keys: keys, Document: old.Document, PlannerChangedAt: old.PlannerChangedAt, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, rejected: map[string]rejected{}, replaced: make(chan struct{})}
+	s := &State{Revision: revision, Keys: keys, Document: old.Document, PlannerChangedAt: old.PlannerChangedAt, EraBeganAt: old.EraBeganAt, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, rejected: map[string]rejected{}, replaced: make(chan struct{})}
+	f.beginEra(old, s)
 	for key, kv := range keys {
 		if err := f.decode(old, s, kv); err != nil && kv.Revision != old.Keys[key].Revision {
 			f.rejectValue(old, s, kv, err)
@@ -142,13 +153,19 @@
 		if err := json.Unmarshal(kv.Value, &front); err != nil {
 			return err
 		}
-		s.Fronts[front.Name] = front
+		// A front of an earlier era that still runs registers again.
+		if !front.isOfCopy(kv.Revision) || f.mayReturn(s) {
+			s.Fronts[front.Name] = front
+		}
 	case plannerKey:
 		var front Front
 		if err := json.Unmarshal(kv.Value, &front); err != nil {
 			return err
 		}
-		s.Planner = &Planner{Front: front, FencingToken: kv.Revision}
+		// A claim of an earlier era may be that of any planner before the last one.
+		if !front.isOfCopy(kv.Revision) {
+			s.Planner = &Planner{Front: front, FencingToken: kv.Revision}
+		}
 	case otherKey:
 	}
 	return nil
@@ -174,7 +191,7 @@
 
 func (f *Follower) decodeInstance(old, s *State, kv store.KV) error {
 	id := strings.TrimPrefix(kv.Key, f.layout.InstancePrefix)
-	if f.isSuperseded(id, kv.Revision) {
+	if f.isSuperseded(id, kv.Revision) || f.isOutdated(id, kv.Revision) {
 		return nil
 	}
 	before, known := old.Instances[id]
@@ -187,6 +204,11 @@
 	if err != nil {
 		return err
 	}
+	if s.beginsEraAfter(old) && f.hasLeft(in.InstanceKey) {
+		f.hideOutdated(id, kv.Revision)
+		return nil
+	}
+	delete(f.eras.left, in.InstanceKey)
 	in.Draining = in.Draining || f.leaving[in.InstanceKey]
 	s.Instances[id] = in
 	if !known || before.Draining != in.Draining || before.InstanceKey != in.InstanceKey || before.Address != in.Address {
@@ -200,6 +222,7 @@
 	for id, in := range old.Instances {
 		if _, ok := s.Instances[id]; !ok {
 			f.log.Infow("instance gone", "Instance", id, "Born", in.Born, "Service", in.Service, "Revision", s.Revision)
+			f.recordLeft(in.InstanceKey)
 		}
 	}
 }
--- a/internal/plat/follow/successor.go
+++ b/internal/plat/follow/successor.go
@@ -29,6 +29,7 @@
 			f.superseded[in.ID] = in.Revision
 		}
 		f.successors = append(f.successors, x)
+		f.recordLeft(x.Old)
 		s := *old
 		s.Instances, s.replaced = maps.Clone(old.Instances), make(chan struct{})
 		delete(s.Instances, x.Old.ID)
