plat/follow: lost history is read again after pauses that grow

A front whose watch was answered 410 read everything and watched again at once. If the watch then failed in the same way, it did so without a pause, and logged a line each time: the reads and lines of the report, milliseconds apart at one revision.

The first read is at once as before; while no watch is answered in between, the next ones follow after 0.4, 0.8 and then each 1 s. The line names the era, and how often it happened in a row; foxtailcroft_history_lost_total counts them.

--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -101,8 +101,10 @@
 	forgottenSuccessors int64
 	superseded          map[string]int64
 	eras                eraMemory
-	proofs              proofTracker
-	waits               changeWaits
+	// lost counts the watches in a row whose history the store had lost.
+	lost   int
+	proofs proofTracker
+	waits  changeWaits
 	// values fetches large values of other fronts, nil if they come with the changes.
 	values ValueSource
 	// readsDocumentApart is set where a document may take long on the link.
@@ -154,9 +156,24 @@
 		f.recordDocuments(fromList, list.KVs)
 		f.proveByList(sent, list)
 		f.watch(ctx)
+		f.awaitReread(ctx)
 	}
 }
 
+// awaitReread waits before all keys are read again: not at all the first time that history is lost, and longer
+// each time that it happens again before a watch was answered.
+func (f *Follower) awaitReread(ctx context.Context) {
+	if f.lost > 1 {
+		sleep.For(ctx, min(maxRereadPause, storeRetryInterval<<min(f.lost-2, maxRereadDoublings)))
+	}
+}
+
+const (
+	// maxRereadPause bounds the pause before all keys are read again, and maxRereadDoublings how often it doubles.
+	maxRereadPause     = time.Second
+	maxRereadDoublings = 2
+)
+
 // readAll reads every prefix and returns the lowest of their revisions, so that a watch from there misses no change.
 func (f *Follower) readAll(ctx context.Context) (store.List, error) {
 	var all store.List
@@ -188,14 +205,16 @@
 		began, answered := time.Now(), false
 		err := f.watchOnce(ctx, &answered)
 		if answered {
-			failures = 0
+			failures, f.lost = 0, 0
 		}
 		if errors.Is(err, errFollowParent) {
 			continue
 		}
 		var compacted *store.Compacted
 		if errors.As(err, &compacted) {
-			f.log.Infow("history lost, reading all again", "Era", store.EraOf(compacted.Revision), "Revision", store.RevisionOf(compacted.Revision))
+			f.lost++
+			f.countLost()
+			f.log.Infow("history lost, reading all again", "Era", store.EraOf(compacted.Revision), "Revision", store.RevisionOf(compacted.Revision), "InARow", f.lost)
 			return
 		}
 		if ctx.Err() != nil {
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -61,6 +61,8 @@
 	stale atomic.Pointer[store.KV]
 	// cutWatches ends each watch with an error before its first response.
 	cutWatches atomic.Bool
+	// compacts answers each watch that its history is compacted.
+	compacts atomic.Bool
 }
 
 func (w windowedStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
@@ -75,6 +77,9 @@
 		if w.faults.cutWatches.Load() {
 			return errors.New("watch cut")
 		}
+		if w.faults.compacts.Load() {
+			return &store.Compacted{Revision: after}
+		}
 		window, cancel := context.WithTimeout(ctx, time.Second)
 		err := w.MemoryStore.Watch(window, prefix, after, func(b store.Batch) error {
 			after = max(after, b.Revision)
--- a/internal/plat/follow/waits.go
+++ b/internal/plat/follow/waits.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// countLost counts the times that the store had lost the history that a watch asked for.
+func (f *Follower) countLost() {
+	if f.waits.set != nil {
+		f.waits.set.GetOrCreateCounter("foxtailcroft_history_lost_total").Inc()
+	}
+}
+
 // recordWait records the longest time that a change may have waited before it was applied.
 func (f *Follower) recordWait(from documentSource, wait time.Duration) {
 	if f.waits.set != nil {
