front/sched: the planner's key of an earlier era holds no longer

After the store's return from a copy two fronts could act as the planner: the copy showed the key of an earlier one, the last one went on by its own belief until its view changed, and fencing tokens, which are the key's revision, were given out again or fell, so that servers refused the new planner's orders.

Claims name the era of the lease that they are attached to, and a claim of the copy is replaced by a conditional write on its position. A front whose lease is lost, or of a later era than its token, gives no orders. Where servers don't check tokens, the hand-over in a new era counts from the time for which the last planner may rely on its lease.

--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -192,20 +192,34 @@
 // hand-over and given an order.
 const maxVacancyAge = 1500 * time.Millisecond
 
-func (l *Candidate) setPredecessorGone(at time.Time) {
+// setPredecessorGone records when the planner's key vanished that this front has claimed, and when the
+// current era of the store began, zero for the first one.
+func (l *Candidate) setPredecessorGone(at, eraBeganAt time.Time) {
 	if time.Since(at) > maxVacancyAge {
 		at = time.Now()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.predecessorGone, l.predecessorOrdersEnd = at, at
-	if l.confirmedUntil.After(at) {
+	if eraEnd := eraBeganAt.Add(l.ttl + orderLatency); !eraBeganAt.IsZero() && eraEnd.After(at) {
+		// The store lost the key of a planner that may not know yet, and relies on its lease until then.
+		l.predecessorOrdersEnd = eraEnd
+	}
+	if l.confirmedUntil.After(l.predecessorOrdersEnd) {
 		l.predecessorOrdersEnd = l.confirmedUntil
 	}
 	if l.site.Unavailable(recentOutage) {
 		// Fronts that have not noticed the end of the outage may have confirmed it without this one.
-		l.predecessorOrdersEnd = time.Now().Add(outageHold + orderLatency)
+		l.predecessorOrdersEnd = latest(l.predecessorOrdersEnd, time.Now().Add(outageHold+orderLatency))
+	}
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // takePredecessorGone returns when this front saw the previous planner's key vanish and until
@@ -246,13 +260,16 @@
 			l.setLease(lease, began, beganBoot)
 			return nil
 		}
-		l.log.Warnw("lease or registration lost; registering under a new lease", "Lease", lease, "Renewable", ok)
+		l.log.Warnw("lease or registration lost; registering under a new lease", "Lease", store.LeaseNumber(lease), "Era", store.LeaseEra(lease), "Renewable", ok)
+		if !ok {
+			l.setLease(0, time.Time{}, 0)
+		}
 	}
 	lease, err := l.store.Grant(ctx, l.ttl)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(l.Self)
+	value, err := json.Marshal(l.selfIn(lease))
 	if err != nil {
 		return err
 	}
@@ -261,12 +278,19 @@
 	if err != nil {
 		return err
 	}
-	l.log.Infow("registered", "Lease", lease, "Revision", res.Revision)
+	l.log.Infow("registered", "Lease", store.LeaseNumber(lease), "Era", store.EraOf(res.Revision), "Revision", store.RevisionOf(res.Revision))
 	l.setLease(lease, began, beganBoot)
 	l.site.ApplyWritten(store.KV{Key: key, Value: value, Revision: res.Revision, Lease: lease})
 	return nil
 }
 
+// selfIn returns the front as it is written under a lease.
+func (l *Candidate) selfIn(lease int64) follow.Front {
+	self := l.Self
+	self.Era = store.LeaseEra(lease)
+	return self
+}
+
 // renew renews the lease at the store. If the store has not done so within relayDelay, it
 // also asks other fronts, so that a front that is cut off from the store
 // alone keeps its registration and the planner's key. While the store does not answer this front, the
@@ -313,16 +337,17 @@
 	if state.Planner != nil {
 		return
 	}
-	value, err := json.Marshal(l.Self)
+	l.mu.Lock()
+	lease := l.lease
+	l.mu.Unlock()
+	value, err := json.Marshal(l.selfIn(lease))
 	if err != nil {
 		l.log.Errorw("encoding the planner claim failed; not claiming the planner's key", "Error", err.Error())
 		return
 	}
-	l.mu.Lock()
-	lease := l.lease
-	l.mu.Unlock()
 	res, err := l.store.Commit(ctx, store.Txn{
-		If:   []store.Compare{{Key: follow.PlannerKey}},
+		// A claim of an earlier era, which holds no longer, is replaced.
+		If:   []store.Compare{{Key: follow.PlannerKey, Revision: state.Keys[follow.PlannerKey].Revision}},
 		Puts: []store.Put{{Key: follow.PlannerKey, Value: value, Lease: lease}},
 	})
 	var gone *fault.NotFoundError
@@ -332,9 +357,13 @@
 	case err != nil:
 		l.log.Warnw("claiming the planner's key failed; retrying while no front holds it", "Error", err.Error())
 	default:
-		l.log.Infow("tried to claim the planner's key", "Won", res.Succeeded, "Revision", res.Revision)
+		l.log.Infow("tried to claim the planner's key", "Won", res.Succeeded, "Era", store.EraOf(res.Revision), "Revision", store.RevisionOf(res.Revision))
 		if res.Succeeded {
-			l.setPredecessorGone(state.PlannerChangedAt)
+			eraBeganAt := state.EraBeganAt
+			if store.EraOf(res.Revision) > store.EraOf(state.Revision) {
+				eraBeganAt = time.Now()
+			}
+			l.setPredecessorGone(state.PlannerChangedAt, eraBeganAt)
 			l.site.ApplyWritten(store.KV{Key: follow.PlannerKey, Value: value, Revision: res.Revision, Lease: lease})
 		}
 	}
@@ -353,7 +382,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.Run != l.Self.Run && !(checked && l.continues(p.Front)) {
+	if !(p.Run == l.Self.Run && l.mayHoldKey(p.FencingToken)) && !(checked && l.continues(p.Front)) {
 		return 0, false
 	}
 	if l.leaving || l.suspended() || !checked && !l.holdsKey(state.Keys[follow.PlannerKey].Lease) {
@@ -362,6 +391,13 @@
 	return p.FencingToken, true
 }
 
+// mayHoldKey reports whether the planner's key with a fencing token may be attached to this front's lease. A
+// lost lease has lost the key, and one of a later era has not the key that was lost with the earlier one.
+// The caller must hold l.mu.
+func (l *Candidate) mayHoldKey(fence int64) bool {
+	return l.lease != 0 && store.LeaseEra(l.lease) <= store.EraOf(fence)
+}
+
 // continues reports whether this front held the planner's key before its process restarted, and no
 // other one can have claimed it since, as far as this front knows: the store has been away for as
 // long as this process runs. The caller must hold l.mu.
