front/crash: harmless prompt parts of a copy stay harmless

What refutes crash records names the newest one by its position. Records that the store brings back from a copy have higher positions than before, so that they would have counted again, and requests with the prompt part been refused. Found by reading what compares positions; no run showed it.

A refutation that comes back from the copy came with the records that it refutes, at the same revisions, so it is read in the copy's era. TestHarmlessPartsOfACopyStayHarmless: "older record, both of the copy" fails without it.

--- a/internal/front/crash/record.go
+++ b/internal/front/crash/record.go
@@ -76,12 +76,25 @@
 		var h harmlessPart
 		if json.Unmarshal(kv.Value, &h) == nil {
 			p := blame.Part{Service: h.Service, ID: h.Part}
-			e.harmless[p] = max(e.harmless[p], h.UpTo)
+			e.harmless[p] = max(e.harmless[p], h.upToIn(kv))
 		}
 	}
 	return e
 }
 
+// upToIn returns up to which revision crash records are refuted in the era of the value's key. If the store
+// came back from a copy with the value, it came back with these records as well, at the same revisions.
+func (h harmlessPart) upToIn(kv store.KV) int64 {
+	if h.UpTo > collectedRevisions || store.EraOf(h.UpTo) >= store.EraOf(kv.Revision) {
+		return h.UpTo
+	}
+	rebased, err := store.Position(store.EraOf(kv.Revision), store.RevisionOf(h.UpTo))
+	if err != nil {
+		return h.UpTo
+	}
+	return rebased
+}
+
 // addRecord adds a crash record whose key ends in rest.
 func (e *evidence) addRecord(rest string, kv store.KV) {
 	var r record
