plat/follow: lists of two eras are not mixed

If the store came back between the lists of two prefixes, a front took both for one view of the earlier era. Instances that the copy lacks were dropped at once, and one whose leaving had been acknowledged was used again: the list of the new era that came next was compared with a view that had already forgotten both.

All prefixes are read anew if a later one is of a newer era. TestListsOfTwoErasAreNotMixed fails without it: the instance that leaves isn't draining.

--- a/internal/plat/follow/era_test.go
+++ b/internal/plat/follow/era_test.go
@@ -53,3 +53,27 @@
 		})
 	}
 }
+
+// TestListsOfTwoErasAreNotMixed guards against instances that vanish though they live, and ones that leave and are
+// used again, if the store comes back between the lists of two prefixes.
+func TestListsOfTwoErasAreNotMixed(t *testing.T) {
+	runFollower(t, nil, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		w.put("srv/leaving", "at 1")
+		taken := w.Copy()
+		w.put("srv/leaving", "at leaving")
+		w.put("srv/new", "at 2")
+		time.Sleep(2 * time.Second)
+		back := func() {
+			w.ReturnFrom(taken, kvsim.LeasesKept)
+			w.faults.compacts.Store(false)
+		}
+		w.faults.returns.Store(&back)
+		w.faults.compacts.Store(true)
+		time.Sleep(testReturnGrace)
+		s := w.follower.State()
+		w.g.Expect(s.Revision).To(BeNumerically(">", int64(1)<<40), "the era has begun")
+		w.g.Expect(s.Instances["leaving"].Draining).To(BeTrue())
+		w.g.Expect(s.Instances).To(HaveKey("new"))
+	})
+}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -174,14 +174,19 @@
 	maxRereadDoublings = 2
 )
 
-// readAll reads every prefix and returns the lowest of their revisions, so that a watch from there misses no change.
+// readAll reads every prefix in one era and returns the lowest of their revisions, so that a watch from there
+// misses no change. It begins anew if an era begins meanwhile.
 func (f *Follower) readAll(ctx context.Context) (store.List, error) {
 	var all store.List
-	for _, prefix := range f.layout.Prefixes {
-		list, err := f.store.Range(ctx, prefix)
+	for i := 0; i < len(f.layout.Prefixes); i++ {
+		list, err := f.store.Range(ctx, f.layout.Prefixes[i])
 		if err != nil {
 			return store.List{}, err
 		}
+		if i > 0 && store.EraOf(list.Revision) > store.EraOf(all.Revision) {
+			all, i = store.List{}, -1
+			continue
+		}
 		if all.Revision == 0 || list.Revision < all.Revision {
 			all.Revision = list.Revision
 		}
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -63,6 +63,8 @@
 	cutWatches atomic.Bool
 	// compacts answers each watch that its history is compacted.
 	compacts atomic.Bool
+	// returns is called once, after the next list of a prefix, nil for nothing.
+	returns atomic.Pointer[func()]
 }
 
 func (w windowedStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
@@ -72,6 +74,14 @@
 	return w.MemoryStore.Get(ctx, key)
 }
 
+func (w windowedStore) Range(ctx context.Context, prefix string) (store.List, error) {
+	list, err := w.MemoryStore.Range(ctx, prefix)
+	if f := w.faults.returns.Swap(nil); f != nil {
+		(*f)()
+	}
+	return list, err
+}
+
 func (w windowedStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
 	for ctx.Err() == nil {
 		if w.faults.cutWatches.Load() {
