front/sched: a planner that lost its lease doesn't count as restarted

A planner whose process restarts while the store is away goes on under its token, which servers check. A front told such a restart by having no lease, which since the store's return from a copy also holds for one whose lease was refused: if the store then went away again before the view changed, it gave orders beside its successor.

Only a process that never held a lease goes on now. TestPlannerThatLostItsLeaseStopsWhileTheStoreIsAway fails without it.

--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -74,7 +74,9 @@
 	log        *zap.SugaredLogger
 	mu         sync.Mutex
 	lease      int64
-	renewedAt  time.Time
+	// hadLease is set once this process has held a lease.
+	hadLease  bool
+	renewedAt time.Time
 	// renewedAtBoot is the time of the last renewal on bootClock, which also counts
 	// the time in which the machine is suspended.
 	renewedAtBoot time.Duration
@@ -323,6 +325,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease, l.renewedAt, l.renewedAtBoot = lease, began, beganBoot
+	l.hadLease = l.hadLease || lease != 0
 }
 
 // suspended reports whether the machine was suspended for longer than maxSuspension
@@ -402,7 +405,7 @@
 // other one can have claimed it since, as far as this front knows: the store has been away for as
 // long as this process runs. The caller must hold l.mu.
 func (l *Candidate) continues(planner follow.Front) bool {
-	return planner.Name == l.Self.Name && planner.Address == l.Self.Address && l.lease == 0 && l.site.Unavailable(0)
+	return planner.Name == l.Self.Name && planner.Address == l.Self.Address && !l.hadLease && l.site.Unavailable(0)
 }
 
 // holdsKey reports whether no other front can have claimed the planner's key, which is
--- a/internal/front/sched/outage_test.go
+++ b/internal/front/sched/outage_test.go
@@ -64,6 +64,22 @@
 	})
 }
 
+// TestPlannerThatLostItsLeaseStopsWhileTheStoreIsAway guards against a planner that takes itself for restarted after
+// the store, which came back from a copy, refused its lease and went away again.
+func TestPlannerThatLostItsLeaseStopsWhileTheStoreIsAway(t *testing.T) {
+	runCluster(t, 1, 2, 2, func(c *cluster) {
+		p := c.leader()
+		time.Sleep(3 * time.Second)
+		p.store.partitioned.Store(true)
+		p.candidate.setLease(0, time.Time{}, 0)
+		time.Sleep(time.Second)
+		c.g.Expect(p.follower.Unavailable(0)).To(BeTrue())
+		c.g.Expect(p.follower.State().Planner.Run).To(Equal(p.candidate.Self.Run))
+		_, ok := p.candidate.FencingToken(true)
+		c.g.Expect(ok).To(BeFalse(), "another front may hold the planner's key by now")
+	})
+}
+
 // TestOutagesKeepTheHandoverDelay cuts drawn fronts off from the store, at times all of them,
 // and lets each return at a time of its own. The orders of two planners to one server that
 // doesn't check fencing tokens must be at least handoverDelay apart.
