plat/follow: an earlier incarnation of the copy isn't used

An instance that had restarted under its ID before the store came back was replaced by the incarnation that the copy lists: requests went to its old address, and the models that it had held counted as loaded. What tells that an instance had left looks at IDs that vanish, and this one had not.

An announcement with an earlier start than the instance in view is ignored as that of an instance that had left. The running incarnation stays for Delays.ReturnGrace, as if its announcement were missing. TestEarlierIncarnationOfACopyIsNotUsed fails without it: the old address serves. The test decoder also reads a start now.

--- a/internal/plat/follow/era.go
+++ b/internal/plat/follow/era.go
@@ -18,8 +18,8 @@
 	outdatedTime = 10 * time.Second
 )
 
-// outdated is the announcement, at a revision, of an instance that had left before the store came back from
-// a copy that lists it.
+// outdated is the announcement, at a revision, of an instance that had left, or restarted under its ID, before
+// the store came back from a copy that lists it.
 type outdated struct {
 	revision int64
 	until    time.Time
@@ -98,7 +98,7 @@
 // hideOutdated ignores an announcement for outdatedTime; the caller holds updateMu.
 func (f *Follower) hideOutdated(id string, revision int64) {
 	f.eras.outdated[id] = outdated{revision, time.Now().Add(outdatedTime)}
-	f.log.Infow("announcement of an instance that had left ignored", "Instance", id, "Revision", revision)
+	f.log.Infow("announcement of an instance that had left or restarted ignored", "Instance", id, "Revision", revision)
 }
 
 // isOutdated reports whether an announcement is ignored; the caller holds updateMu.
@@ -107,6 +107,25 @@
 	return ok && o.revision == revision
 }
 
+// keepReplacement keeps the instance that has replaced the one whose announcement is ignored, as long as it may
+// announce itself again; the caller holds updateMu.
+func (f *Follower) keepReplacement(old, s *State, id string) {
+	if in, ok := old.Instances[id]; ok && !in.Draining && f.mayReturn(s) {
+		in.Draining = f.leaving[in.InstanceKey]
+		s.Instances[id] = in
+	}
+}
+
+// keepsReplacements reports whether the state has instances by keepReplacement; the caller holds updateMu.
+func (f *Follower) keepsReplacements(s *State) bool {
+	for id, o := range f.eras.outdated {
+		if in, ok := s.Instances[id]; ok && in.Revision < o.revision {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetOutdated forgets the announcements that have been ignored for long enough, and reports whether there
 // were any. Those that are still listed are renewed by their instances.
 func (f *Follower) forgetOutdated() bool {
--- a/internal/plat/follow/era_test.go
+++ b/internal/plat/follow/era_test.go
@@ -77,3 +77,45 @@
 		w.g.Expect(s.Instances).To(HaveKey("new"))
 	})
 }
+
+// TestEarlierIncarnationOfACopyIsNotUsed guards against an instance that restarted under its ID and is taken for the
+// incarnation of the copy, which holds other models at another address.
+func TestEarlierIncarnationOfACopyIsNotUsed(t *testing.T) {
+	cases := []struct {
+		name, again string
+		later       []string
+	}{
+		{"announced again", "at 2 born 6", []string{"2"}},
+		{"announced as leaving", "at leaving born 6", nil},
+		{"gone", "", nil},
+		{"restarted once more", "at 3 born 7", []string{"3"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runFollower(t, nil, func(w *followerTest) {
+				serving := func() (out []string) {
+					for _, in := range w.follower.State().Serving("s") {
+						out = append(out, in.Address)
+					}
+					return out
+				}
+				w.put("op/doc", "v1")
+				w.put("srv/a", "at 1 born 5")
+				taken := w.Copy()
+				w.put("srv/a", "at 2 born 6")
+				time.Sleep(time.Second)
+				w.ReturnFrom(taken, kvsim.LeasesKept)
+				time.Sleep(time.Second)
+				w.g.Expect(serving()).To(Equal([]string{"2"}), "kept until it announces itself")
+				w.put("op/doc", "v2")
+				if c.again != "" {
+					w.put("srv/a", c.again)
+				}
+				time.Sleep(testReturnGrace)
+				w.g.Expect(serving()).To(Equal(c.later))
+				time.Sleep(outdatedTime / 2)
+				w.g.Expect(serving()).To(Equal(c.later))
+			})
+		})
+	}
+}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -329,7 +329,7 @@
 				}
 				delete(f.missing, key)
 			}
-			if changed := f.forgetOutdated() || old.hasFrontsOfCopy(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
+			if changed := f.forgetOutdated() || f.keepsReplacements(old) || old.hasFrontsOfCopy(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
 				return old
 			}
 			f.forgetSuccessors()
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -18,7 +18,8 @@
 	"foxtailcroft/internal/standin/kvsim"
 )
 
-// plainDecoder decodes documents of the form "v<version>" and announcements of the form "at <address>".
+// plainDecoder decodes documents of the form "v<version>" and announcements of the form "at <address>"
+// or "at <address> born <born>".
 type plainDecoder struct{}
 
 func (plainDecoder) Document(data []byte) (*site.Document, error) {
@@ -30,6 +31,7 @@
 func (plainDecoder) Instance(key string, data []byte, revision int64) (site.Instance, error) {
 	in := site.Instance{InstanceKey: site.InstanceKey{ID: key[len("srv/"):]}, Service: "s", Revision: revision}
 	_, err := fmt.Sscanf(string(data), "at %s", &in.Address)
+	_, _ = fmt.Sscanf(string(data), "at %s born %d", &in.Address, &in.Born)
 	in.Draining = in.Address == "leaving"
 	return in, err
 }
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -191,7 +191,11 @@
 
 func (f *Follower) decodeInstance(old, s *State, kv store.KV) error {
 	id := strings.TrimPrefix(kv.Key, f.layout.InstancePrefix)
-	if f.isSuperseded(id, kv.Revision) || f.isOutdated(id, kv.Revision) {
+	if f.isSuperseded(id, kv.Revision) {
+		return nil
+	}
+	if f.isOutdated(id, kv.Revision) {
+		f.keepReplacement(old, s, id)
 		return nil
 	}
 	before, known := old.Instances[id]
@@ -204,8 +208,9 @@
 	if err != nil {
 		return err
 	}
-	if s.beginsEraAfter(old) && f.hasLeft(in.InstanceKey) {
+	if s.beginsEraAfter(old) && (f.hasLeft(in.InstanceKey) || known && in.Born < before.Born) {
 		f.hideOutdated(id, kv.Revision)
+		f.keepReplacement(old, s, id)
 		return nil
 	}
 	delete(f.eras.left, in.InstanceKey)
