plat/follow: reads of the document don't end the pauses after lost history

On slow links the document is read apart from the watches. Its answers counted as those of a watch, so that a front whose watches were all answered 410 read everything again and again without a pause, and logged a line each time.

Only the answer of a watch ends the growing pauses now.

--- a/internal/plat/follow/apart.go
+++ b/internal/plat/follow/apart.go
@@ -27,8 +27,8 @@
 type positions struct {
 	mu sync.Mutex
 	of map[string]int64
-	// advanced is set once the store has answered a call.
-	advanced bool
+	// advanced is set once the store has answered a call, and watched once it has answered a watch.
+	advanced, watched bool
 }
 
 // advance records that a part is known up to a revision, and returns the one up to which all parts are.
@@ -44,6 +44,14 @@
 	return least
 }
 
+// advanceWatch is advance for the answer of a watch.
+func (p *positions) advanceWatch(part string, revision int64) int64 {
+	p.mu.Lock()
+	p.watched = true
+	p.mu.Unlock()
+	return p.advance(part, revision)
+}
+
 // watchApart watches the other keys and checks the document, each with calls of its own: on a slow link changes
 // don't wait for the document, nor for versions of it that are replaced meanwhile. It ends when a call fails or
 // the front is to follow another one; answered is set once the store has answered.
@@ -63,6 +71,9 @@
 	group.Go(func() { cancel(f.checkDocument(ctx, known)) })
 	group.Wait()
 	*answered = known.advanced
+	if known.watched {
+		f.lost = 0
+	}
 	return context.Cause(ctx)
 }
 
@@ -71,7 +82,7 @@
 	var paused time.Duration
 	return f.store.Watch(ctx, prefix, after, func(b store.Batch) error {
 		f.markAvailable()
-		b.Revision = known.advance(prefix, b.Revision)
+		b.Revision = known.advanceWatch(prefix, b.Revision)
 		f.applyBatch(b)
 		f.recordWatch(b, paused)
 		paused = 0
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -210,7 +210,7 @@
 		began, answered := time.Now(), false
 		err := f.watchOnce(ctx, &answered)
 		if answered {
-			failures, f.lost = 0, 0
+			failures = 0
 		}
 		if errors.Is(err, errFollowParent) {
 			continue
@@ -244,6 +244,7 @@
 	var paused time.Duration
 	return f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 		*answered = true
+		f.lost = 0
 		f.markAvailable()
 		f.applyBatch(b)
 		f.proveByWatch(b)
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -110,12 +110,18 @@
 }
 
 func runFollower(t *testing.T, peers Peers, test func(*followerTest)) {
+	runFollowerWith(t, peers, func(*Follower) {}, test)
+}
+
+// runFollowerWith is runFollower with a follower that is prepared before it runs.
+func runFollowerWith(t *testing.T, peers Peers, prepare func(*Follower), test func(*followerTest)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &followerTest{g: NewWithT(t), MemoryStore: kvsim.NewMemoryStore(1), ctx: ctx}
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", SystemPrefix}}
 		w.follower = New("me", windowedStore{w.MemoryStore, &w.faults}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
 		w.follower.SetPeers(peers)
+		prepare(w.follower)
 		var group conc.WaitGroup
 		for _, run := range []func(context.Context){w.follower.Run, w.follower.RunReread, w.follower.RunPeerPoll, w.follower.RunMissingCheck, w.follower.RunRepair} {
 			group.Go(func() { run(ctx) })
