plat/follow: fronts stay known while they register again in a new era

As an era began, the fronts whose registrations the copy lacks left the view until they had registered again, all of them if the leases were gone with the copy. A front that knows no other one paces instances and lends tokens as if it were alone, and gives itself the whole retry budget.

The fronts of the view before stay for Delays.ReturnGrace, and replace earlier runs that the copy lists; one that registers in the new era and leaves is gone at once. TestFrontsStayKnownAsAnEraBegins: "has not registered again yet" and "earlier run in the copy" fail without it. docs/design/store-eras.md also names restarts under one ID.

--- a/internal/plat/follow/era.go
+++ b/internal/plat/follow/era.go
@@ -62,10 +62,26 @@
 	}
 }
 
-// hasFrontsOfCopy reports whether the state has fronts that have not registered in the current era.
-func (s *State) hasFrontsOfCopy() bool {
+// keepFronts keeps the fronts of the old state that have not registered in the current era, as long as they may.
+func (f *Follower) keepFronts(old, s *State) {
+	if !f.mayReturn(s) {
+		return
+	}
+	for name, front := range old.Fronts {
+		now, known := s.Fronts[name]
+		kv := old.Keys[FrontPrefix+name]
+		registered := store.EraOf(kv.Revision) == store.EraOf(s.Revision) && !front.isOfCopy(kv.Revision)
+		if known && now.isOfCopy(s.Keys[FrontPrefix+name].Revision) || !known && !registered {
+			s.Fronts[name] = front
+		}
+	}
+}
+
+// hasUnregisteredFronts reports whether the state has fronts that have not registered in the current era.
+func (s *State) hasUnregisteredFronts() bool {
 	for name, front := range s.Fronts {
-		if front.isOfCopy(s.Keys[FrontPrefix+name].Revision) {
+		kv, ok := s.Keys[FrontPrefix+name]
+		if !ok && !s.EraBeganAt.IsZero() || front.isOfCopy(kv.Revision) {
 			return true
 		}
 	}
--- a/internal/plat/follow/era_test.go
+++ b/internal/plat/follow/era_test.go
@@ -119,3 +119,45 @@
 		})
 	}
 }
+
+// TestFrontsStayKnownAsAnEraBegins guards against fronts that take themselves for the only one, and lend and pace as
+// such, until the others have registered again.
+func TestFrontsStayKnownAsAnEraBegins(t *testing.T) {
+	const key = FrontPrefix + "other"
+	cases := []struct {
+		name string
+		// copied is what the copy has of the other front, and then changes the store after its return.
+		copied string
+		then   func(*followerTest)
+		// run and laterRun are what is known of the other front before and after the grace, empty for nothing.
+		run, laterRun string
+	}{
+		{"registers again", "", func(w *followerTest) { w.put(key, `{"Name":"other","Run":"2","Era":2}`) }, "2", "2"},
+		{"has not registered again yet", "", func(*followerTest) {}, "2", ""},
+		{"earlier run in the copy", `{"Name":"other","Run":"1","Era":1}`, func(*followerTest) {}, "2", ""},
+		{"registers again and leaves", "", func(w *followerTest) {
+			w.put(key, `{"Name":"other","Run":"2","Era":2}`)
+			time.Sleep(testBatchDelay + time.Millisecond)
+			w.remove(key)
+		}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runFollower(t, nil, func(w *followerTest) {
+				w.put("op/doc", "v1")
+				if c.copied != "" {
+					w.put(key, c.copied)
+				}
+				taken := w.Copy()
+				w.put(key, `{"Name":"other","Run":"2","Era":1}`)
+				time.Sleep(time.Second)
+				w.ReturnFrom(taken, kvsim.LeasesKept)
+				c.then(w)
+				time.Sleep(1500 * time.Millisecond)
+				w.g.Expect(w.follower.State().Fronts["other"].Run).To(Equal(c.run))
+				time.Sleep(testReturnGrace)
+				w.g.Expect(w.follower.State().Fronts["other"].Run).To(Equal(c.laterRun))
+			})
+		})
+	}
+}
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -330,7 +330,7 @@
 				}
 				delete(f.missing, key)
 			}
-			if changed := f.forgetOutdated() || f.keepsReplacements(old) || old.hasFrontsOfCopy(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
+			if changed := f.forgetOutdated() || f.keepsReplacements(old) || old.hasUnregisteredFronts(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
 				return old
 			}
 			f.forgetSuccessors()
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -135,6 +135,7 @@
 			}
 		}
 	}
+	f.keepFronts(old, s)
 	keepRejected(old, s)
 	s.dropUnknownPlanner()
 	f.keepSuccessors(old, s)
