front/sched: test that planners of two eras don't both order

Copies from 0 to some 30 s old come back while drawn fronts are cut off; servers don't check fencing tokens.

--- a/internal/front/sched/outage_test.go
+++ b/internal/front/sched/outage_test.go
@@ -12,6 +12,7 @@
 
 	"foxtailcroft/internal/core/site"
 	"foxtailcroft/internal/front/peers"
+	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/platform/fake"
 	"foxtailcroft/test/seeds"
 )
@@ -84,6 +85,16 @@
 // and lets each return at a time of its own. The orders of two planners to one server that
 // doesn't check fencing tokens must be at least handoverDelay apart.
 func TestOutagesKeepTheHandoverDelay(t *testing.T) {
+	testHandoverDelay(t, false)
+}
+
+// TestReturnsFromACopyKeepTheHandoverDelay is TestOutagesKeepTheHandoverDelay with a store that also comes back from
+// copies, which guards against a planner that goes on by its belief in a lost key.
+func TestReturnsFromACopyKeepTheHandoverDelay(t *testing.T) {
+	testHandoverDelay(t, true)
+}
+
+func testHandoverDelay(t *testing.T, returns bool) {
 	handovers := 0
 	for i := range uint64(30) {
 		seed := seeds.FromEnvironment() + i
@@ -91,7 +102,16 @@
 			c.startOutageChecks()
 			draws := rand.New(rand.NewPCG(seed, 3))
 			var group conc.WaitGroup
+			var copies []kvsim.Copy
 			for range 4 {
+				if returns {
+					copies = append(copies, c.memory.Copy())
+					taken, after, leases := copies[draws.IntN(len(copies))], time.Duration(draws.Int64N(int64(2500*time.Millisecond))), kvsim.Leases(draws.IntN(3))
+					group.Go(func() {
+						time.Sleep(after)
+						c.memory.ReturnFrom(taken, leases)
+					})
+				}
 				all := draws.IntN(2) == 0
 				for _, p := range c.fronts {
 					if !all && draws.IntN(2) == 0 {
