plat/follow: instances kept as an era begins are not dropped at once

Whether instances may still announce themselves was judged by the state before the check waited for the update in progress. If that one began an era, the check dropped at once what had just been kept: live instances that the copy lacks.

The state that is updated is judged.

--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -319,10 +319,10 @@
 // RunMissingCheck removes instances that did not announce themselves after an outage.
 func (f *Follower) RunMissingCheck(ctx context.Context) {
 	for sleep.For(ctx, missingCheckInterval) {
-		if f.mayReturn(f.State()) {
-			continue
-		}
 		f.update(func(old *State) *State {
+			if f.mayReturn(old) {
+				return old
+			}
 			keys := old.Keys
 			for key, revision := range f.missing {
 				if keys[key].Revision == revision {
