plat/follow: the incarnation before one that left isn't used

If an instance restarted under its ID and then left, and the store came back from a copy that lists the first incarnation, it was in use again: only the second one counted as gone.

Incarnations that others replace count as gone as well.

--- a/internal/plat/follow/era_test.go
+++ b/internal/plat/follow/era_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// TestIncarnationBeforeOneThatLeftIsNotUsed guards against an instance that restarted under its ID, left, and is in
+// use again since the copy lists its earlier incarnation.
+func TestIncarnationBeforeOneThatLeftIsNotUsed(t *testing.T) {
+	runFollower(t, nil, func(w *followerTest) {
+		w.put("op/doc", "v1")
+		w.put("srv/a", "at 1 born 5")
+		time.Sleep(time.Second)
+		taken := w.Copy()
+		w.put("srv/a", "at 2 born 6")
+		time.Sleep(time.Second)
+		w.remove("srv/a")
+		time.Sleep(time.Second)
+		w.ReturnFrom(taken, kvsim.LeasesKept)
+		time.Sleep(time.Second)
+		w.g.Expect(w.follower.State().Serving("s")).To(BeEmpty())
+		w.put("srv/a", "at 3 born 7")
+		time.Sleep(time.Second)
+		w.g.Expect(w.follower.State().Serving("s")).To(HaveLen(1))
+	})
+}
+
 // TestFrontsStayKnownAsAnEraBegins guards against fronts that take themselves for the only one, and lend and pace as
 // such, until the others have registered again.
 func TestFrontsStayKnownAsAnEraBegins(t *testing.T) {
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -223,10 +223,15 @@
 	return nil
 }
 
-// logRemoved logs the instances that are in old but not in s.
+// logRemoved logs the instances that are in old but not in s, and records them and the incarnations that others
+// have replaced as gone.
 func (f *Follower) logRemoved(old, s *State) {
 	for id, in := range old.Instances {
-		if _, ok := s.Instances[id]; !ok {
+		now, ok := s.Instances[id]
+		if ok && now.InstanceKey != in.InstanceKey {
+			f.recordLeft(in.InstanceKey)
+		}
+		if !ok {
 			f.log.Infow("instance gone", "Instance", id, "Born", in.Born, "Service", in.Service, "Revision", s.Revision)
 			f.recordLeft(in.InstanceKey)
 		}
