front/crash: refuted records of a copy stay refuted

If a prompt part had been proved harmless after the copy was made, the store came back with the crash records and without what refutes them, at higher positions than any front knew. All requests with the part were refused with 503 until an answer or a trial cleared it again.

A front that knew a record to be refuted keeps it so as its era changes. Records since the return have higher positions and count. TestRefutedRecordsOfACopyStayRefuted fails without it: "refuted before" and "few crashes since".

--- a/internal/front/crash/record.go
+++ b/internal/front/crash/record.go
@@ -111,3 +111,32 @@
 		}
 	}
 }
+
+// carryRefutations keeps crash records refuted that the store lists at higher positions since it came back from a
+// copy, which may lack what refutes them; the caller holds the lock.
+func (w *Watcher) carryRefutations(all map[string]store.KV) {
+	var harmless map[blame.Part]int64
+	for key, kv := range all {
+		before, known := w.keys[key]
+		if !known || !strings.HasPrefix(key, recordPrefix) || kv.Revision > collectedRevisions || store.EraOf(kv.Revision) <= store.EraOf(before.Revision) {
+			continue
+		}
+		if harmless == nil {
+			harmless = readEvidence(w.keys).harmless
+			for p, upTo := range w.ownHarmless {
+				harmless[p] = max(harmless[p], upTo)
+			}
+		}
+		var r record
+		if json.Unmarshal(kv.Value, &r) != nil {
+			continue
+		}
+		for _, s := range r.Suspects {
+			for _, id := range s.Parts {
+				if p := (blame.Part{Service: r.Service, ID: id}); before.Revision <= harmless[p] {
+					w.ownHarmless[p] = max(w.ownHarmless[p], kv.Revision)
+				}
+			}
+		}
+	}
+}
--- a/internal/front/crash/record_test.go
+++ b/internal/front/crash/record_test.go
@@ -45,3 +45,51 @@
 		})
 	}
 }
+
+// TestRefutedRecordsOfACopyStayRefuted guards against prompt parts that are blocked again since the copy has the crash
+// records, but not what refutes them.
+func TestRefutedRecordsOfACopyStayRefuted(t *testing.T) {
+	at := func(era, revision int64) int64 {
+		p, err := store.Position(era, revision)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return p
+	}
+	part := blame.Part{Service: "llm", ID: "p"}
+	records := func(positions ...int64) map[string]store.KV {
+		out := map[string]store.KV{}
+		for i, position := range positions {
+			key := recordPrefix + string(rune('a'+i)) + ".1/f"
+			out[key] = store.KV{Key: key, Value: []byte(`{"Service":"llm","Suspects":[{"Parts":["p"]}]}`), Revision: position}
+		}
+		return out
+	}
+	cases := []struct {
+		name    string
+		refuted bool
+		after   map[string]store.KV
+		blocked bool
+	}{
+		{"refuted before", true, records(at(2, 2), at(2, 3), at(2, 4)), false},
+		{"not refuted", false, records(at(2, 2), at(2, 3), at(2, 4)), true},
+		{"refuted, and few crashes since", true, records(at(2, 2), at(2, 3), at(2, 4), at(2, 5), at(2, 6)), false},
+		{"refuted, and more crashes since", true, records(at(2, 2), at(2, 3), at(2, 4), at(2, 5), at(2, 6), at(2, 7)), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w, closeWatcher := (&rig{}).watcher("a")
+			defer closeWatcher()
+			known := records(at(1, 2), at(1, 3), at(1, 4))
+			if c.refuted {
+				value, err := json.Marshal(harmlessPart{Service: part.Service, Part: part.ID, UpTo: at(1, 4)})
+				g.Expect(err).NotTo(HaveOccurred())
+				known[harmlessKey(part)] = store.KV{Key: harmlessKey(part), Value: value, Revision: at(1, 5)}
+			}
+			w.apply(known)
+			g.Expect(w.verdict.Load().Blocked).To(HaveLen(map[bool]int{false: 1}[c.refuted]))
+			w.apply(c.after)
+			_, blocked := w.verdict.Load().Blocked[part]
+			g.Expect(blocked).To(Equal(c.blocked))
+		})
+	}
+}
--- a/internal/front/crash/watcher.go
+++ b/internal/front/crash/watcher.go
@@ -187,6 +187,7 @@
 			w.firstSeen[key] = now
 		}
 	}
+	w.carryRefutations(all)
 	w.keys = all
 	w.judge()
 }
