--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -100,8 +100,11 @@
 	successors          []Successor
 	forgottenSuccessors int64
 	superseded          map[string]int64
-	proofs              proofTracker
-	waits               changeWaits
+	eras                eraMemory
+	// lost counts the watches in a row whose history the store had lost.
+	lost   int
+	proofs proofTracker
+	waits  changeWaits
 	// values fetches large values of other fronts, nil if they come with the changes.
 	values ValueSource
 	// readsDocumentApart is set where a document may take long on the link.
@@ -122,7 +125,7 @@
 
 // New returns a follower with an empty state.
 func New(self string, s store.Store, d Decoder, l Layout, t Delays, log *zap.SugaredLogger) *Follower {
-	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, random: rand.Float64, epoch: uuid.NewString(), rejectedValue: make(chan struct{}, 1)}
+	f := &Follower{self: self, store: s, decoder: d, layout: l, delays: t, log: log, missing: map[string]int64{}, leaving: map[site.InstanceKey]bool{}, superseded: map[string]int64{}, eras: newEraMemory(), random: rand.Float64, epoch: uuid.NewString(), rejectedValue: make(chan struct{}, 1)}
 	f.proofs.SinceBoot, f.proofs.renewed = clock.SinceBoot, make(chan struct{})
 	f.state.Store(&State{Keys: map[string]store.KV{}, Instances: map[string]site.Instance{}, Fronts: map[string]Front{}, replaced: make(chan struct{})})
 	return f
@@ -153,17 +156,37 @@
 		f.recordDocuments(fromList, list.KVs)
 		f.proveByList(sent, list)
 		f.watch(ctx)
+		f.awaitReread(ctx)
 	}
 }
 
-// readAll reads every prefix and returns the lowest of their revisions, so that a watch from there misses no change.
+// awaitReread waits before all keys are read again: not at all the first time that history is lost, and longer
+// each time that it happens again before a watch was answered.
+func (f *Follower) awaitReread(ctx context.Context) {
+	if f.lost > 1 {
+		sleep.For(ctx, min(maxRereadPause, storeRetryInterval<<min(f.lost-2, maxRereadDoublings)))
+	}
+}
+
+const (
+	// maxRereadPause bounds the pause before all keys are read again, and maxRereadDoublings how often it doubles.
+	maxRereadPause     = time.Second
+	maxRereadDoublings = 2
+)
+
+// readAll reads every prefix in one era and returns the lowest of their revisions, so that a watch from there
+// misses no change. It begins anew if an era begins meanwhile.
 func (f *Follower) readAll(ctx context.Context) (store.List, error) {
 	var all store.List
-	for _, prefix := range f.layout.Prefixes {
-		list, err := f.store.Range(ctx, prefix)
+	for i := 0; i < len(f.layout.Prefixes); i++ {
+		list, err := f.store.Range(ctx, f.layout.Prefixes[i])
 		if err != nil {
 			return store.List{}, err
 		}
+		if i > 0 && store.EraOf(list.Revision) > store.EraOf(all.Revision) {
+			all, i = store.List{}, -1
+			continue
+		}
 		if all.Revision == 0 || list.Revision < all.Revision {
 			all.Revision = list.Revision
 		}
@@ -194,7 +217,9 @@
 		}
 		var compacted *store.Compacted
 		if errors.As(err, &compacted) {
-			f.log.Infow("history lost, reading all again", "Revision", compacted.Revision)
+			f.lost++
+			f.countLost()
+			f.log.Infow("history lost, reading all again", "Era", store.EraOf(compacted.Revision), "Revision", store.RevisionOf(compacted.Revision), "InARow", f.lost)
 			return
 		}
 		if ctx.Err() != nil {
@@ -219,6 +244,7 @@
 	var paused time.Duration
 	return f.store.Watch(ctx, "", f.State().Revision, func(b store.Batch) error {
 		*answered = true
+		f.lost = 0
 		f.markAvailable()
 		f.applyBatch(b)
 		f.proveByWatch(b)
@@ -293,10 +319,10 @@
 // RunMissingCheck removes instances that did not announce themselves after an outage.
 func (f *Follower) RunMissingCheck(ctx context.Context) {
 	for sleep.For(ctx, missingCheckInterval) {
-		if f.Unavailable(f.delays.ReturnGrace) {
-			continue
-		}
 		f.update(func(old *State) *State {
+			if f.mayReturn(old) {
+				return old
+			}
 			keys := old.Keys
 			for key, revision := range f.missing {
 				if keys[key].Revision == revision {
@@ -304,7 +330,7 @@
 				}
 				delete(f.missing, key)
 			}
-			if len(keys) == len(old.Keys) && len(f.successors) == 0 {
+			if changed := f.forgetOutdated() || f.keepsReplacements(old) || old.hasUnregisteredFronts(); !changed && len(keys) == len(old.Keys) && len(f.successors) == 0 {
 				return old
 			}
 			f.forgetSuccessors()
@@ -322,7 +348,7 @@
 	if s.Revision <= after {
 		return View{}, s, false
 	}
-	view := View{List: store.List{Revision: s.Revision}, Lacking: s.lackingKeys(), Stable: !f.Unavailable(f.delays.ReturnGrace)}
+	view := View{List: store.List{Revision: s.Revision}, Lacking: s.lackingKeys(), Stable: !f.mayReturn(s)}
 	for key, kv := range s.Keys {
 		if !f.isMissing(key, kv.Revision) {
 			view.KVs = append(view.KVs, kv)
@@ -373,7 +399,7 @@
 				keys[key] = kv
 			}
 		}
-		f.retainMissing(old, keys, retain)
+		f.retainMissing(old, keys, list.Revision, retain)
 		s := f.deriveState(old, keys, list.Revision)
 		s.dropRejected(func(key string, r rejected) bool {
 			return !listed[key] && lacking[key] == 0 && r.revision <= list.Revision
@@ -403,7 +429,7 @@
 			return &s
 		}
 		keys := applyEvents(old.Keys, b.Events)
-		f.retainMissing(old, keys, true)
+		f.retainMissing(old, keys, b.Revision, true)
 		s := f.deriveState(old, keys, max(old.Revision, b.Revision))
 		for _, e := range b.Events {
 			if e.Deleted {
@@ -419,13 +445,14 @@
 }
 
 // retainMissing restores in keys a document that is missing there and, if instances is set, the
-// instances that disappeared during an outage or within Delays.ReturnGrace after it, unless they
-// were draining.
-func (f *Follower) retainMissing(old *State, keys map[string]store.KV, instances bool) {
+// instances that disappeared during an outage, as an era began, or within Delays.ReturnGrace after it, unless
+// they were draining; revision is that of the keys.
+func (f *Follower) retainMissing(old *State, keys map[string]store.KV, revision int64, instances bool) {
+	beginsEra := store.EraOf(revision) > store.EraOf(old.Revision)
 	if kv, ok := old.Keys[f.layout.DocumentKey]; ok && keys[f.layout.DocumentKey].Revision == 0 {
 		keys[f.layout.DocumentKey] = kv
 	}
-	if !instances || !f.Unavailable(f.delays.ReturnGrace) {
+	if !instances || !beginsEra && !f.mayReturn(old) {
 		return
 	}
 	for _, in := range old.Instances {
--- a/internal/plat/follow/follower_test.go
+++ b/internal/plat/follow/follower_test.go
@@ -18,7 +18,8 @@
 	"foxtailcroft/internal/standin/kvsim"
 )
 
-// plainDecoder decodes documents of the form "v<version>" and announcements of the form "at <address>".
+// plainDecoder decodes documents of the form "v<version>" and announcements of the form "at <address>"
+// or "at <address> born <born>".
 type plainDecoder struct{}
 
 func (plainDecoder) Document(data []byte) (*site.Document, error) {
@@ -30,6 +31,7 @@
 func (plainDecoder) Instance(key string, data []byte, revision int64) (site.Instance, error) {
 	in := site.Instance{InstanceKey: site.InstanceKey{ID: key[len("srv/"):]}, Service: "s", Revision: revision}
 	_, err := fmt.Sscanf(string(data), "at %s", &in.Address)
+	_, _ = fmt.Sscanf(string(data), "at %s born %d", &in.Address, &in.Born)
 	in.Draining = in.Address == "leaving"
 	return in, err
 }
@@ -61,6 +63,10 @@
 	stale atomic.Pointer[store.KV]
 	// cutWatches ends each watch with an error before its first response.
 	cutWatches atomic.Bool
+	// compacts answers each watch that its history is compacted.
+	compacts atomic.Bool
+	// returns is called once, after the next list of a prefix, nil for nothing.
+	returns atomic.Pointer[func()]
 }
 
 func (w windowedStore) Get(ctx context.Context, key string) (store.KV, bool, error) {
@@ -70,11 +76,22 @@
 	return w.MemoryStore.Get(ctx, key)
 }
 
+func (w windowedStore) Range(ctx context.Context, prefix string) (store.List, error) {
+	list, err := w.MemoryStore.Range(ctx, prefix)
+	if f := w.faults.returns.Swap(nil); f != nil {
+		(*f)()
+	}
+	return list, err
+}
+
 func (w windowedStore) Watch(ctx context.Context, prefix string, after int64, fn func(store.Batch) error) error {
 	for ctx.Err() == nil {
 		if w.faults.cutWatches.Load() {
 			return errors.New("watch cut")
 		}
+		if w.faults.compacts.Load() {
+			return &store.Compacted{Revision: after}
+		}
 		window, cancel := context.WithTimeout(ctx, time.Second)
 		err := w.MemoryStore.Watch(window, prefix, after, func(b store.Batch) error {
 			after = max(after, b.Revision)
@@ -93,12 +110,18 @@
 }
 
 func runFollower(t *testing.T, peers Peers, test func(*followerTest)) {
+	runFollowerWith(t, peers, func(*Follower) {}, test)
+}
+
+// runFollowerWith is runFollower with a follower that is prepared before it runs.
+func runFollowerWith(t *testing.T, peers Peers, prepare func(*Follower), test func(*followerTest)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &followerTest{g: NewWithT(t), MemoryStore: kvsim.NewMemoryStore(1), ctx: ctx}
 		layout := Layout{DocumentKey: "op/doc", InstancePrefix: "srv/", Prefixes: []string{"op/", "srv/", SystemPrefix}}
 		w.follower = New("me", windowedStore{w.MemoryStore, &w.faults}, plainDecoder{}, layout, Delays{ReturnGrace: testReturnGrace, BatchDelay: testBatchDelay}, zap.NewNop().Sugar())
 		w.follower.SetPeers(peers)
+		prepare(w.follower)
 		var group conc.WaitGroup
 		for _, run := range []func(context.Context){w.follower.Run, w.follower.RunReread, w.follower.RunPeerPoll, w.follower.RunMissingCheck, w.follower.RunRepair} {
 			group.Go(func() { run(ctx) })
