back/conns: an answer to a cut upload has no proved end

Callers got the beginning of an answer as a whole one: an instance answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the write that fails takes the error from the socket. The read after it returns what had arrived and then an end of file, as for a body that ends with its connection.

Change: if the request could not be written whole, the body of a response that has neither a length nor chunks ends with a *CutUploadError instead of io.EOF. The connection was already closed after such an exchange.

The harness of the proxy tests can run on the real clock and takes a body and a method.

--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -125,10 +126,46 @@
 	res, err = c.readOwnResponse(r)
 	if err == nil && writeErr != nil {
 		res.Close = true
+		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody {
+			res.Body = &cutBody{res.Body, &CutUploadError{Written: n, Err: writeErr}}
+		}
 	}
 	return res, true, err
 }
 
+// CutUploadError reports a response whose end is unknown, as it has no length and its request could not be
+// written whole: the failed write takes a reset from the socket, and what is read after it ends like a body.
+type CutUploadError struct {
+	// Written is the number of bytes of the request that were written.
+	Written int64
+	Err     error
+}
+
+// Error returns a message with Written and the error of the write.
+func (e *CutUploadError) Error() string {
+	return fmt.Sprintf("response without a length to a request cut after %d bytes: %v", e.Written, e.Err)
+}
+
+// Unwrap returns the error of the write.
+func (e *CutUploadError) Unwrap() error {
+	return e.Err
+}
+
+// cutBody is a body that ends with an error.
+type cutBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads from the body; its end is the error.
+func (b *cutBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
 // writeRequest writes the request; n is 0 only if no byte of it can have left.
 func (c *conn) writeRequest(r *Request) (n int64, err error) {
 	if len(r.MoreBody) == 0 {
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -163,40 +164,46 @@
 // withProxy runs a test with a proxy in front of n servers of each service, of which those of llm
 // hold model m; routes begin with /safe/, /unsafe/, /resume/ and /stream/.
 func withProxy(t *testing.T, n int, test func(*harness)) {
-	synctest.Test(t, func(t *testing.T) {
-		r := &harness{t: t, g: NewWithT(t), net: memnet.New(), stopServer: map[string]func(){}, executions: &fake.ExecutionLog{}, log: &bytes.Buffer{}}
-		route := func(prefix string, kind site.RouteKind, attempts int, resumable bool, service string) site.Route {
-			return site.Route{
-				Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, MaxAttempts: attempts, Resumable: resumable,
-				Timeout: 5 * time.Second, ResponseGoal: time.Second, Split: []site.WeightedService{{Service: service, Weight: 1}},
-			}
+	synctest.Test(t, func(t *testing.T) { runProxy(t, n, nil, test) })
+}
+
+// runProxy is withProxy on the caller's clock; instances are dialed with dial, nil for the harness's network.
+func runProxy(t *testing.T, n int, dial conns.Dial, test func(*harness)) {
+	r := &harness{t: t, g: NewWithT(t), net: memnet.New(), stopServer: map[string]func(){}, executions: &fake.ExecutionLog{}, log: &bytes.Buffer{}}
+	route := func(prefix string, kind site.RouteKind, attempts int, resumable bool, service string) site.Route {
+		return site.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, MaxAttempts: attempts, Resumable: resumable,
+			Timeout: 5 * time.Second, ResponseGoal: time.Second, Split: []site.WeightedService{{Service: service, Weight: 1}},
 		}
-		r.state = &follow.State{
-			Revision: 5, Instances: map[string]site.Instance{},
-			Document: &site.Document{
-				Version: 3, Limits: site.Limits{BodyBytes: 1 << 10},
-				Services: map[string]*site.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &site.Engine{Models: []site.Model{{Name: "m"}}}}},
-				Routes: []site.Route{
-					route("/safe/", site.Safe, 2, false, "plain"), route("/unsafe/", site.Unsafe, 1, false, "plain"),
-					route("/resume/", site.Streaming, 2, true, "llm"), route("/stream/", site.Streaming, 1, false, "llm"),
-				},
+	}
+	r.state = &follow.State{
+		Revision: 5, Instances: map[string]site.Instance{},
+		Document: &site.Document{
+			Version: 3, Limits: site.Limits{BodyBytes: 1 << 10},
+			Services: map[string]*site.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &site.Engine{Models: []site.Model{{Name: "m"}}}}},
+			Routes: []site.Route{
+				route("/safe/", site.Safe, 2, false, "plain"), route("/unsafe/", site.Unsafe, 1, false, "plain"),
+				route("/resume/", site.Streaming, 2, true, "llm"), route("/stream/", site.Streaming, 1, false, "llm"),
 			},
+		},
+	}
+	if dial == nil {
+		dial = r.net.Dial
+	}
+	for i := range n {
+		for _, service := range []string{"plain", "llm"} {
+			r.addServer(service, i)
 		}
-		for i := range n {
-			for _, service := range []string{"plain", "llm"} {
-				r.addServer(service, i)
-			}
-		}
-		pool, closePool := conns.New(r.net.Dial, metrics.NewSet())
-		log, err := logs.New(r.log, "info", "f")
-		r.g.Expect(err).NotTo(HaveOccurred())
-		settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
-		r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), log.Sugar())
-		defer r.group.Wait()
-		defer r.net.Close()
-		defer closePool()
-		test(r)
-	})
+	}
+	pool, closePool := conns.New(dial, metrics.NewSet())
+	log, err := logs.New(r.log, "info", "f")
+	r.g.Expect(err).NotTo(HaveOccurred())
+	settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
+	r.proxy = New(settings, r, pool, platform.Dialect{}, Helpers{Finder: r, Crashes: r, Pacer: r, Identities: r, Currency: r}, metrics.NewSet(), log.Sugar())
+	defer r.group.Wait()
+	defer r.net.Close()
+	defer closePool()
+	test(r)
 }
 
 // addServer starts the server with an index in a service and announces it.
@@ -242,7 +249,12 @@
 	if strings.HasPrefix(path, "/safe/") {
 		method, body = http.MethodGet, ""
 	}
-	req := httptest.NewRequestWithContext(ctx, method, "http://h.example"+path, strings.NewReader(body))
+	return r.serveBody(ctx, proxy, method, path, id, header, strings.NewReader(body))
+}
+
+// serveBody is serveBy with a method and a body.
+func (r *harness) serveBody(ctx context.Context, proxy *Server, method, path, id string, header http.Header, body io.Reader) (w *httptest.ResponseRecorder, aborted bool) {
+	req := httptest.NewRequestWithContext(ctx, method, "http://h.example"+path, body)
 	req.RequestURI = path
 	maps.Copy(req.Header, header)
 	req.Header.Set("Request-Id", id)
