back/conns: heads of answers are judged by the grammar of HTTP/1.1

Callers got answers that are none: with a name that held a blank, folded lines, lines ending with LF alone, statuses over 599, versions 0.9 to 2.0, control bytes in the reason phrase, chunks in HTTP/1.0 passed on as a body up to the end of the connection, a length beside chunks, and sound answers after interim ones that broke the grammar. "Content-Length : 4" was no length, so that all bytes up to the end of the connection were taken for the body.

Cause: http.ReadResponse accepts more than RFC 9110 and 9112 do, and its verdict was the only one.

Change: link/heads follows the raw bytes of a connection, through status lines, fields, bodies, chunk sizes and trailers, and ends the reading at the first one that breaks the grammar, with an error that names field, value and rule. conns puts it below its buffer, so that also the answers that are skipped, interim ones and those to other requests, are judged. What follows is that of bytes that are no answer: the request may have run, the connection is closed, and a retry needs the permission of its route. A connection is kept only if the judge sees the end of the answer as well. foxtailcroft_instance_malformed_answers_total counts them.

Kept as before, as servers send it: no reason phrase, with or without its blank, bytes over 0x7f in values, the same Content-Length twice, blanks after a chunk size, a length of 0 beside status 204.

--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"foxtailcroft/internal/link/heads"
 )
 
 // conn is one connection to an instance; while idle, it may be reused before reuseDeadline.
@@ -27,28 +29,35 @@
 }
 
 // maxHeadBytes bounds the head of a response, as a faulty server may send one without end.
-const maxHeadBytes = 64 << 10
+const maxHeadBytes = heads.MaxHeadBytes
 
 // errHeadTooLong reports a response head over maxHeadBytes.
 var errHeadTooLong = errors.New("response head is too long")
 
-// headReader reads from a connection and bounds what is read while a head is expected.
+// headReader reads from a connection, judges what arrives, and bounds what is read while a head is expected.
 type headReader struct {
 	io.Reader
+	judge heads.Judge
 	// left is the number of bytes that may still be read, negative if there is no bound.
 	left int
 }
 
-// Read reads up to the bound.
+// Read reads up to the bound, and no bytes that break HTTP/1.1's grammar.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.left < 0 {
-		return h.Reader.Read(p)
-	}
 	if h.left == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := h.Reader.Read(p[:min(len(p), h.left)])
-	h.left -= n
+	if h.left > 0 {
+		p = p[:min(len(p), h.left)]
+	}
+	n, err := h.Reader.Read(p)
+	if h.left > 0 {
+		h.left -= n
+	}
+	n, judged := h.judge.Judge(p[:n])
+	if judged != nil {
+		err = judged
+	}
 	return n, err
 }
 
--- a/internal/back/conns/conns_test.go
+++ b/internal/back/conns/conns_test.go
@@ -265,3 +265,25 @@
 }
 
 func (f *fakeConn) Read(p []byte) (int, error) { return f.Reader.Read(p) }
+
+// repeatedText returns a text again and again, once with each Read.
+type repeatedText string
+
+func (r repeatedText) Read(p []byte) (int, error) { return copy(p, r), nil }
+
+// BenchmarkReadAnswer reads a usual answer with its body.
+func BenchmarkReadAnswer(b *testing.B) {
+	text := answer("a", "Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nServer-Load: 3,0,8\r\nContent-Type: application/json\r\nContent-Length: 400\r\n", strings.Repeat("x", 400))
+	c := newConn(&fakeConn{Reader: repeatedText(text)}, 1)
+	r := request("a")
+	b.ReportAllocs()
+	for b.Loop() {
+		res, err := c.readOwnResponse(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"foxtailcroft/internal/link/heads"
 )
 
 const (
@@ -93,6 +95,9 @@
 	if err != nil {
 		stop()
 		c.close()
+		if broken := (*heads.GrammarError)(nil); errors.As(err, &broken) {
+			p.malformed.Inc()
+		}
 		return nil, &Failure{Sent: sent, Err: err}
 	}
 	return &Response{
@@ -179,6 +184,7 @@
 // readOwnResponse skips informational responses and those to other requests.
 func (c *conn) readOwnResponse(r *Request) (*http.Response, error) {
 	c.head.left = maxHeadBytes
+	c.head.judge.Expect(r.Method)
 	defer func() { c.head.left = -1 }()
 	for range maxForeignResponses {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -231,7 +237,8 @@
 // was read to its end (whole), no bytes follow it, and neither side asked to
 // close.
 func (r *Response) Finish(whole bool) {
-	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || r.conn.reader.Buffered() > 0 {
+	hasMore := r.conn.reader.Buffered() > 0 || !r.conn.head.judge.IsBetween()
+	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || hasMore {
 		r.conn.close()
 		return
 	}
--- a/internal/back/conns/pool.go
+++ b/internal/back/conns/pool.go
@@ -55,15 +55,18 @@
 	dials  *metrics.Counter
 	reused *metrics.Counter
 	short  *metrics.Counter
+	// malformed counts the exchanges that ended with a *heads.GrammarError in a head.
+	malformed *metrics.Counter
 }
 
 // New returns a pool and the function that closes its idle connections.
 func New(dial Dial, set *metrics.Set) (*Pool, func()) {
 	p := &Pool{
 		dial: dial, now: time.Now, idle: map[Target][]*conn{},
-		dials:  set.GetOrCreateCounter("foxtailcroft_instance_dials_total"),
-		reused: set.GetOrCreateCounter("foxtailcroft_instance_reuses_total"),
-		short:  set.GetOrCreateCounter("foxtailcroft_instance_connections_short_total"),
+		dials:     set.GetOrCreateCounter("foxtailcroft_instance_dials_total"),
+		reused:    set.GetOrCreateCounter("foxtailcroft_instance_reuses_total"),
+		short:     set.GetOrCreateCounter("foxtailcroft_instance_connections_short_total"),
+		malformed: set.GetOrCreateCounter("foxtailcroft_instance_malformed_answers_total"),
 	}
 	return p, p.close
 }
