link/heads: JSON answers are read to their end

Five readers took an answer for a whole one as soon as its JSON value was complete: reports of engines, the instance list, the operator's client, and reads and transactions of the etcd JSON client. An answer that was cut before the end of its length or its last chunk looked complete, and what came after the value was not looked at.

Cause: a json.Decoder stops at the end of the value.

Change: heads.DecodeJSON reads on to the end of the body, within the bounds that the callers set. Streams of the engine end with their own mark and stay as they are, and so do watches, whose values come one by one.

The plain client and the platform client already read whole bodies.

--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/link/heads"
 )
 
 // Client is an HTTP client of one engine. Each call has a connection of its own: an engine may
@@ -142,7 +143,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return Report{}, &fault.Unavailable{Service: "engine", Err: fmt.Errorf("report answered %s", resp.Status)}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&body); err != nil {
+	if err := heads.DecodeJSON(io.LimitReader(resp.Body, maxReportBytes), &body); err != nil {
 		return Report{}, &fault.Unavailable{Service: "engine", Err: err}
 	}
 	r := Report{MemoryBytes: body.MemoryBytes, Running: body.Running, Cached: body.Cached}
--- a/internal/node/check/run.go
+++ b/internal/node/check/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc/iter"
 
+	"foxtailcroft/internal/link/heads"
 	"foxtailcroft/internal/standin/engsim"
 )
 
@@ -140,7 +141,7 @@
 // readAnswer returns the text of a chat completion that is not streamed.
 func readAnswer(body io.Reader) (string, error) {
 	var c completion
-	if err := json.NewDecoder(body).Decode(&c); err != nil {
+	if err := heads.DecodeJSON(body, &c); err != nil {
 		return "", err
 	}
 	if len(c.Choices) != 1 {
--- a/internal/oper/remote/client.go
+++ b/internal/oper/remote/client.go
@@ -16,6 +16,7 @@
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/entry/admin"
+	"foxtailcroft/internal/link/heads"
 )
 
 // Client calls the operator API of an entry.
@@ -140,7 +141,7 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return heads.DecodeJSON(resp.Body, out)
 }
 
 // maxProblemBytes bounds the response body read from a refused call.
--- a/internal/plat/fleet/fleet.go
+++ b/internal/plat/fleet/fleet.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/link/heads"
 )
 
 // Instance is one entry of the platform's instance list; Leaving is true for one that is shutting down.
@@ -61,7 +61,7 @@
 		return nil, &fault.Unavailable{Service: "instance list", Err: fmt.Errorf("answered %s", resp.Status)}
 	}
 	var reply struct{ Instances []Instance }
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&reply); err != nil {
+	if err := heads.DecodeJSON(io.LimitReader(resp.Body, maxReplyBytes), &reply); err != nil {
 		return nil, &fault.Unavailable{Service: "instance list", Err: err}
 	}
 	return reply.Instances, nil
--- a/internal/plat/store/client.go
+++ b/internal/plat/store/client.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/link/heads"
 )
 
 const (
@@ -262,7 +263,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(progress.reader(resp.Body), maxReplyBytes)).Decode(reply); err != nil {
+	if err := heads.DecodeJSON(io.LimitReader(progress.reader(resp.Body), maxReplyBytes), reply); err != nil {
 		c.failedCalls.Inc()
 		return &fault.Unavailable{Service: "store", Err: errors.Join(err, context.Cause(ctx)), MayHaveApplied: true}
 	}
--- a/test/oddity/oddity.go
+++ b/test/oddity/oddity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -12,6 +13,8 @@
 	Text string
 	// IsSound is true if the answer keeps to the grammar, or to what real servers send.
 	IsSound bool
+	// IsOddAfterBody is true if the answer breaks the grammar only after the last byte of its body.
+	IsOddAfterBody bool
 }
 
 // With returns the text with fields, each ending with CR LF, and a body.
@@ -30,14 +33,25 @@
 func Answers() []Answer {
 	var all []Answer
 	for _, a := range odd {
-		all = append(all, Answer{a.name, a.text, false})
+		all = append(all, Answer{a.name, a.text, false, slices.Contains(oddAfterBody, a.name)})
 	}
 	for _, a := range sound {
-		all = append(all, Answer{a.name, a.text, true})
+		all = append(all, Answer{a.name, a.text, true, false})
 	}
 	return all
 }
 
+// Cut returns answers whose body has come, but not their end.
+func Cut() []Answer {
+	const chunked = ok + "FIELDS" + "Transfer-Encoding: chunked\r\n\r\nHEX\r\nBODY"
+	return []Answer{
+		{Name: "cut before the end of a length", Text: ok + "FIELDS" + "Content-Length: 9LEN\r\n\r\nBODY", IsOddAfterBody: true},
+		{Name: "cut before the last chunk", Text: chunked + "\r\n", IsOddAfterBody: true},
+		{Name: "cut inside the last chunk", Text: chunked + "\r\n0\r\n", IsOddAfterBody: true},
+		{Name: "cut inside a chunk's end", Text: chunked + "\r", IsOddAfterBody: true},
+	}
+}
+
 var odd = []struct{ name, text string }{
 	{"status 000", "HTTP/1.1 000 OK\r\n" + sized},
 	{"status 099", "HTTP/1.1 099 OK\r\n" + sized},
@@ -117,6 +131,10 @@
 	{"body alone", "BODY"},
 }
 
+var oddAfterBody = []string{
+	"empty chunk size", "chunk longer than its size", "blank in a trailer's name", "control byte in a trailer's value", "trailer without a colon",
+}
+
 var sound = []struct{ name, text string }{
 	{"plain", ok + sized},
 	{"chunks", ok + chunk},
