link/heads: net/http clients judge the heads of answers, too

The clients of plain services, engines, both stores, the instance list and entries read with net/http, and took answers that break the grammar of HTTP/1.1: statuses such as 000, 999 and +20, names with blanks, folded lines, other versions, a length beside chunks, odd interim answers.

Cause: that of the instances' answers; net/http accepts more than RFC 9110 and 9112 do, and hides much of it: folded lines and fields of interim answers aren't in its Response.

Change: heads.Transport wraps the connections of a *http.Transport, as only they see the raw bytes, and tells the judge the method of each call by GotConn. The constructors of the clients wrap what they are given, so that none is left out. An answer that breaks the grammar ends with a *GrammarError, which callers see as a failed call that may have been applied or run. Connections are HTTP/1.1, also with TLS. Answers of an https server behind a proxy aren't judged, as they pass the connection encrypted.

The client of node/check is wrapped but has no such test.

--- a/internal/back/engine/client.go
+++ b/internal/back/engine/client.go
@@ -25,7 +25,7 @@
 
 // NewClient returns a client of the engine at the base URL.
 func NewClient(base string, transport http.RoundTripper) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: &http.Client{Transport: heads.Transport(transport)}}
 }
 
 type orderBody struct {
--- a/internal/back/plain/plain.go
+++ b/internal/back/plain/plain.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"foxtailcroft/internal/base/memory"
+	"foxtailcroft/internal/link/heads"
 )
 
 // Call is one request to a plain service.
@@ -105,7 +106,7 @@
 	stop := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:       u,
-		http:       &http.Client{Transport: transport, CheckRedirect: stop},
+		http:       &http.Client{Transport: heads.Transport(transport), CheckRedirect: stop},
 		bodyMemory: semaphore.NewWeighted(maxBufferedBytes),
 	}, nil
 }
--- a/internal/node/check/suite.go
+++ b/internal/node/check/suite.go
@@ -11,6 +11,7 @@
 
 	"foxtailcroft/internal/base/conf"
 	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/link/heads"
 	"foxtailcroft/internal/oper/remote"
 )
 
@@ -141,7 +142,7 @@
 // Run sends all requests in turn and prints a summary line for each. runCount returns
 // how often a service executed a request with the given body.
 func Run(ctx context.Context, out io.Writer, c *remote.Client, entries []string, requests []Request, runCount func(service, body string) int) error {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	client := &http.Client{Transport: heads.Transport(&http.Transport{MaxIdleConnsPerHost: 64})}
 	defer client.CloseIdleConnections()
 	failed := 0
 	for _, r := range requests {
--- a/internal/oper/remote/client.go
+++ b/internal/oper/remote/client.go
@@ -31,7 +31,7 @@
 
 // New returns a client of the entry at baseURL. The audit trail records actor as the operator.
 func New(baseURL, actor string) *Client {
-	return &Client{baseURL: strings.TrimRight(baseURL, "/"), actor: actor, http: &http.Client{}}
+	return &Client{baseURL: strings.TrimRight(baseURL, "/"), actor: actor, http: &http.Client{Transport: heads.Transport(http.DefaultTransport)}}
 }
 
 // RefusedError reports a call that the entry refused, with the HTTP status.
--- a/internal/plat/fleet/fleet.go
+++ b/internal/plat/fleet/fleet.go
@@ -41,7 +41,7 @@
 
 // NewClient returns a client of the instance list at the base URL.
 func NewClient(base string, transport http.RoundTripper) *Client {
-	return &Client{url: base + "/v1/instances", http: &http.Client{Transport: transport}}
+	return &Client{url: base + "/v1/instances", http: &http.Client{Transport: heads.Transport(transport)}}
 }
 
 // Instances returns the platform's current list; errors of the call are *fault.Unavailable.
--- a/internal/plat/store/client.go
+++ b/internal/plat/store/client.go
@@ -39,7 +39,7 @@
 // NewClient returns a client of the store at the base URL, limited to callsPerSecond.
 func NewClient(base string, transport http.RoundTripper, callsPerSecond float64, set *metrics.Set) *Client {
 	return &Client{
-		base: base, http: &http.Client{Transport: transport},
+		base: base, http: &http.Client{Transport: heads.Transport(transport)},
 		limiter:     rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond))),
 		calls:       set.GetOrCreateCounter("foxtailcroft_store_calls_total"),
 		failedCalls: set.GetOrCreateCounter("foxtailcroft_store_failed_calls_total"),
--- a/test/contract/odd_answers_test.go
+++ b/test/contract/odd_answers_test.go
@@ -77,12 +77,13 @@
 	})...)
 }
 
-// TestNoReaderTakesAnswersWithoutTheirEnd guards against readers that take an answer before its end has come.
-func TestNoReaderTakesAnswersWithoutTheirEnd(t *testing.T) {
+// TestNoReaderTakesAnswersThatBreakTheGrammar guards against readers that take bytes for an answer that are none,
+// or refuse unusual ones.
+func TestNoReaderTakesAnswersThatBreakTheGrammar(t *testing.T) {
 	for _, r := range readers() {
 		t.Run(r.name, func(t *testing.T) {
 			taken, odd := 0, 0
-			for _, a := range oddity.Cut() {
+			for _, a := range append(oddity.Answers(), oddity.Cut()...) {
 				t.Run(a.Name, func(t *testing.T) {
 					g := NewWithT(t)
 					s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -105,7 +106,7 @@
 					g.Expect(err == nil).To(Equal(mayTake), "%v", err)
 				})
 			}
-			t.Logf("%d of %d answers without their end were taken", taken, odd)
+			t.Logf("%d of %d answers that break the grammar were taken", taken, odd)
 		})
 	}
 }
