link/heads: net/http clients take no answer to a cut upload for a whole one

Clients of plain services and of the store took the beginning of an answer without a length for all of it, if the server reset the connection while the request was still being written.

Change: the wrapped connections of heads.Transport know of their writes. An end of file inside a body that ends with its connection is a *CutUploadError if a write has failed or is under way. The error type moves from back/conns to link/heads. Bodies with a length or chunks prove their end themselves.

test/resets leaves the receive buffer alone where the whole request is read, which took minutes with a small one.

--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -132,30 +132,12 @@
 	if err == nil && writeErr != nil {
 		res.Close = true
 		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody {
-			res.Body = &cutBody{res.Body, &CutUploadError{Written: n, Err: writeErr}}
+			res.Body = &cutBody{res.Body, &heads.CutUploadError{Written: n, Err: writeErr}}
 		}
 	}
 	return res, true, err
 }
 
-// CutUploadError reports a response whose end is unknown, as it has no length and its request could not be
-// written whole: the failed write takes a reset from the socket, and what is read after it ends like a body.
-type CutUploadError struct {
-	// Written is the number of bytes of the request that were written.
-	Written int64
-	Err     error
-}
-
-// Error returns a message with Written and the error of the write.
-func (e *CutUploadError) Error() string {
-	return fmt.Sprintf("response without a length to a request cut after %d bytes: %v", e.Written, e.Err)
-}
-
-// Unwrap returns the error of the write.
-func (e *CutUploadError) Unwrap() error {
-	return e.Err
-}
-
 // cutBody is a body that ends with an error.
 type cutBody struct {
 	io.ReadCloser
--- a/internal/link/heads/error.go
+++ b/internal/link/heads/error.go
@@ -28,3 +28,22 @@
 func (e *GrammarError) Error() string {
 	return fmt.Sprintf("answer breaks HTTP/1.1: %q: %q: %s", e.Field, e.Value, e.Rule)
 }
+
+// CutUploadError reports an answer whose end is unknown, as it has no length and its request was not written
+// whole: a write that fails takes a reset from the socket, and what is read after it ends like a body.
+type CutUploadError struct {
+	// Written is the number of bytes of the request that were written.
+	Written int64
+	// Err is the error of the write, nil if it was still under way.
+	Err error
+}
+
+// Error returns a message with Written and the error of the write.
+func (e *CutUploadError) Error() string {
+	return fmt.Sprintf("answer without a length to a request cut after %d bytes: %v", e.Written, e.Err)
+}
+
+// Unwrap returns the error of the write.
+func (e *CutUploadError) Unwrap() error {
+	return e.Err
+}
--- a/internal/link/heads/transport.go
+++ b/internal/link/heads/transport.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -94,6 +96,11 @@
 	judge Judge
 	// hasWritten is true once something was written, and isTunnel if that was a CONNECT request.
 	hasWritten, isTunnel bool
+	// writes counts the writes that are under way, and written the bytes of those that ended, the last one
+	// with writeErr.
+	writes   int
+	written  int64
+	writeErr error
 }
 
 func (c *judgedConn) expect(method string) {
@@ -111,8 +118,12 @@
 		return n, err
 	}
 	n, judged := c.judge.Judge(p[:n])
-	if judged != nil {
+	switch {
+	case judged != nil:
 		err = judged
+	case errors.Is(err, io.EOF) && c.judge.EndsWithConnection() && (c.writes > 0 || c.writeErr != nil):
+		// The write may have taken the error that this read would have returned.
+		err = &CutUploadError{Written: c.written, Err: c.writeErr}
 	}
 	return n, err
 }
@@ -122,6 +133,15 @@
 	c.mu.Lock()
 	c.isTunnel = c.isTunnel || !c.hasWritten && bytes.HasPrefix(p, []byte("CONNECT "))
 	c.hasWritten = true
+	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+	c.written += int64(n)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
 }
--- a/internal/link/heads/transport_test.go
+++ b/internal/link/heads/transport_test.go
@@ -81,6 +81,43 @@
 	}
 }
 
+// cutConn has sent an answer and then a reset, which its writes take.
+type cutConn struct {
+	net.Conn
+	io.Reader
+	err error
+}
+
+func (c *cutConn) Read(p []byte) (int, error)  { return c.Reader.Read(p) }
+func (c *cutConn) Write(p []byte) (int, error) { return len(p) / 2, c.err }
+
+// TestFailedWriteLeavesNoProvedEnd guards against the end of file after a failed write being taken for the end
+// of a body; a body with a length proves its end itself.
+func TestFailedWriteLeavesNoProvedEnd(t *testing.T) {
+	for _, c := range []struct {
+		name, fields string
+		writeErr     error
+		isCut        bool
+	}{
+		{"no length", "", io.ErrClosedPipe, true},
+		{"length", "Content-Length: 4\r\n", io.ErrClosedPipe, false},
+		{"no length, request written", "", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			conn := &judgedConn{Conn: &cutConn{Reader: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.fields + "\r\npart"), err: c.writeErr}}
+			_, err := conn.Write(make([]byte, 10))
+			g.Expect(err == nil).To(Equal(c.writeErr == nil))
+			_, err = io.ReadAll(conn)
+			var cut *CutUploadError
+			g.Expect(errors.As(err, &cut)).To(Equal(c.isCut), "%v", err)
+			if c.isCut {
+				g.Expect(*cut).To(Equal(CutUploadError{Written: 5, Err: c.writeErr}))
+			}
+		})
+	}
+}
+
 // forward is a proxy's handler.
 func forward(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodConnect {
--- a/test/resets/resets.go
+++ b/test/resets/resets.go
@@ -48,7 +48,9 @@
 // answerAndReset serves one connection; errors are those of a client that has left.
 func answerAndReset(conn *net.TCPConn, answer string, midway bool) {
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetReadBuffer(receiveBufferBytes)
+	if midway {
+		_ = conn.SetReadBuffer(receiveBufferBytes)
+	}
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
