link/heads: the reasons of malformed answers count as one cause

foxtailcroft causes would list a cause of its own for each malformed field, and for each number of bytes after which an upload was cut, as both stand in the messages of the new errors.

Change: a GrammarError says "malformed HTTP answer", which causes already counts as "malformed response"; a CutUploadError leaves out the number, which stays in its field.

Evidence: two rows of cause.TestReasonsOfConnectionErrors failed before.

--- a/internal/link/heads/error.go
+++ b/internal/link/heads/error.go
@@ -26,7 +26,7 @@
 
 // Error returns a message with the field, the value and the rule.
 func (e *GrammarError) Error() string {
-	return fmt.Sprintf("answer breaks HTTP/1.1: %q: %q: %s", e.Field, e.Value, e.Rule)
+	return fmt.Sprintf("malformed HTTP answer: %q: %q: %s", e.Field, e.Value, e.Rule)
 }
 
 // CutUploadError reports an answer whose end is unknown, as it has no length and its request was not written
@@ -38,9 +38,12 @@
 	Err error
 }
 
-// Error returns a message with Written and the error of the write.
+// Error returns a message with the error of the write.
 func (e *CutUploadError) Error() string {
-	return fmt.Sprintf("answer without a length to a request cut after %d bytes: %v", e.Written, e.Err)
+	if e.Err == nil {
+		return "answer without a length ended before its request was written"
+	}
+	return fmt.Sprintf("answer without a length to a cut request: %v", e.Err)
 }
 
 // Unwrap returns the error of the write.
--- a/internal/oper/cause/reason_test.go
+++ b/internal/oper/cause/reason_test.go
@@ -1,9 +1,12 @@
 package cause
 
 import (
+	"errors"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"foxtailcroft/internal/link/heads"
 )
 
 // TestReasonsOfConnectionErrors guards against a cause of its own for each connection, which hides how
@@ -19,6 +22,8 @@
 		{sent + "unexpected EOF", sent + "EOF"},
 		{sent + "EOF", sent + "EOF"},
 		{sent + `malformed HTTP status code "2x0"`, sent + "malformed response"},
+		{sent + (&heads.GrammarError{Field: "A b", Value: "c", Rule: "r"}).Error(), sent + "malformed response"},
+		{(&heads.CutUploadError{Written: 7, Err: errors.New("write tcp 10.0.0.1:1->10.0.0.2:2: write: broken pipe")}).Error(), "answer without a length to a cut request: connection closed by the other side"},
 		{"no answer (sent: false): dial tcp 10.0.0.2:8080: connect: connection refused", "no answer (sent: false): connection refused"},
 		{"no answer (sent: false): dial tcp 10.0.0.2:8080: connect: no route to host", "no answer (sent: false): unreachable"},
 		{"no answer (sent: false): dial tcp: lookup i-7 on 10.0.0.53:53: no such host", "no answer (sent: false): name not resolved"},
