back/conns, link/heads: tests of early answers and of ends during a write

back/conns: three long uploads over one connection to a server that answers before it reads; each body arrives whole, and nothing of it is left for the next request. It passed before: the pool reads once it has written.

link/heads: an end of file while a write is under way is no proved end; the test fails if only failed writes count.

--- a/internal/back/conns/conns_test.go
+++ b/internal/back/conns/conns_test.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/test/resets"
 )
 
 // scriptedServer reads a request and then writes the next scripted bytes.
@@ -287,3 +290,44 @@
 		}
 	}
 }
+
+// TestEarlyAnswerLeavesNoUploadBehind guards against a connection that is used again while a server that answers
+// before it reads still waits for the rest of a body.
+func TestEarlyAnswerLeavesNoUploadBehind(t *testing.T) {
+	g := NewWithT(t)
+	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer lis.Close()
+	var group conc.WaitGroup
+	var bodies []int64
+	group.Go(func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, answer("a", "Content-Length: 4\r\n", "mine")); err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, r.Body)
+			bodies = append(bodies, n)
+		}
+	})
+	p, closePool := New(DialTCP, metrics.NewSet())
+	r := request("a")
+	r.Body = make([]byte, resets.UploadBytes)
+	for range 3 {
+		res, err := p.Do(t.Context(), Target{Address: lis.Addr().String()}, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		res.Discard()
+	}
+	closePool()
+	group.Wait()
+	g.Expect(bodies).To(Equal([]int64{resets.UploadBytes, resets.UploadBytes, resets.UploadBytes}), "one connection, whole bodies")
+}
--- a/internal/link/heads/transport_test.go
+++ b/internal/link/heads/transport_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
@@ -118,6 +119,32 @@
 	}
 }
 
+// TestEndDuringAWriteIsNotProved guards against the same while the write has taken the error but not returned yet.
+func TestEndDuringAWriteIsNotProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		near, far := net.Pipe()
+		defer far.Close()
+		conn := &judgedConn{Conn: &halfConn{near, strings.NewReader("HTTP/1.1 200 OK\r\n\r\npart")}}
+		var group conc.WaitGroup
+		group.Go(func() { _, _ = conn.Write(make([]byte, 10)) })
+		synctest.Wait()
+		_, err := io.ReadAll(conn)
+		var cut *CutUploadError
+		g.Expect(errors.As(err, &cut)).To(BeTrue(), "%v", err)
+		_ = near.Close()
+		group.Wait()
+	})
+}
+
+// halfConn writes to a connection and reads from memory.
+type halfConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c *halfConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
 // forward is a proxy's handler.
 func forward(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodConnect {
