--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
+
+	"foxtailcroft/internal/link/heads"
 )
 
 const (
@@ -92,6 +95,9 @@
 	if err != nil {
 		stop()
 		c.close()
+		if broken := (*heads.GrammarError)(nil); errors.As(err, &broken) {
+			p.malformed.Inc()
+		}
 		return nil, &Failure{Sent: sent, Err: err}
 	}
 	return &Response{
@@ -125,10 +131,28 @@
 	res, err = c.readOwnResponse(r)
 	if err == nil && writeErr != nil {
 		res.Close = true
+		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody {
+			res.Body = &cutBody{res.Body, &heads.CutUploadError{Written: n, Err: writeErr}}
+		}
 	}
 	return res, true, err
 }
 
+// cutBody is a body that ends with an error.
+type cutBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads from the body; its end is the error.
+func (b *cutBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
 // writeRequest writes the request; n is 0 only if no byte of it can have left.
 func (c *conn) writeRequest(r *Request) (n int64, err error) {
 	if len(r.MoreBody) == 0 {
@@ -142,6 +166,7 @@
 // readOwnResponse skips informational responses and those to other requests.
 func (c *conn) readOwnResponse(r *Request) (*http.Response, error) {
 	c.head.left = maxHeadBytes
+	c.head.judge.Expect(r.Method)
 	defer func() { c.head.left = -1 }()
 	for range maxForeignResponses {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -194,7 +219,8 @@
 // was read to its end (whole), no bytes follow it, and neither side asked to
 // close.
 func (r *Response) Finish(whole bool) {
-	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || r.conn.reader.Buffered() > 0 {
+	hasMore := r.conn.reader.Buffered() > 0 || !r.conn.head.judge.IsBetween()
+	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || hasMore {
 		r.conn.close()
 		return
 	}
--- a/internal/oper/remote/client.go
+++ b/internal/oper/remote/client.go
@@ -16,6 +16,7 @@
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/core/kinds"
 	"foxtailcroft/internal/entry/admin"
+	"foxtailcroft/internal/link/heads"
 )
 
 // Client calls the operator API of an entry.
@@ -30,7 +31,7 @@
 
 // New returns a client of the entry at baseURL. The audit trail records actor as the operator.
 func New(baseURL, actor string) *Client {
-	return &Client{baseURL: strings.TrimRight(baseURL, "/"), actor: actor, http: &http.Client{}}
+	return &Client{baseURL: strings.TrimRight(baseURL, "/"), actor: actor, http: &http.Client{Transport: heads.Transport(http.DefaultTransport)}}
 }
 
 // RefusedError reports a call that the entry refused, with the HTTP status.
@@ -140,7 +141,7 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return heads.DecodeJSON(resp.Body, out)
 }
 
 // maxProblemBytes bounds the response body read from a refused call.
--- a/internal/plat/store/client.go
+++ b/internal/plat/store/client.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"foxtailcroft/internal/core/fault"
+	"foxtailcroft/internal/link/heads"
 )
 
 const (
@@ -38,7 +39,7 @@
 // NewClient returns a client of the store at the base URL, limited to callsPerSecond.
 func NewClient(base string, transport http.RoundTripper, callsPerSecond float64, set *metrics.Set) *Client {
 	return &Client{
-		base: base, http: &http.Client{Transport: transport},
+		base: base, http: &http.Client{Transport: heads.Transport(transport)},
 		limiter:     rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond))),
 		calls:       set.GetOrCreateCounter("foxtailcroft_store_calls_total"),
 		failedCalls: set.GetOrCreateCounter("foxtailcroft_store_failed_calls_total"),
@@ -262,7 +263,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(progress.reader(resp.Body), maxReplyBytes)).Decode(reply); err != nil {
+	if err := heads.DecodeJSON(io.LimitReader(progress.reader(resp.Body), maxReplyBytes), reply); err != nil {
 		c.failedCalls.Inc()
 		return &fault.Unavailable{Service: "store", Err: errors.Join(err, context.Cause(ctx)), MayHaveApplied: true}
 	}
