front/peers, plat/follow: fronts that know no eras get no later position

A front of an earlier version takes positions for revisions. One such front uses up the reads of all.

Requests for views and changes tell that a front knows eras; others get none in a later era, and order bare revisions as before. TestFrontsThatKnowNoErasGetNoLaterPosition fails without it ("later era"). The method that sends views whole, for still earlier versions, follows the same rule without a test.

--- a/internal/front/peers/peers.go
+++ b/internal/front/peers/peers.go
@@ -269,7 +269,11 @@
 		return m.claim(c), nil
 	})
 	peer.OnCall(mux, methodNewer, func(_ context.Context, _ *peer.Conn, after int64) (follow.View, error) {
-		view, _, _ := f.Snapshot(after)
+		view, s, _ := f.Snapshot(after)
+		if s.HasReturned() {
+			// Fronts that know eras ask for parts.
+			return follow.View{}, nil
+		}
 		return view, nil
 	})
 	views := &viewEncoder{follower: f}
--- a/internal/front/peers/view.go
+++ b/internal/front/peers/view.go
@@ -37,6 +37,8 @@
 	Offset int
 	// Bulk is true if large values are only to be named.
 	Bulk bool `json:",omitempty"`
+	// Eras is true if the front knows eras of the store; others get no view of a later one.
+	Eras bool `json:",omitempty"`
 }
 
 // viewPart is a part of an encoded view of Size bytes; Revision is 0 if there is none that is newer.
@@ -68,6 +70,9 @@
 // part returns a part of the encoded view that is asked for, or the first one of the newest view.
 func (e *viewEncoder) part(r viewRequest) (viewPart, error) {
 	age := e.follower.ConfirmedAge()
+	if !r.Eras && e.follower.State().HasReturned() {
+		return viewPart{ReachAge: age}, nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.Offset == 0 || e.state == nil || r.Digest != e.digest {
@@ -161,7 +166,7 @@
 // front's answers to contact.
 func (m *Client) fetchView(ctx context.Context, address string, after int64, contact *follow.Contact) (follow.View, error) {
 	return readView(after, func(r viewRequest) (viewPart, error) {
-		r.Bulk = true
+		r.Bulk, r.Eras = true, true
 		return m.fetchPart(ctx, address, r, contact)
 	})
 }
--- a/internal/front/peers/view_test.go
+++ b/internal/front/peers/view_test.go
@@ -120,3 +120,32 @@
 		NewWithT(t).Expect(errors.As(err, &damaged)).To(BeTrue())
 	})
 }
+
+// TestFrontsThatKnowNoErasGetNoLaterPosition guards against a front of an earlier version that takes a view of a later
+// era, and from then on reads the store without a pause and takes no document.
+func TestFrontsThatKnowNoErasGetNoLaterPosition(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		returns, knows bool
+		gets           bool
+	}{
+		{"first era", false, false, true},
+		{"later era", true, false, false},
+		{"later era, known", true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			viewSources(t, 1, func(s []*viewSource, memory *kvsim.MemoryStore) {
+				g := NewWithT(t)
+				if c.returns {
+					memory.ReturnFrom(memory.Copy(), kvsim.LeasesKept)
+					time.Sleep(5 * time.Second)
+				}
+				g.Expect(s[0].State().HasReturned()).To(Equal(c.returns))
+				part, err := s[0].encoder.part(viewRequest{Eras: c.knows})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(part.Revision > 0).To(Equal(c.gets))
+				g.Expect(s[0].Changes(context.Background(), follow.ChangesRequest{Eras: c.knows}).Available).To(Equal(c.gets))
+			})
+		})
+	}
+}
--- a/internal/plat/follow/era.go
+++ b/internal/plat/follow/era.go
@@ -43,6 +43,11 @@
 	return store.EraOf(s.Revision) > store.EraOf(old.Revision)
 }
 
+// HasReturned reports whether the store has come back from a copy.
+func (s *State) HasReturned() bool {
+	return store.EraOf(s.Revision) > 1
+}
+
 // beginEra prepares a state that is the first one of an era. What instances had said before still holds
 // there, though the copy may be older.
 func (f *Follower) beginEra(old, s *State) {
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -83,6 +83,9 @@
 	ProofAge *time.Duration `json:",omitempty"`
 	// Bulk is true if large values are only to be named.
 	Bulk bool `json:",omitempty"`
+	// Eras is true if the front knows eras of the store. One of an earlier version would ask the store for what
+	// comes after a position of a later era, which it never has.
+	Eras bool `json:",omitempty"`
 }
 
 // Relay fetches changes from other fronts.
@@ -222,7 +225,7 @@
 func (f *Follower) followOnce(ctx context.Context, parent Front, cursor *Cursor) error {
 	asked := f.proofs.SinceBoot()
 	began := time.Now()
-	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked), Bulk: f.values != nil})
+	changes, err := f.relay.FetchChanges(ctx, parent, ChangesRequest{After: *cursor, Revision: f.State().Revision, Wait: relayWindow, ProofAge: f.proofAge(asked), Bulk: f.values != nil, Eras: true})
 	if err != nil {
 		return err
 	}
@@ -338,7 +341,7 @@
 	s := f.state.Load()
 	out := Changes{
 		Next: Cursor{Epoch: f.epoch, Number: f.changeNumber}, Revision: s.Revision,
-		Age: time.Since(time.Unix(0, f.confirmedAt.Load())), Available: !f.Unavailable(0) && s.Document != nil,
+		Age: time.Since(time.Unix(0, f.confirmedAt.Load())), Available: !f.Unavailable(0) && s.Document != nil && (r.Eras || !s.HasReturned()),
 	}
 	if s.usesAccounts() {
 		out.AnswerAge, out.Proof = f.statements(received)
