test/soak: the store returns from a copy

A new fault at the end of the list: the store goes away for all and comes back from a copy of a drawn age, at times twice; documents that are written meanwhile are lost. The operator and the servers write again after delays of their own, and what stopped servers had written is removed. Seeds that drew the fault end with a return without other faults.

New invariants: no front process serves an older document's route after a newer one's, and a document written without faults is in force at all fronts 2 s after its acknowledgement, in which no route of the one before is served. -often NAME draws one fault half of the time.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -57,22 +57,31 @@
 	cmd        *exec.Cmd
 	storeProxy *proxy
 	logFile    *os.File
+	// starts counts the starts and stops of the process.
+	starts atomic.Int64
 }
 
 // deployment is one site, with the stand-ins in this process and each front in a
 // process of its own.
 type deployment struct {
-	t             *testing.T
-	ctx           context.Context
-	dir           string
-	binary        string
-	memory        *kvsim.MemoryStore
-	store         *fake.Store
-	executionLog  *fake.ExecutionLog
-	mu            sync.Mutex
-	servers       []*standinServer
-	fronts        []*frontProcess
+	t            *testing.T
+	ctx          context.Context
+	dir          string
+	binary       string
+	memory       *kvsim.MemoryStore
+	store        *fake.Store
+	executionLog *fake.ExecutionLog
+	mu           sync.Mutex
+	servers      []*standinServer
+	fronts       []*frontProcess
+	// documentMu guards documentCount and document, the newest one.
+	documentMu    sync.Mutex
 	documentCount int
+	document      []byte
+	// acknowledged is the count of documents that the store has acknowledged.
+	acknowledged atomic.Int64
+	// storeAway is locked while the store is away for all, and read-locked by those that write to it.
+	storeAway sync.RWMutex
 	// partCrashes is set once requests with deadlyPart crash the model servers.
 	partCrashes atomic.Bool
 	group       conc.WaitGroup
@@ -126,6 +135,8 @@
 	if value == nil {
 		t = store.Txn{Deletes: []string{key}}
 	}
+	d.storeAway.RLock()
+	defer d.storeAway.RUnlock()
 	if _, err := d.memory.Commit(d.ctx, t); err != nil && d.ctx.Err() == nil {
 		d.t.Errorf("store write of %s failed: %v", key, err)
 	}
@@ -137,6 +148,8 @@
 // writeDocument writes a new version of the configuration document. Each version
 // has one route that no other version has.
 func (d *deployment) writeDocument() {
+	d.documentMu.Lock()
+	defer d.documentMu.Unlock()
 	d.documentCount++
 	route := func(name, kind, service string, attempts int, extraFields string) string {
 		return fmt.Sprintf(`{"name":"%s","host":"h.example","pathPrefix":"/%s/","kind":"%s","timeoutMs":6000,"responseGoalMs":500,"priority":1,"service":"%s","attempts":%d%s}`,
@@ -161,7 +174,9 @@
 		}
 		doc += fmt.Sprintf(`{"name":"m%d","weightsMb":%f,"loadS":0.5,"diskS":0.3,"warmS":0.2,"adapters":12,"adapterMb":60}`, i, modelSizeMb)
 	}
-	d.writeStore("op/config", []byte(doc+`]}}],"limits":{"headerBytes":16384,"bodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`))
+	d.document = []byte(doc + `]}}],"limits":{"headerBytes":16384,"bodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
+	d.writeStore("op/config", d.document)
+	d.acknowledged.Store(int64(d.documentCount))
 }
 
 // addServer starts a stand-in server behind a new proxy and announces it.
@@ -323,6 +338,7 @@
 
 // startFront starts a front's process with its settings file.
 func (d *deployment) startFront(f *frontProcess) {
+	f.starts.Add(1)
 	f.cmd = exec.Command(d.binary, "front")
 	f.cmd.Env = append(os.Environ(), "FOXTAILCROFT_CONFIG="+f.settingsFile)
 	f.cmd.Stdout, f.cmd.Stderr = f.logFile, f.logFile
@@ -334,6 +350,7 @@
 // stopFront sends a signal to a front and waits for its exit. After five seconds
 // it kills the front.
 func (d *deployment) stopFront(f *frontProcess, s syscall.Signal) {
+	f.starts.Add(1)
 	_ = f.cmd.Process.Signal(s)
 	_ = f.cmd.Process.Signal(syscall.SIGCONT)
 	timer := time.AfterFunc(5*time.Second, func() { _ = f.cmd.Process.Kill() })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/platform/fake"
 )
 
@@ -30,6 +31,7 @@
 	firstSeed  = flag.Uint64("first", 1, "first seed")
 	faultTime  = flag.Duration("faults", 8*time.Second, "duration of the fault phase of each run")
 	frontBuild = flag.String("front", "", "front program to run, such as an earlier build; empty builds this tree")
+	oftenFault = flag.String("often", "", "name of a fault that is injected half of the time")
 	frontCount = flag.Int("fronts", 3, "number of front processes in each run")
 )
 
@@ -98,6 +100,9 @@
 	for i := range callerCount {
 		group.Go(func() { load.run(loadCtx, seed*100+uint64(i)) })
 	}
+	for _, f := range d.fronts {
+		group.Go(func() { load.followVersions(loadCtx, f, rand.New(rand.NewPCG(seed, 13))) })
+	}
 	for i := range untrustedCount {
 		group.Go(func() { d.runUntrusted(loadCtx, seed*100+uint64(i)) })
 	}
@@ -118,6 +123,10 @@
 		t.Errorf("seed %d: %d requests that crash servers were sent to them later than %s after the last fault", seed, n, blockLimit)
 	}
 	expectRecovery(t, load, rnd, "after the faults")
+	if slices.Contains(injector.injected, storeReturns) {
+		d.returnInCalm()
+	}
+	load.expectNewest()
 	d.checkMemory(seed)
 	for _, b := range load.check() {
 		t.Errorf("seed %d: %s", seed, b)
@@ -187,11 +196,17 @@
 		}},
 		{"servers repeat their last responses", h.repeatResponses},
 		{"servers run requests and answer with the status of a rejection", h.misleadCallers},
+		{storeReturns, h.returnStore},
 	}
 	if h.kinds > 0 {
 		faults = faults[:h.kinds]
 	}
 	fault := faults[h.rnd.IntN(len(faults))]
+	for _, f := range faults {
+		if f.name == *oftenFault && h.rnd.IntN(2) == 0 {
+			fault = f
+		}
+	}
 	h.injected = append(h.injected, fault.name)
 	fault.inject()
 }
@@ -318,6 +333,29 @@
 	})
 }
 
+// returnStore lets the store return from a copy of a drawn age, at times twice.
+func (h *faultInjector) returnStore() {
+	taken, age, away := h.d.memory.Copy(), h.drawDuration(), h.drawDuration()
+	leases := []kvsim.Leases{kvsim.LeasesGone, kvsim.LeasesLapse, kvsim.LeasesKept}[h.rnd.IntN(3)]
+	delay, again := time.Duration(h.rnd.IntN(1000))*time.Millisecond, h.rnd.IntN(3) == 0
+	documents, wait := h.rnd.IntN(3), time.Duration(h.rnd.Int64N(int64(age)))
+	h.group.Go(func() {
+		time.Sleep(wait)
+		for range documents {
+			// The store loses these.
+			h.d.writeDocument()
+		}
+		time.Sleep(age - wait)
+		h.d.returnStore(taken, away, leases)
+		if again {
+			time.Sleep(delay)
+			h.d.returnStore(taken, away, leases)
+		}
+		time.Sleep(delay)
+		h.d.restoreStore()
+	})
+}
+
 // endFaults waits for timed faults and clears all others.
 func (h *faultInjector) endFaults() {
 	h.group.Wait()
