link/heads: the end of an answer waits for the write of its request

The server had read the request, answered and closed before the write of the request had returned to the client, and an end that is read while a write is under way counted as unproved.

The end of the answer waits for the write to return, at most 300 ms: one that has taken a reset returns with it, one whose bytes were read without.

--- a/internal/link/heads/transport.go
+++ b/internal/link/heads/transport.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // Transport returns a transport like base that reads only answers that keep to the grammar of HTTP/1.1; the
@@ -30,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &judgedConn{Conn: raw}, nil
+		return newJudgedConn(raw), nil
 	}
 	if t.DialTLSContext == nil {
 		t.DialTLSContext = tlsDial(dial, t.TLSClientConfig)
@@ -41,7 +42,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &judgedConn{Conn: raw}, nil
+		return newJudgedConn(raw), nil
 	}
 	return &judgedTransport{t}
 }
@@ -96,11 +97,18 @@
 	judge Judge
 	// hasWritten is true once something was written, and isTunnel if that was a CONNECT request.
 	hasWritten, isTunnel bool
-	// writes counts the writes that are under way, and written the bytes of those that ended, the last one
-	// with writeErr.
+	// writes counts the writes that are under way, and written the bytes of those that ended, one of them with
+	// writeErr; ended is signalled when one ends.
 	writes   int
 	written  int64
 	writeErr error
+	ended    *sync.Cond
+}
+
+func newJudgedConn(raw net.Conn) *judgedConn {
+	c := &judgedConn{Conn: raw}
+	c.ended = sync.NewCond(&c.mu)
+	return c
 }
 
 func (c *judgedConn) expect(method string) {
@@ -118,16 +126,38 @@
 		return n, err
 	}
 	n, judged := c.judge.Judge(p[:n])
-	switch {
-	case judged != nil:
-		err = judged
-	case errors.Is(err, io.EOF) && c.judge.EndsWithConnection() && (c.writes > 0 || c.writeErr != nil):
-		// The write may have taken the error that this read would have returned.
-		err = &CutUploadError{Written: c.written, Err: c.writeErr}
+	if judged != nil {
+		return n, judged
+	}
+	if errors.Is(err, io.EOF) && c.judge.EndsWithConnection() {
+		// A write may have taken the error that this read would have returned, also one that has yet to return.
+		c.awaitWrites()
+		if c.writes > 0 || c.writeErr != nil {
+			err = &CutUploadError{Written: c.written, Err: c.writeErr}
+		}
 	}
 	return n, err
 }
 
+// writeEndWait is how long the end of an answer waits for a write to return; one that the server has read whole
+// returns at once.
+const writeEndWait = 300 * time.Millisecond
+
+// awaitWrites waits for the writes that are under way, at most for writeEndWait; the caller holds the lock.
+func (c *judgedConn) awaitWrites() {
+	isOver := false
+	timer := time.AfterFunc(writeEndWait, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		isOver = true
+		c.ended.Broadcast()
+	})
+	defer timer.Stop()
+	for c.writes > 0 && !isOver {
+		c.ended.Wait()
+	}
+}
+
 // Write writes a part of a request.
 func (c *judgedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -143,5 +173,6 @@
 	if err != nil {
 		c.writeErr = err
 	}
+	c.ended.Broadcast()
 	return n, err
 }
--- a/internal/link/heads/transport_test.go
+++ b/internal/link/heads/transport_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
@@ -106,7 +107,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			conn := &judgedConn{Conn: &cutConn{Reader: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.fields + "\r\npart"), err: c.writeErr}}
+			conn := newJudgedConn(&cutConn{Reader: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.fields + "\r\npart"), err: c.writeErr})
 			_, err := conn.Write(make([]byte, 10))
 			g.Expect(err == nil).To(Equal(c.writeErr == nil))
 			_, err = io.ReadAll(conn)
@@ -125,7 +126,7 @@
 		g := NewWithT(t)
 		near, far := net.Pipe()
 		defer far.Close()
-		conn := &judgedConn{Conn: &halfConn{near, strings.NewReader("HTTP/1.1 200 OK\r\n\r\npart")}}
+		conn := newJudgedConn(&halfConn{near, strings.NewReader("HTTP/1.1 200 OK\r\n\r\npart")})
 		var group conc.WaitGroup
 		group.Go(func() { _, _ = conn.Write(make([]byte, 10)) })
 		synctest.Wait()
@@ -137,6 +138,27 @@
 	})
 }
 
+// TestWriteThatReturnsLateLeavesTheEndProved guards against sound answers that are refused as their end is read
+// before the write of their request has returned.
+func TestWriteThatReturnsLateLeavesTheEndProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		near, far := net.Pipe()
+		defer near.Close()
+		conn := newJudgedConn(&halfConn{near, strings.NewReader("HTTP/1.1 200 OK\r\n\r\nwhole")})
+		var group conc.WaitGroup
+		group.Go(func() { _, _ = conn.Write(make([]byte, 10)) })
+		group.Go(func() {
+			time.Sleep(writeEndWait / 2)
+			_, _ = io.ReadFull(far, make([]byte, 10))
+		})
+		synctest.Wait()
+		_, err := io.ReadAll(conn)
+		g.Expect(err).NotTo(HaveOccurred())
+		group.Wait()
+	})
+}
+
 // halfConn writes to a connection and reads from memory.
 type halfConn struct {
 	net.Conn
