node/front: a test reads whether a server is silent before it starts a goroutine

A server that leaves later sets the field, while the goroutine that writes its announcement again may read it. The race detector has not reported it.

--- a/internal/node/front/returned_test.go
+++ b/internal/node/front/returned_test.go
@@ -203,8 +203,9 @@
 	r.memory.ReturnFrom(c, s.leases)
 	r.memory.SetFaults(kvsim.Faults{Delay: storeLatency})
 	for _, s := range r.servers {
+		silent := s.silent
 		r.clients.Go(func() {
-			if s.silent {
+			if silent {
 				// The store removes what no server writes any longer.
 				time.Sleep(lapseTime)
 				r.deleteKey(s.Key())
