--- a/internal/node/front/returned_test.go
+++ b/internal/node/front/returned_test.go
@@ -539,3 +539,30 @@
 		})
 	}
 }
+
+// TestRoutesAddedAfterTheStoreReturnsFromACopyAreNotRefused guards against proper requests that are answered with
+// 404 (DENIED).
+func TestRoutesAddedAfterTheStoreReturnsFromACopyAreNotRefused(t *testing.T) {
+	withReturns(t, 3, false, true, func(r *returnRig) {
+		time.Sleep(settleTime)
+		taken := r.memory.Copy()
+		r.fill(r.revision() + 40)
+		r.writeVersion(2)
+		time.Sleep(returnBound)
+		r.forget(2)
+		r.returnFrom(taken, storeReturn{away: time.Second})
+		r.writeVersion(3)
+		time.Sleep(contact)
+		denied := map[string]int{}
+		for name := range r.running() {
+			for n := range 10 {
+				status, _, err := r.send(name, "/v3/x", fmt.Sprintf("new-%s-%d", name, n))
+				r.g.Expect(err).NotTo(HaveOccurred())
+				if status == http.StatusNotFound {
+					denied[name]++
+				}
+			}
+		}
+		r.g.Expect(denied).To(BeEmpty())
+	})
+}
