--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -556,6 +556,8 @@
 	Deadline         time.Duration
 	// Gap is the time without an event after which the client leaves, 0 for none.
 	Gap time.Duration
+	// Leave is the time after which the client leaves in any case, 0 for none.
+	Leave time.Duration
 }
 
 // unreadTime is the time after which a client leaves a front that has not read its request.
@@ -593,6 +595,9 @@
 		}
 	})
 	defer unread.Stop()
+	if q.Leave > 0 {
+		defer time.AfterFunc(q.Leave, leave).Stop()
+	}
 	gap := time.AfterFunc(q.Deadline, leave)
 	defer gap.Stop()
 	if q.Gap > 0 {
