review: case 13, trials of a deadly prompt part whose clients leave

Cause: a trial of a blocked prompt part that ends because its caller has left counts neither as passed nor as failed, so that the next one follows 0.5 s later instead of after the growing pause.

Change: a script with three fronts and twelve servers, in which the client that sends the deadly part leaves within half of the objective.

--- /dev/null
+++ b/review/13/main.go
@@ -0,0 +1,230 @@
+//go:build review
+
+// Case 13: a prompt part that crashes servers goes on reaching them if the clients that send it leave early.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foxtailcroft/platform/fake"
+	"foxtailcroft/review/rig3"
+)
+
+const (
+	serverCount = 12
+	// runsOn is the number of servers that go on with a request after its connection has closed.
+	runsOn = 4
+	// deadly is the prompt part that crashes servers.
+	deadly = "dead01"
+	// firstBad is the number of requests with it that come at once, and badInterval the time between two later ones.
+	firstBad    = 8
+	badInterval = 500 * time.Millisecond
+	// leavesWithin is the time within which impatient clients leave: half of the objective.
+	leavesWithin = 400 * time.Millisecond
+	// soundInterval is the time between two sound requests.
+	soundInterval = 80 * time.Millisecond
+	// tokensPerMs is the speed at which a server reads prompts. One has sharedTokens and ownTokens on average, the
+	// deadly ones up to maxOwnFactor times as many of their own.
+	tokensPerMs  = 38
+	sharedTokens = 6300
+	ownTokens    = 2890
+	maxOwnFactor = 4
+	// contact is contactMs, and played the time for which requests come after the first crashes.
+	contact = 3 * time.Second
+	played  = 40 * time.Second
+	// allowed is the number of requests with the part that may reach servers.
+	allowed = 3
+)
+
+const document = `{"version":3,"routes":[
+{"name":"chat","host":"h.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":5000,"responseGoalMs":800,"priority":1,"service":"llm","attempts":2,"sticky":true,"canResume":true,"gapTargetMs":400},
+{"name":"quote","host":"h.example","pathPrefix":"/quote/","kind":"streaming","timeoutMs":15000,"responseGoalMs":2500,"priority":1,"service":"llm","attempts":1,"sticky":true,"canResume":false,"gapTargetMs":400}],
+"services":[{"name":"llm","health":"/health","connectionLimit":370,"engine":{"slots":64,"kvCapacityTokens":243171,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2.1,"models":[
+{"name":"m0","weightsMb":65100,"loadS":6,"diskS":0.76,"warmS":0.38,"adapters":0,"adapterMb":12}]}}],
+"limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+func main() { os.Exit(run(os.Args[1])) }
+
+func run(dir string) int {
+	s, err := rig3.New("target/foxtailcroft", filepath.Join(dir, "record.txt"), document)
+	if err != nil {
+		fmt.Println(err)
+		return rig3.NotRun
+	}
+	defer s.Close()
+	for i := range serverCount {
+		spec := fake.Spec{
+			ID: fmt.Sprintf("i-llm%d", i), Service: "llm", Slots: 64, Sizes: map[string]float64{"m0": 65100}, WeightsMb: 220000, AdapterSlots: 8,
+			LoadTime: 760 * time.Millisecond, AdapterTime: 8 * time.Millisecond, EventTime: 40 * time.Millisecond, ChecksFence: true, AdapterSizeMb: 12, ReportLag: 100 * time.Millisecond,
+		}
+		if _, err := s.AddServer(spec, fake.Faults{CrashPart: deadly, TokensPerMs: tokensPerMs}, goOn(i < runsOn), "m0"); err != nil {
+			fmt.Println(err)
+			return rig3.NotRun
+		}
+	}
+	fronts, err := s.StartFronts("front-1", "front-2", "front-3")
+	if err != nil {
+		fmt.Println(err)
+		return rig3.NotRun
+	}
+	time.Sleep(4 * time.Second)
+	c := &clients{site: s, fronts: fronts, end: make(chan struct{})}
+	c.group.Go(c.sound)
+	time.Sleep(2 * time.Second)
+
+	for range firstBad {
+		c.group.Go(func() { c.sendBad(0) })
+	}
+	time.Sleep(2 * time.Second)
+	crashes := s.Crashes()
+	if len(crashes) < 5 {
+		s.Note("only %d servers have crashed: the case can't run", len(crashes))
+		return rig3.NotRun
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	from := crashes[4].Add(contact)
+	s.Note("the fifth crash was at %.3f", s.Since(crashes[4]))
+	c.group.Go(c.bad)
+	began := time.Now()
+	s.Note("all fronts are in touch all the time; contactMs has passed since the fifth crash from %.3f on", s.Since(from))
+	time.Sleep(time.Until(began.Add(played)))
+	close(c.end)
+	c.group.Wait()
+	return judge(s, c, fronts, from)
+}
+
+// judge counts the requests with the part that were sent and reached servers later than a time.
+func judge(s *rig3.Site, c *clients, fronts []*rig3.Front, from time.Time) int {
+	reached := 0
+	for _, x := range s.Log.Executions() {
+		if strings.HasPrefix(x.ID, "bad-") {
+			late := ""
+			if x.At.After(from) {
+				reached++
+				late = ", counted"
+			}
+			s.Note("%s reached %s at %.3f%s", x.ID, x.Server, s.Since(x.At), late)
+		}
+	}
+	crashes := 0
+	for _, at := range s.Crashes() {
+		if at.After(from) {
+			crashes++
+		}
+	}
+	s.Note("crashes of servers: %d, %d of them counted", len(s.Crashes()), crashes)
+	s.Note("sound streams: %d sent, %d whole; %d that had begun were broken off, %d of them since %.3f", c.sent.Load(), c.whole.Load(), len(c.cut), c.cutSince(from), s.Since(from))
+	for _, f := range fronts {
+		for _, line := range f.Grep(`"prompt part blocked"`, `"prompt part no longer blocked"`, `"trial of a blocked prompt part"`) {
+			s.Note("log: %s", line)
+		}
+	}
+	s.Note("requests with the part that reached servers from then on: %d, allowed are %d", reached, allowed)
+	if reached > allowed {
+		s.Note("BROKEN: BUDGET")
+		return rig3.Broken
+	}
+	s.Note("held")
+	return rig3.Held
+}
+
+// clients send requests to all fronts in turn.
+type clients struct {
+	site              *rig3.Site
+	fronts            []*rig3.Front
+	group             sync.WaitGroup
+	end               chan struct{}
+	next, sent, whole atomic.Int64
+	mu                sync.Mutex
+	// cut is when sound streams were broken off.
+	cut []time.Time
+}
+
+func (c *clients) cutSince(from time.Time) int {
+	n := 0
+	for _, at := range c.cut {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// every calls a function at an interval until the end.
+func (c *clients) every(interval time.Duration, f func()) {
+	for {
+		select {
+		case <-c.end:
+			return
+		case <-time.After(interval):
+			c.group.Go(f)
+		}
+	}
+}
+
+func (c *clients) sound() { c.every(soundInterval, c.sendSound) }
+func (c *clients) bad() {
+	c.every(badInterval, func() {
+		if rig3.Trouble() {
+			c.sendBad(time.Duration(1 + rand.Int64N(int64(leavesWithin))))
+			return
+		}
+		c.sendBad(0)
+	})
+}
+
+// sendSound sends a sound request, every second one on the route whose streams can't be resumed.
+func (c *clients) sendSound() {
+	n := c.next.Add(1)
+	path := "/chat/x"
+	if n%2 == 0 {
+		path = "/quote/x"
+	}
+	c.sent.Add(1)
+	a := c.fronts[n%int64(len(c.fronts))].Send(rig3.Request{Method: "POST", Path: path, ID: fmt.Sprintf("sound-%d", n), Deadline: 5 * time.Second, Header: map[string]string{
+		"Model": "m0", "Token-Counts": fmt.Sprintf("%d,290", sharedTokens+ownTokens), "Prompt-Prefix": fmt.Sprintf("aa11:2520,bb22:3780,%x:%d", 0x5000+n, ownTokens),
+	}}, nil)
+	switch {
+	case a.Whole && a.Status == 200:
+		c.whole.Add(1)
+	case len(a.Events) > 0:
+		c.mu.Lock()
+		c.cut = append(c.cut, a.LastAt)
+		c.mu.Unlock()
+		c.site.Note("sound-%d on %s was broken off after %d events: %v", n, path, len(a.Events), a.Err)
+	default:
+		c.site.Note("sound-%d on %s: status %d, %v", n, path, a.Status, a.Err)
+	}
+}
+
+// sendBad sends a request with the deadly part; its client leaves after a time, 0 for none.
+func (c *clients) sendBad(leave time.Duration) {
+	n := c.next.Add(1)
+	f, own := c.fronts[n%int64(len(c.fronts))], ownTokens+rand.IntN((maxOwnFactor-1)*ownTokens)
+	a := f.Send(rig3.Request{Method: "POST", Path: "/chat/x", ID: fmt.Sprintf("bad-%d", n), Deadline: 5 * time.Second, Leave: leave, Header: map[string]string{
+		"Model": "m0", "Token-Counts": fmt.Sprintf("%d,50", sharedTokens+own), "Prompt-Prefix": fmt.Sprintf("aa11:2520,%s:3780,%x:%d", deadly, 0x9000+n, own),
+	}}, nil)
+	c.site.Note("bad-%d through %s, would leave after %s: status %d, Retry-After %q, %v", n, f.Name, leave.Round(time.Millisecond), a.Status, a.Header.Get("Retry-After"), a.Err)
+}
+
+// goOn returns a wrapper for a server that goes on with a request after its connection has closed, if it does.
+func goOn(does bool) func(http.Handler) http.Handler {
+	if !does {
+		return nil
+	}
+	return func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r.WithContext(context.WithoutCancel(r.Context())))
+		})
+	}
+}
