--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -424,6 +424,14 @@
 	if f.log, err = os.Create(filepath.Join(f.site.dir, f.Name+".log")); err != nil {
 		return err
 	}
+	return f.Restart()
+}
+
+// Restart starts the front's process with the settings that it has, once the one before has ended.
+func (f *Front) Restart() error {
+	if f.exited != nil {
+		<-f.exited
+	}
 	f.cmd = exec.Command(f.site.binary, "front")
 	f.cmd.Env = append(os.Environ(), "FOXTAILCROFT_CONFIG="+f.settings)
 	f.cmd.Stdout, f.cmd.Stderr = f.log, f.log
@@ -431,11 +439,12 @@
 	if err := f.cmd.Start(); err != nil {
 		return err
 	}
-	f.exited = make(chan struct{})
+	cmd, exited := f.cmd, make(chan struct{})
+	f.exited = exited
 	go func() {
-		_ = f.cmd.Wait()
-		f.site.Note("%s: its process ends: %s", f.Name, f.cmd.ProcessState)
-		close(f.exited)
+		_ = cmd.Wait()
+		f.site.Note("%s: its process ends: %s", f.Name, cmd.ProcessState)
+		close(exited)
 	}()
 	return nil
 }
@@ -531,8 +540,20 @@
 	_ = f.cmd.Process.Signal(sig)
 }
 
-// Pid returns the process ID.
-func (f *Front) Pid() int { return f.cmd.Process.Pid }
+// MemoryBytes returns the resident memory of the front's process, 0 if it has ended.
+func (f *Front) MemoryBytes() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(data), "\n") {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
 
 // Grep returns the lines of the front's log with one of the words.
 func (f *Front) Grep(words ...string) []string {
