--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -158,9 +158,10 @@
 	// onDisk are the models that the server has held, whose weights its disk keeps.
 	onDisk []string
 	conns  map[string]net.Conn
-	// DownTime is how long the server is down after a crash.
-	DownTime time.Duration
-	crashes  []time.Time
+	// DownTime is how long the server is down after a crash, and DiskTime how long loads take after that, as its disk
+	// keeps the weights; 0 for as long as before.
+	DownTime, DiskTime time.Duration
+	crashes            []time.Time
 }
 
 // AddServer starts a server that holds models.
@@ -326,6 +327,9 @@
 	v.mu.Unlock()
 	go func() {
 		time.Sleep(v.DownTime)
+		if v.DiskTime > 0 {
+			v.spec.LoadTime = v.DiskTime
+		}
 		if err := v.listenAgain(nil); err != nil {
 			v.site.Note("%s can't start again: %v", v.ID, err)
 		}
