review: case 13, also with a front that stands still

It is the same fault: a front that stands still as the version comes records its streams too late for its clients, who leave it after 3.2 s.

Change: run.sh stops one front for 7 s, 1.5 s before the announcement; FORM=kill plays the kill as before.

--- a/review/13/main.go
+++ b/review/13/main.go
@@ -1,6 +1,7 @@
 //go:build review
 
-// Case 13: streams of a front that ends as servers of another version come don't go on, though all servers are sound.
+// Case 13: streams of a front that stands still or ends as servers of another version come don't go on, though all
+// servers are sound. The front stands still; with FORM=kill in the environment it is killed instead.
 package main
 
 import (
@@ -25,6 +26,10 @@
 	serverCount = 6
 	newServers  = 3
 	gap         = 840 * time.Millisecond
+	// stopBefore is the time from the moment at which a front is stopped until the first new server's announcement, and
+	// stopped how long it stands still.
+	stopBefore = 1500 * time.Millisecond
+	stopped    = 7 * time.Second
 	// killAfter is the time from the first new server's announcement until a front's process is killed, and downTime
 	// the time after that until it starts again.
 	killAfter = 300 * time.Millisecond
@@ -76,14 +81,25 @@
 	}
 	time.Sleep(4 * time.Second)
 	c := &clients{site: s, fronts: fronts, end: make(chan struct{})}
+	kills := os.Getenv("FORM") == "kill"
+	if !kills {
+		c.balancer = s.NewBalancer()
+	}
 	c.group.Go(c.run)
 	time.Sleep(8 * time.Second)
-	killed := fronts[0]
+	struck := fronts[0]
 	for _, f := range fronts {
 		if f.Name != s.Planner() {
-			killed = f
+			struck = f
 		}
 	}
+	if rig3.Trouble() && !kills {
+		struck.Signal(syscall.SIGSTOP)
+		defer time.AfterFunc(stopped, func() { struck.Signal(syscall.SIGCONT) }).Stop()
+	}
+	if !kills {
+		time.Sleep(stopBefore)
+	}
 	at := time.Now()
 	for i := range newServers {
 		id := fmt.Sprintf("i-new%d", i)
@@ -94,11 +110,11 @@
 		}
 		if i == 0 {
 			time.Sleep(killAfter)
-			if at = time.Now(); rig3.Trouble() {
-				c.ended.Store(killed)
-				killed.Signal(syscall.SIGKILL)
+			if at = time.Now(); rig3.Trouble() && kills {
+				c.ended.Store(struck)
+				struck.Signal(syscall.SIGKILL)
 				time.AfterFunc(downTime, func() {
-					if err := killed.Restart(); err != nil {
+					if err := struck.Restart(); err != nil {
 						s.Note("%v", err)
 					}
 				})
@@ -158,9 +174,11 @@
 type clients struct {
 	site   *rig3.Site
 	fronts []*rig3.Front
-	group  sync.WaitGroup
-	end    chan struct{}
-	next   atomic.Int64
+	// balancer chooses the fronts; nil where one is killed, as its clients see that at once.
+	balancer *rig3.Balancer
+	group    sync.WaitGroup
+	end      chan struct{}
+	next     atomic.Int64
 	// ended is the front whose process was killed, which clients avoid.
 	ended atomic.Pointer[rig3.Front]
 	mu    sync.Mutex
@@ -199,7 +217,9 @@
 
 func (c *clients) trySend(front, n int64, began time.Time, more map[string]string) (string, rig3.Answer) {
 	f, id := c.fronts[front%int64(len(c.fronts))], fmt.Sprintf("r-%d", n)
-	if f == c.ended.Load() {
+	if c.balancer != nil {
+		f = c.balancer.Pick(int(front))
+	} else if f == c.ended.Load() {
 		f = c.fronts[(front+1)%int64(len(c.fronts))]
 	}
 	// Every fifth request is for the other model.
