test/proofs: end the endpoint that owns the first claim partition

TestSuccessorKnowsClaimsOfALostOwner failed beside load at its last check, with no key of unknown outcome. It ended book-0 whatever the plan said. Where the planner saw book-1 first, both partitions were there, so that the successor had no claims of a lost owner to know.

The test now ends the endpoint that the plan names for the first partition.

--- a/test/proofs/bookings_test.go
+++ b/test/proofs/bookings_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailcroft/internal/core/kinds"
+	"foxtailcroft/internal/core/plan"
 	"foxtailcroft/internal/standin/kvsim"
 	"foxtailcroft/internal/standin/svcsim"
 )
@@ -174,7 +175,7 @@
 	})
 }
 
-// TestSuccessorKnowsClaimsOfALostOwner kills a partition's owner after it has
+// TestSuccessorKnowsClaimsOfALostOwner kills the first partition's owner after it has
 // answered. Its successor must not run the calls again, and reports Unknown for
 // those of which it knows only the claim.
 func TestSuccessorKnowsClaimsOfALostOwner(t *testing.T) {
@@ -183,7 +184,8 @@
 		for i := range 8 {
 			r.g.Expect(r.anyEntry().book("book", fmt.Sprint(i), fmt.Sprint("k", i), 5*time.Second).status).To(Equal(http.StatusCreated))
 		}
-		r.kill(r.agentNamed("book-0").process)
+		owner := r.entryNamed("entry-1").Member.Holder.View().Plan(plan.ClaimKey("book")).Slots[0].Endpoint
+		r.kill(r.agentNamed(owner).process)
 		time.Sleep(15 * time.Second)
 		unknown := 0
 		for i := range 8 {
