--- a/internal/core/site/document.go
+++ b/internal/core/site/document.go
@@ -55,6 +55,18 @@
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
 }
 
+const (
+	// minPatience, patienceGoalFactor and patienceGapFactor follow the callers' published behaviour.
+	minPatience        = 2 * time.Second
+	patienceGoalFactor = 4
+	patienceGapFactor  = 8
+)
+
+// Patience returns the time without an event after which callers abandon a stream.
+func (r *Route) Patience() time.Duration {
+	return max(minPatience, patienceGoalFactor*r.ResponseGoal, patienceGapFactor*r.MaxTokenGap)
+}
+
 // Model is a model that an engine can load.
 type Model struct {
 	Name         string
--- a/internal/front/begun/keys.go
+++ b/internal/front/begun/keys.go
@@ -12,6 +12,8 @@
 const (
 	// markerPrefix is the prefix of the versions that serve or served lately.
 	markerPrefix = follow.SystemPrefix + "versions/"
+	// acknowledgementPrefix is the prefix of the fronts' acknowledgements of markers.
+	acknowledgementPrefix = follow.SystemPrefix + "versions-acknowledged/"
 	// recordPrefix is the prefix of the records of begun streams.
 	recordPrefix = follow.SystemPrefix + "begun/"
 )
@@ -20,6 +22,14 @@
 type marker struct {
 	Service string
 	Version string
+	// Settling is true while streams of the version are recorded before their callers get an event.
+	Settling bool `json:",omitempty"`
+}
+
+// acknowledgement is the value of a front's key: the keys of the markers before which it began no stream
+// that is not recorded.
+type acknowledgement struct {
+	Markers []string
 }
 
 // markerKey returns the key of a version of a service, whose names may be longer than keys.
--- a/internal/front/begun/lookup.go
+++ b/internal/front/begun/lookup.go
@@ -19,9 +19,11 @@
 	readIntervalPerFront = 5 * time.Millisecond
 )
 
-// lookup is a read of all records that several requests may wait for.
+// lookup is a read of all records, and of the markers if versions are settling, that several requests may wait for.
 type lookup struct {
 	done chan struct{}
+	// hasMarkers is set before done is closed if both were read.
+	hasMarkers bool
 }
 
 // mayRead reports whether records can tell more of the streams of a service.
@@ -33,8 +35,9 @@
 	return mixed && !w.site.Unavailable(0)
 }
 
-// readRecords waits for a read of all records that begins after the call; false if the context ends before.
-func (w *Watcher) readRecords(ctx context.Context) bool {
+// readRecords waits for a read of all records that begins after the call, and tells whether markers were read as
+// well; ok is false if the context ends before.
+func (w *Watcher) readRecords(ctx context.Context) (hasMarkers, ok bool) {
 	w.mu.Lock()
 	r := w.nextRead
 	if r == nil {
@@ -45,9 +48,9 @@
 	w.mu.Unlock()
 	select {
 	case <-r.done:
-		return true
+		return r.hasMarkers, true
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 }
 
@@ -61,10 +64,14 @@
 	}
 	w.mu.Lock()
 	w.nextRead = nil
+	hasSettling := w.hasSettling()
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, storeTimeout)
 	defer cancel()
 	list, err := w.store.Range(ctx, recordPrefix)
+	if err == nil && hasSettling {
+		r.hasMarkers = w.readMarkers(ctx, list.Revision)
+	}
 	w.group.Go(func() {
 		sleep.For(w.ctx, max(minReadInterval, time.Duration(len(w.site.State().Fronts))*readIntervalPerFront))
 		<-w.reading
@@ -80,6 +87,23 @@
 	}
 }
 
+// readMarkers reads and applies all markers; false if the store, which has answered at a revision before, may have
+// lost markers or records on its return from a copy.
+func (w *Watcher) readMarkers(ctx context.Context, after int64) bool {
+	list, err := w.store.Range(ctx, markerPrefix)
+	if err != nil {
+		return false
+	}
+	for _, kv := range list.KVs {
+		w.site.ApplyWritten(kv)
+	}
+	state := w.site.State()
+	w.mu.Lock()
+	hasReturned := !state.EraBeganAt.IsZero() && time.Since(state.EraBeganAt) < w.window
+	w.mu.Unlock()
+	return !hasReturned && store.EraOf(list.Revision) == store.EraOf(after) && store.EraOf(list.Revision) == store.EraOf(state.Revision)
+}
+
 // learn learns the streams of a record unless it has been read; the caller holds the lock.
 func (w *Watcher) learn(kv store.KV) {
 	if w.read[kv.Key] >= kv.Revision {
--- a/internal/front/begun/memory.go
+++ b/internal/front/begun/memory.go
@@ -19,6 +19,8 @@
 	key     streamKey
 	version string
 	at      time.Time
+	// ahead is true if the caller gets no event before the stream is recorded.
+	ahead bool
 }
 
 // memory holds streams in the order in which they were learned of.
@@ -77,6 +79,11 @@
 	}
 }
 
+// next returns the number of the stream that is added next.
+func (m *memory) next() int {
+	return m.first + len(m.entries)
+}
+
 // unended returns the streams from the one with a number on that have not ended, and the number of the
 // stream after them.
 func (m *memory) unended(number int) (entries []entry, next int) {
@@ -85,5 +92,5 @@
 			entries = append(entries, e)
 		}
 	}
-	return entries, m.first + len(m.entries)
+	return entries, m.next()
 }
--- a/internal/front/begun/records.go
+++ b/internal/front/begun/records.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/core/fault"
 	"foxtailcroft/internal/plat/store"
 )
@@ -26,6 +28,8 @@
 	minStreams = 8
 	// maxPuts bounds the records of one call.
 	maxPuts = 16
+	// recordTimeout bounds the wait for a record without which a stream doesn't begin.
+	recordTimeout = 1500 * time.Millisecond
 )
 
 // segment is the record that further streams are added to; the zero value is that of a service of which
@@ -46,6 +50,8 @@
 	// records counts the keys used, and written are those written lately.
 	records int
 	written map[string]writtenRecord
+	// at is when records were last written.
+	at time.Time
 }
 
 // writtenRecord tells when a record was last written.
@@ -63,10 +69,10 @@
 	return max(minWriteInterval, time.Duration(len(w.site.State().Fronts))*writeIntervalPerFront)
 }
 
-// writeRecords records the streams of services with several versions in play.
+// writeRecords records the streams of services with several versions in play, and acknowledges their markers.
 func (w *Watcher) writeRecords(ctx context.Context) {
 	w.rewriteLost()
-	t, segments := w.nextRecords()
+	t, segments, acknowledgement := w.nextRecords()
 	if len(t.Puts) == 0 {
 		return
 	}
@@ -79,6 +85,7 @@
 	for i := range t.Puts {
 		t.Puts[i].Lease = lease
 	}
+	w.writer.at = time.Now()
 	res, err := w.store.Commit(ctx, t)
 	var lost *fault.NotFoundError
 	switch {
@@ -89,8 +96,14 @@
 	case err != nil || !res.Succeeded:
 		return
 	}
+	if acknowledgement.Key != "" {
+		w.applyWritten(store.Txn{Puts: []store.Put{acknowledgement}}, res)
+		w.writer.written[acknowledgement.Key] = writtenRecord{at: time.Now(), revision: res.Revision}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	close(w.recorded)
+	w.recorded = make(chan struct{})
 	for name, s := range segments {
 		w.service(name).segment = s
 		w.meters.GetOrCreateCounter("foxtailcroft_streams_unrecorded_total").Add(s.skipped)
@@ -99,8 +112,9 @@
 	w.meters.GetOrCreateCounter("foxtailcroft_stream_records_total").Add(len(t.Puts))
 }
 
-// nextRecords returns the records to write, and the segments that follow if they are.
-func (w *Watcher) nextRecords() (store.Txn, map[string]segment) {
+// nextRecords returns the records to write, the segments that follow if they are, and the acknowledgement among
+// them, which has no key if none is due.
+func (w *Watcher) nextRecords() (store.Txn, map[string]segment, store.Put) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var t store.Txn
@@ -114,9 +128,7 @@
 		if len(added) == 0 {
 			continue
 		}
-		// The newest ones are the most likely to be taken up.
-		skipped := max(0, len(added)-limit)
-		added = added[skipped:]
+		added, skipped := newest(added, limit)
 		following := segment{key: s.segment.key, streams: slices.Concat(s.segment.streams, added), next: next, skipped: skipped}
 		if s.segment.key == "" || len(following.streams) > segmentStreams {
 			w.writer.records++
@@ -129,7 +141,62 @@
 		segments[name] = following
 		t.Puts = append(t.Puts, store.Put{Key: following.key, Value: value})
 	}
-	return t, segments
+	var a store.Put
+	if markers, isDue := w.dueAcknowledgement(); isDue && len(t.Puts) < maxPuts {
+		if value, err := json.Marshal(acknowledgement{Markers: markers}); err == nil {
+			a = store.Put{Key: acknowledgementPrefix + w.self.Run, Value: value}
+			t.Puts = append(t.Puts, a)
+		}
+	}
+	return t, segments, a
+}
+
+// newest leaves out the oldest streams beyond a limit, as the newest ones are the most likely to be taken up, and
+// returns how many. Those that wait for their record stay.
+func newest(streams []entry, limit int) ([]entry, int) {
+	surplus := len(streams) - limit
+	kept := slices.DeleteFunc(streams, func(e entry) bool {
+		surplus--
+		return surplus >= 0 && !e.ahead
+	})
+	return kept, len(streams) - len(kept)
+}
+
+// awaitRecord waits until the streams of a service are recorded up to a number; false if that fails.
+func (w *Watcher) awaitRecord(ctx context.Context, serviceName string, next int) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	for {
+		w.mu.Lock()
+		isRecorded, recorded := w.service(serviceName).segment.next >= next, w.recorded
+		w.mu.Unlock()
+		if isRecorded {
+			return true
+		}
+		select {
+		case w.waits <- struct{}{}:
+		default:
+		}
+		select {
+		case <-recorded:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// pause waits until the next round of Run is due: earlier if a stream waits for its record, but not before the
+// interval that bounds the writes of all fronts.
+func (w *Watcher) pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.waits:
+		interval := time.Duration(len(w.site.State().Fronts)) * writeIntervalPerFront
+		sleep.For(ctx, interval-time.Since(w.writer.at))
+	case <-ctx.Done():
+	}
 }
 
 // currentLease returns the lease of the next records. Each is used for the time in which the streams may
--- /dev/null
+++ b/internal/front/begun/settling.go
@@ -0,0 +1,160 @@
+package begun
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/policy/origin"
+)
+
+// startsSettling reports whether streams of a new version are told apart from those of a settled one by their
+// records, which all fronts know how to write ahead; the caller holds the lock.
+func (w *Watcher) startsSettling(s *service) bool {
+	for _, f := range w.site.State().Fronts {
+		if !f.RecordsAhead {
+			return false
+		}
+	}
+	return s.hasSettled()
+}
+
+// hasSettled reports whether a version of the service has settled.
+func (s *service) hasSettled() bool {
+	for _, v := range s.versions {
+		if v.hasSettled {
+			return true
+		}
+	}
+	return false
+}
+
+// recordsAhead reports whether streams of a version are recorded before their callers get an event, if any begin
+// there. Unknown versions, which may be found while the store is away, don't wait for a marker.
+func (s *service) recordsAhead(name string) bool {
+	v := s.versions[name]
+	switch {
+	case v == nil:
+		return false
+	case v.markedAt == 0:
+		return name != "" && !v.hasSettled && s.hasSettled()
+	}
+	return v.isSettling
+}
+
+// settling returns the versions in play whose streams are recorded ahead, if any have begun.
+func (s *service) settling() []string {
+	var out []string
+	for name := range s.versions {
+		if s.recordsAhead(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// hasSettling reports whether a service with streams that may be resumed has settling versions.
+func (w *Watcher) hasSettling() bool {
+	for name, s := range w.services {
+		if s.isMixed() && w.resumable[name] && len(s.settling()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// maxAbsence returns the time after which callers have left a front that stands still or is lost; the caller
+// holds the lock.
+func (w *Watcher) maxAbsence() time.Duration {
+	return w.patience + w.settleTime
+}
+
+// countFronts notes the fronts that are registered, and forgets those that were lost long ago; the caller holds
+// the lock.
+func (w *Watcher) countFronts(state *follow.State) {
+	now := time.Now()
+	for _, f := range state.Fronts {
+		w.fronts[f.Run] = now
+	}
+	for run, seenAt := range w.fronts {
+		if now.Sub(seenAt) > w.maxAbsence() {
+			delete(w.fronts, run)
+		}
+	}
+}
+
+// acknowledged returns the markers that a front has acknowledged.
+func acknowledged(state *follow.State, run string) []string {
+	var a acknowledgement
+	if json.Unmarshal(state.Keys[acknowledgementPrefix+run].Value, &a) != nil {
+		return nil
+	}
+	return a.Markers
+}
+
+// dueAcknowledgement returns the markers of settling versions that this front acknowledges with its next
+// records; false if it has acknowledged all. The caller holds the lock.
+func (w *Watcher) dueAcknowledgement() ([]string, bool) {
+	var markers []string
+	for serviceName, s := range w.services {
+		for name, v := range s.versions {
+			if v.isSettling && v.markedAt != 0 && w.resumable[serviceName] {
+				markers = append(markers, markerKey(serviceName, name))
+			}
+		}
+	}
+	slices.Sort(markers)
+	known := acknowledged(w.site.State(), w.self.Run)
+	isDue := slices.ContainsFunc(markers, func(m string) bool { return !slices.Contains(known, m) })
+	return markers, isDue
+}
+
+// settle ends the settling of versions that all fronts have acknowledged, or that are known for so long that the
+// callers of the others have left them; only the planner does.
+func (w *Watcher) settle(ctx context.Context) {
+	if !w.isPlanner() {
+		return
+	}
+	var t store.Txn
+	var settlements []origin.Settlement
+	state := w.site.State()
+	w.mu.Lock()
+	w.countFronts(state)
+	for serviceName, s := range w.services {
+		for name, v := range s.versions {
+			if !v.isSettling || v.markedAt == 0 || len(t.Puts) == maxMarkers {
+				continue
+			}
+			key := markerKey(serviceName, name)
+			x := origin.Settlement{KnownFor: time.Since(v.knownAt), WatchedFor: time.Since(w.startedAt), MinKnown: w.settleTime, MaxAbsence: w.maxAbsence()}
+			for run := range w.fronts {
+				if !slices.Contains(acknowledged(state, run), key) {
+					x.Missing++
+				}
+			}
+			if value, err := json.Marshal(marker{Service: serviceName, Version: name}); err == nil && x.IsSettled() {
+				t.If = append(t.If, store.Compare{Key: key, Revision: v.markedAt})
+				t.Puts = append(t.Puts, store.Put{Key: key, Value: value})
+				settlements = append(settlements, x)
+			}
+		}
+	}
+	w.mu.Unlock()
+	if len(t.Puts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := w.store.Commit(ctx, t)
+	if err != nil || !res.Succeeded {
+		w.log.Warnw("versions not settled; trying again in the next round", "Versions", len(t.Puts))
+		return
+	}
+	w.applyWritten(t, res)
+	for i, x := range settlements {
+		w.log.Infow("version settled", "Key", t.Puts[i].Key, "KnownMs", x.KnownFor.Milliseconds(), "Missing", x.Missing)
+	}
+}
--- /dev/null
+++ b/internal/front/begun/settling_test.go
@@ -0,0 +1,111 @@
+package begun
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/policy/origin"
+	"foxtailcroft/internal/standin/kvsim"
+)
+
+// run lets fronts work for a while, each with a view that is at most 100 ms old.
+func (r *rig) run(span time.Duration, fronts map[*Watcher]*view) {
+	ctx, cancel := context.WithTimeout(r.ctx, span)
+	defer cancel()
+	var group conc.WaitGroup
+	for w, v := range fronts {
+		group.Go(func() { w.Run(ctx) })
+		group.Go(func() {
+			for ctx.Err() == nil {
+				v.refresh()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestStreamsOfALostFrontGoOnUntilTheNewVersionSettles guards against streams that are refused since the front
+// that carries them is lost before it records them, and against streams of a new version that pass for them.
+func TestStreamsOfALostFrontGoOnUntilTheNewVersionSettles(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lost is true if one of three fronts never learns of the new version.
+		lost bool
+		// after is the time after which an unknown stream is taken up.
+		after    time.Duration
+		returned bool
+		version  string
+		basis    origin.Basis
+	}{
+		{"closed", true, time.Second, false, "a", origin.Settled},
+		{"settling", true, 3 * time.Second, false, "a", origin.Settled},
+		{"settling, store back from a copy", true, 3 * time.Second, true, "", origin.Unrecorded},
+		{"callers have left the lost front", true, 6 * time.Second, false, "", origin.Unrecorded},
+		{"all have acknowledged", false, 3 * time.Second, false, "", origin.Unrecorded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withRig(t, func(r *rig) {
+				r.fronts = []string{"front-1", "front-2", "front-3"}
+				r.announce("i-1", "a")
+				planner, plannerView := r.watcher("front-1")
+				other, otherView := r.watcher("front-2")
+				fronts := map[*Watcher]*view{planner: plannerView, other: otherView}
+				if !c.lost {
+					third, thirdView := r.watcher("front-3")
+					fronts[third] = thirdView
+				}
+				r.run(10*time.Second, fronts)
+				planner.RecordBegin(r.ctx, "llm", "known", "a")
+				r.announce("i-2", "b")
+				var group conc.WaitGroup
+				group.Go(func() { r.run(10*time.Second, fronts) })
+				time.Sleep(c.after)
+				if c.returned {
+					r.mu.Lock()
+					r.eraBeganAt = time.Now()
+					r.mu.Unlock()
+					time.Sleep(200 * time.Millisecond)
+				}
+				r.expectOrigin(other, "unknown", c.version, c.basis)
+				r.expectOrigin(other, "known", "a", origin.Named)
+				r.g.Expect(other.RecordBegin(r.ctx, "llm", "new", "b")).To(BeTrue())
+				if c.basis == origin.Settled {
+					fresh, _ := r.watcher("front-2 again")
+					r.expectOrigin(fresh, "new", "b", origin.Named)
+				}
+				group.Wait()
+			})
+		})
+	}
+}
+
+// TestNoStreamBeginsUnrecordedAtASettlingVersion guards against streams that other fronts take for those of the
+// settled version, as the store is away.
+func TestNoStreamBeginsUnrecordedAtASettlingVersion(t *testing.T) {
+	withRig(t, func(r *rig) {
+		r.fronts = []string{"front-1", "front-2"}
+		r.announce("i-1", "a")
+		w, v := r.watcher("front-1")
+		fronts := map[*Watcher]*view{w: v}
+		r.run(time.Second, fronts)
+		r.announce("i-2", "b")
+		r.run(3500*time.Millisecond, fronts)
+		r.g.Expect(w.Closed("llm")).To(BeEmpty())
+		r.memory.SetFaults(kvsim.Faults{Away: true})
+		r.g.Expect(w.Closed("llm")).To(Equal([]string{"b"}))
+		var group conc.WaitGroup
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+			defer cancel()
+			w.Run(ctx)
+		})
+		r.g.Expect(w.RecordBegin(r.ctx, "llm", "new", "b")).To(BeFalse())
+		r.g.Expect(w.RecordBegin(r.ctx, "llm", "old", "a")).To(BeTrue())
+		group.Wait()
+	})
+}
--- a/internal/front/begun/versions.go
+++ b/internal/front/begun/versions.go
@@ -28,10 +28,13 @@
 	// isAnnounced is true while an instance of the version is announced, and announcedAt is when one last was.
 	isAnnounced bool
 	announcedAt time.Time
-	// markedAt is the revision of its marker, 0 if it has none.
+	// markedAt is the revision of its marker, 0 if it has none, and knownAt is when this front first saw one.
 	markedAt int64
-	// settledAt is when all fronts know the version, zero before it has a marker.
-	settledAt time.Time
+	knownAt  time.Time
+	// isSettling is true while the marker says so, and hasSettled once one has said otherwise.
+	isSettling, hasSettled bool
+	// openAt is when streams may begin at the version, zero before it has a marker.
+	openAt time.Time
 	// markDue is when this front writes the marker.
 	markDue time.Time
 }
@@ -42,12 +45,9 @@
 	if state == w.synced {
 		return
 	}
-	// Markers of the first state may be old.
-	settledAt := time.Now()
-	if w.synced != nil && w.synced.Document != nil {
-		settledAt = settledAt.Add(w.settleTime)
-	}
+	isFirst := w.synced == nil || w.synced.Document == nil
 	w.synced = state
+	w.countFronts(state)
 	w.syncDocument(state.Document)
 	for _, s := range w.services {
 		for _, v := range s.versions {
@@ -61,7 +61,7 @@
 	for key, kv := range state.Keys {
 		switch {
 		case strings.HasPrefix(key, markerPrefix):
-			w.syncMarker(kv, settledAt)
+			w.syncMarker(kv, isFirst)
 		case strings.HasPrefix(key, recordPrefix):
 			w.learn(kv)
 		}
@@ -87,22 +87,32 @@
 		}
 		// Streams that began under an earlier document may last longer than this one allows.
 		w.window = min(maxWindow, max(w.window, r.Timeout))
+		w.patience = max(w.patience, r.Patience())
 		for _, s := range r.Split {
 			w.resumable[s.Service] = true
 		}
 	}
 }
 
-// syncMarker applies a marker of the newest state; the caller holds the lock.
-func (w *Watcher) syncMarker(kv store.KV, settledAt time.Time) {
+// syncMarker applies a marker of the newest state, which is the first one known if isFirst is set; the caller
+// holds the lock.
+func (w *Watcher) syncMarker(kv store.KV, isFirst bool) {
 	var m marker
 	if json.Unmarshal(kv.Value, &m) != nil || kv.Key != markerKey(m.Service, m.Version) {
 		return
 	}
 	v := w.version(m.Service, m.Version)
-	v.markedAt = kv.Revision
-	if v.settledAt.IsZero() {
-		v.settledAt = settledAt
+	now := time.Now()
+	v.markedAt, v.isSettling = kv.Revision, m.Settling
+	v.hasSettled = v.hasSettled || !m.Settling
+	if v.knownAt.IsZero() {
+		v.knownAt = now
+	}
+	if v.openAt.IsZero() {
+		v.openAt = now
+		if m.Settling || !isFirst {
+			v.openAt = now.Add(w.settleTime)
+		}
 	}
 }
 
@@ -118,7 +128,7 @@
 		}
 		if name == "" {
 			// While the store is away, instances of unknown versions are learned of without it.
-			v.settledAt = now.Add(w.settleTime)
+			v.openAt = now.Add(w.settleTime)
 		}
 		s.versions[name] = v
 		if s.isMixed() {
@@ -144,9 +154,10 @@
 	}
 }
 
-// Unsettled returns the versions in play of a service at which no streams should begin yet if others serve,
-// since other fronts may not know them; nil if there are none.
-func (w *Watcher) Unsettled(serviceName string) []string {
+// Closed returns the versions in play of a service at which no streams may begin for now, since other fronts may
+// not know them or since the streams can't be recorded; nil if there are none.
+func (w *Watcher) Closed(serviceName string) []string {
+	storeAway := w.site.Unavailable(0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sync()
@@ -156,7 +167,7 @@
 	}
 	var out []string
 	for name, v := range s.versions {
-		if v.settledAt.IsZero() || time.Now().Before(v.settledAt) {
+		if v.openAt.IsZero() || time.Now().Before(v.openAt) || v.isSettling && storeAway {
 			out = append(out, name)
 		}
 	}
@@ -180,8 +191,10 @@
 			if v.markedAt != 0 || !recent || !due || !w.resumable[serviceName] || len(t.Puts) == maxMarkers {
 				continue
 			}
-			if value, err := json.Marshal(marker{Service: serviceName, Version: name}); err == nil {
-				t.Puts = append(t.Puts, store.Put{Key: markerKey(serviceName, name), Value: value})
+			key := markerKey(serviceName, name)
+			if value, err := json.Marshal(marker{Service: serviceName, Version: name, Settling: w.startsSettling(s)}); err == nil {
+				t.If = append(t.If, store.Compare{Key: key})
+				t.Puts = append(t.Puts, store.Put{Key: key, Value: value})
 			}
 		}
 	}
@@ -196,8 +209,13 @@
 		w.log.Warnw("versions not marked; marking them in the next round", "Versions", len(t.Puts))
 		return
 	}
+	w.applyWritten(t, res)
+}
+
+// applyWritten applies what a transaction has written.
+func (w *Watcher) applyWritten(t store.Txn, res store.Result) {
 	for _, p := range t.Puts {
-		w.site.ApplyWritten(store.KV{Key: p.Key, Value: p.Value, Revision: res.Revision})
+		w.site.ApplyWritten(store.KV{Key: p.Key, Value: p.Value, Revision: res.Revision, Lease: p.Lease})
 	}
 }
 
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -76,6 +76,14 @@
 	// nextRead is the read that begins next, nil if none is waited for.
 	nextRead *lookup
 	writer   writer
+	// recorded is closed with the next write of records, and waits has an element after a stream waits for it.
+	recorded chan struct{}
+	waits    chan struct{}
+	// patience is the longest time without an event after which callers abandon a stream.
+	patience time.Duration
+	// fronts tells when each run of a front was last registered, and startedAt since when they are counted.
+	fronts    map[string]time.Time
+	startedAt time.Time
 }
 
 // service is what is known of the streams of one service.
@@ -91,6 +99,7 @@
 	w := &Watcher{
 		self: self, site: view, store: s, settleTime: settleTime, meters: meters, log: log, group: &tasks.Group{}, ctx: ctx, reading: make(chan struct{}, 1),
 		window: minWindow, resumable: map[string]bool{}, services: map[string]*service{}, learned: newMemory(maxLearned), read: map[string]int64{}, writer: newWriter(),
+		recorded: make(chan struct{}), waits: make(chan struct{}, 1), fronts: map[string]time.Time{}, startedAt: time.Now(),
 	}
 	meters.GetOrCreateGauge("foxtailcroft_services_of_mixed_versions", w.mixedServices)
 	return w, func() {
@@ -99,12 +108,17 @@
 	}
 }
 
-// RecordBegin records that the stream of a request began at an instance of a version, empty if that is unknown.
-func (w *Watcher) RecordBegin(service, id, version string) {
+// RecordBegin records that the stream of a request begins at an instance of a version, empty if that is unknown.
+// It returns false if the caller must not get an event, as the store has no record of the stream yet.
+func (w *Watcher) RecordBegin(ctx context.Context, service, id, version string) bool {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.sync()
-	w.service(service).own.add(entry{key: keyOf(service, id), version: version, at: time.Now()})
+	s := w.service(service)
+	isAhead := s.isMixed() && w.resumable[service] && s.recordsAhead(version)
+	s.own.add(entry{key: keyOf(service, id), version: version, at: time.Now(), ahead: isAhead})
+	next := s.own.next()
+	w.mu.Unlock()
+	return !isAhead || w.awaitRecord(ctx, service, next)
 }
 
 // RecordEnd records that the caller of a request has its stream in whole.
@@ -117,25 +131,30 @@
 // Origin returns the version that began the stream whose first event came with a request, empty unless the
 // basis is a known one. It may read records, at most until the context ends.
 func (w *Watcher) Origin(ctx context.Context, service, id string) (string, origin.Basis) {
-	version, basis := w.decide(service, id)
+	version, basis := w.decide(service, id, false)
 	for round := 0; basis == origin.Unrecorded && id != "" && w.mayRead(service) && round < lookupRounds; round++ {
 		// Another front may not have written its newest records yet.
-		if round > 0 && !sleep.For(ctx, min(maxLookupWait, w.writeInterval()+writeTime)) || !w.readRecords(ctx) {
+		if round > 0 && !sleep.For(ctx, min(maxLookupWait, w.writeInterval()+writeTime)) {
+			break
+		}
+		hasMarkers, ok := w.readRecords(ctx)
+		if !ok {
 			break
 		}
-		version, basis = w.decide(service, id)
+		version, basis = w.decide(service, id, hasMarkers)
 	}
 	w.meters.GetOrCreateCounter(`foxtailcroft_streams_taken_up_total{basis="` + string(basis) + `"}`).Inc()
 	return version, basis
 }
 
-func (w *Watcher) decide(service, id string) (string, origin.Basis) {
+// decide decides by what is known; isRead is true if records and markers have been read since the stream began.
+func (w *Watcher) decide(service, id string, isRead bool) (string, origin.Basis) {
 	isolated := w.site.IsIsolated()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sync()
 	s := w.service(service)
-	e := origin.Evidence{IsIsolated: isolated}
+	e := origin.Evidence{IsIsolated: isolated, Settling: s.settling(), IsRead: isRead && id != ""}
 	for v := range s.versions {
 		e.InPlay = append(e.InPlay, v)
 	}
@@ -157,13 +176,14 @@
 		if !w.site.Unavailable(0) && w.site.State().Document != nil {
 			w.writeMarkers(ctx)
 			w.writeRecords(ctx)
+			w.settle(ctx)
 			w.removeMarkers(ctx)
 		}
 		pause := idleInterval
 		if w.mixedServices() > 0 {
 			pause = w.writeInterval()
 		}
-		sleep.For(ctx, pause)
+		w.pause(ctx, pause)
 	}
 }
 
--- a/internal/front/begun/watcher_test.go
+++ b/internal/front/begun/watcher_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,7 +31,12 @@
 	ctx       context.Context
 	memory    *kvsim.MemoryStore
 	instances map[string]site.Instance
-	closers   []func()
+	// mu guards the views' states and eraBeganAt, which is when the store last came back from a copy.
+	mu         sync.Mutex
+	eraBeganAt time.Time
+	// fronts are the runs of the registered fronts.
+	fronts  []string
+	closers []func()
 }
 
 // view is the view of one front, which is as of the last refresh.
@@ -41,11 +47,18 @@
 	isolated bool
 }
 
-func (v *view) State() *follow.State           { return v.state }
+func (v *view) State() *follow.State {
+	v.r.mu.Lock()
+	defer v.r.mu.Unlock()
+	return v.state
+}
+
 func (v *view) IsIsolated() bool               { return v.isolated }
 func (v *view) Unavailable(time.Duration) bool { return v.r.memory.Faults().Away }
 
 func (v *view) ApplyWritten(kv store.KV) {
+	v.r.mu.Lock()
+	defer v.r.mu.Unlock()
 	s := *v.state
 	s.Keys = maps.Clone(s.Keys)
 	s.Keys[kv.Key] = kv
@@ -54,10 +67,15 @@
 
 // refresh brings the view up to date; the first front has the planner's role.
 func (v *view) refresh() {
+	v.r.mu.Lock()
+	defer v.r.mu.Unlock()
 	s := &follow.State{
-		Keys: map[string]store.KV{}, Instances: maps.Clone(v.r.instances), Planner: &follow.Planner{Front: follow.Front{Run: "front-1"}},
+		Keys: map[string]store.KV{}, Instances: maps.Clone(v.r.instances), Fronts: map[string]follow.Front{}, EraBeganAt: v.r.eraBeganAt, Planner: &follow.Planner{Front: follow.Front{Run: "front-1"}},
 		Document: &site.Document{Routes: []site.Route{{Kind: site.Streaming, Resumable: true, Timeout: 5 * time.Second, Split: []site.WeightedService{{Service: "llm"}}}}},
 	}
+	for _, run := range v.r.fronts {
+		s.Fronts[run] = follow.Front{Run: run, RecordsAhead: true}
+	}
 	list, err := v.r.memory.Range(v.r.ctx, follow.SystemPrefix)
 	v.r.g.Expect(err).NotTo(HaveOccurred())
 	s.Revision = list.Revision
@@ -105,6 +123,15 @@
 	w.Run(ctx)
 }
 
+// settle lets a front's new versions settle.
+func (r *rig) settle(w *Watcher, v *view) {
+	for range 10 {
+		r.round(w, v)
+		time.Sleep(time.Second)
+	}
+	v.refresh()
+}
+
 func (r *rig) expectOrigin(w *Watcher, id, version string, basis origin.Basis) {
 	r.g.THelper()
 	got, gotBasis := w.Origin(r.ctx, "llm", id)
@@ -118,15 +145,16 @@
 	withRig(t, func(r *rig) {
 		r.announce("i-1", "a")
 		w, v := r.watcher("front-1")
-		w.RecordBegin("llm", "before", "a")
+		w.RecordBegin(r.ctx, "llm", "before", "a")
 		r.round(w, v)
 		r.announce("i-2", "b")
 		r.round(w, v)
-		w.RecordBegin("llm", "beside", "b")
-		w.RecordBegin("llm", "nameless", "")
+		w.RecordBegin(r.ctx, "llm", "beside", "b")
+		w.RecordBegin(r.ctx, "llm", "nameless", "")
 		time.Sleep(time.Second)
 		r.round(w, v)
-		w.RecordBegin("llm", "unwritten", "b")
+		r.settle(w, v)
+		w.RecordBegin(r.ctx, "llm", "unwritten", "b")
 
 		for range 2 {
 			// With both versions, and with the old one gone.
@@ -151,7 +179,7 @@
 		other, _ := r.watcher("front-2")
 		const streams = 100
 		for n := range streams {
-			w.RecordBegin("llm", fmt.Sprint(n), "ab"[n%2:n%2+1])
+			w.RecordBegin(r.ctx, "llm", fmt.Sprint(n), "ab"[n%2:n%2+1])
 		}
 		r.round(w, v)
 		reads := r.memory.Calls().Reads
@@ -164,7 +192,7 @@
 		late := r.memory.Calls().Reads
 		group.Go(func() { r.expectOrigin(other, "late", "a", origin.Named) })
 		time.Sleep(minWriteInterval)
-		w.RecordBegin("llm", "late", "a")
+		w.RecordBegin(r.ctx, "llm", "late", "a")
 		r.round(w, v)
 		group.Wait()
 		r.g.Expect(r.memory.Calls().Reads - late).To(BeNumerically("<=", 3))
@@ -190,11 +218,11 @@
 				r.announce("i-1", "a")
 				r.announce("i-2", "b")
 				w, v := r.watcher("front-1")
-				w.RecordBegin("llm", "first", "a")
+				w.RecordBegin(r.ctx, "llm", "first", "a")
 				r.round(w, v)
 				c.lose(r, w)
 				r.withdraw("i-1")
-				w.RecordBegin("llm", "second", "b")
+				w.RecordBegin(r.ctx, "llm", "second", "b")
 				for range 3 {
 					time.Sleep(time.Second)
 					r.round(w, v)
@@ -229,7 +257,7 @@
 		r.round(w, v)
 		r.withdraw("i-1")
 		r.announce("i-2", "b")
-		r.round(w, v)
+		r.settle(w, v)
 		later := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Second) {
 				r.round(w, v)
@@ -253,7 +281,7 @@
 		w, v := r.watcher("front-1")
 		before := r.memory.Calls()
 		for n := range 1000 {
-			w.RecordBegin("llm", fmt.Sprint(n), "a")
+			w.RecordBegin(r.ctx, "llm", fmt.Sprint(n), "a")
 			r.expectOrigin(w, fmt.Sprint("other-", n), "a", origin.OnlyVersion)
 			if n%100 == 0 {
 				ctx, cancel := context.WithTimeout(r.ctx, time.Second)
@@ -283,7 +311,7 @@
 		var group conc.WaitGroup
 		group.Go(func() { w.Run(ctx) })
 		for n := 0; ctx.Err() == nil; n++ {
-			w.RecordBegin("llm", fmt.Sprint(n), "a")
+			w.RecordBegin(r.ctx, "llm", fmt.Sprint(n), "a")
 			if n%10 != 0 {
 				w.RecordEnd("llm", fmt.Sprint(n))
 			}
@@ -310,18 +338,18 @@
 		for _, want := range [][]string{{"b"}, {"b"}, nil} {
 			r.round(w, v)
 			v.refresh()
-			r.g.Expect(w.Unsettled("llm")).To(Equal(want))
+			r.g.Expect(w.Closed("llm")).To(Equal(want))
 			time.Sleep(settleTime / 2)
 		}
 		fresh, _ := r.watcher("front-2")
-		r.g.Expect(fresh.Unsettled("llm")).To(BeNil(), "a front that starts")
+		r.g.Expect(fresh.Closed("llm")).To(BeNil(), "a front that starts")
 		r.memory.SetFaults(kvsim.Faults{Away: true})
 		s := *v.state
 		s.Instances = maps.Clone(s.Instances)
 		s.Instances["i-3"] = site.Instance{InstanceKey: site.InstanceKey{ID: "i-3"}, Service: "llm"}
 		v.state = &s
 		for _, want := range [][]string{{""}, nil} {
-			r.g.Expect(w.Unsettled("llm")).To(Equal(want), "found while the store is away")
+			r.g.Expect(w.Closed("llm")).To(Equal(want), "found while the store is away")
 			time.Sleep(settleTime)
 		}
 	})
--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -20,13 +20,6 @@
 	plannerRetryDelay = 100 * time.Millisecond
 	// plannerAskInterval bounds one planner call; a request that still waits then calls again.
 	plannerAskInterval = time.Second
-	// minPatience, patienceGoalFactor and patienceGapFactor tell when callers
-	// abandon a stream without events: after the longest of a fixed time, a
-	// multiple of the route's response goal and a multiple of its longest allowed
-	// gap between events. The values follow the callers' published behaviour.
-	minPatience        = 2 * time.Second
-	patienceGoalFactor = 4
-	patienceGapFactor  = 8
 	// plainServiceMaxWait bounds the wait for an instance of a service without managed models.
 	plainServiceMaxWait = 300 * time.Millisecond
 	// maxPlannerlessTime bounds the time of failed planner calls per request: a
@@ -44,7 +37,8 @@
 	}
 	for {
 		c.state = c.server.stateSource.State()
-		list := c.preferSettled(c.untried(c.candidates()))
+		untried := c.untried(c.candidates())
+		list := c.withoutClosed(untried)
 		if chosen, ok := c.server.tracker.pickInstance(list, c.server.settings.Node.Domain, &c.request, c.route.MaxTokenGap, c.server.pool.HasIdle); ok {
 			c.lastChoice = chosen
 			c.lastChoice.options = options{}
@@ -54,7 +48,11 @@
 			}
 			return chosen.Instance, step == sendRequest
 		}
-		if !c.waitForInstance(ctx) || c.endIfBlocked(ctx) {
+		wait := c.waitForInstance
+		if len(list) < len(untried) {
+			wait = c.waitForVersion
+		}
+		if !wait(ctx) || c.endIfBlocked(ctx) {
 			return site.Instance{}, false
 		}
 	}
@@ -219,7 +217,7 @@
 	if c.route.Kind != site.Streaming || c.route.ResponseGoal <= 0 {
 		return c.deadline
 	}
-	givesUpAt := c.arrivedAt.Add(max(minPatience, patienceGoalFactor*c.route.ResponseGoal, patienceGapFactor*c.route.MaxTokenGap))
+	givesUpAt := c.arrivedAt.Add(c.route.Patience())
 	if givesUpAt.Before(c.deadline) {
 		return givesUpAt
 	}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -102,15 +102,16 @@
 
 // StreamOrigins knows at which versions of instances streams began.
 type StreamOrigins interface {
-	// RecordBegin records that the stream of a request began at a version, empty if it is unknown.
-	RecordBegin(service, id, version string)
+	// RecordBegin records that the stream of a request begins at a version, empty if it is unknown; false if the
+	// caller must not get an event, as that was not recorded.
+	RecordBegin(ctx context.Context, service, id, version string) bool
 	// RecordEnd records that the caller of a request has its stream in whole.
 	RecordEnd(service, id string)
 	// Origin returns the version that began the stream whose first event came with a request; empty
 	// unless the basis is a known one.
 	Origin(ctx context.Context, service, id string) (version string, basis origin.Basis)
-	// Unsettled returns the versions at which no streams should begin if others serve.
-	Unsettled(service string) []string
+	// Closed returns the versions at which no streams may begin for now.
+	Closed(service string) []string
 }
 
 // Helpers decide together with other fronts.
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -71,6 +71,15 @@
 			res.Finish(false)
 			return c.handleBrokenStream(ctx, in, err)
 		}
+		if !c.bindStream(ctx, in) {
+			res.Finish(false)
+			c.reason = "the begun stream could not be recorded"
+			c.logAttempt("not recorded", in, c.reason)
+			if ctx.Err() != nil {
+				return tryAnother
+			}
+			return c.handleFailure(true)
+		}
 		release, err := c.holdEvent(event)
 		if err != nil {
 			res.Finish(false)
@@ -101,7 +110,6 @@
 	if c.attemptEvents++; c.attemptEvents == eventsUnderWay {
 		c.recordAnswer()
 	}
-	c.bindStream(in)
 	c.writeHead(res)
 	if id != "" {
 		c.stream.lastEventID = id
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
+	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/core/site"
 )
 
@@ -39,18 +41,20 @@
 }
 
 // bindStream binds a stream whose first event is about to be sent to the version of its instance, which
-// is unknown if a restarted instance may have sent it.
-func (c *call) bindStream(in site.Instance) {
+// is unknown if a restarted instance may have sent it; false if the event must not be sent.
+func (c *call) bindStream(ctx context.Context, in site.Instance) bool {
 	if c.bound || c.route.Kind != site.Streaming {
-		return
+		return true
 	}
-	c.bound = true
+	version := ""
 	if c.hasAnnouncedVersion {
-		c.version = in.Version
+		version = in.Version
 	}
-	if c.route.Resumable {
-		c.server.origins.RecordBegin(c.service, c.request.ID, c.version)
+	if c.route.Resumable && !c.server.origins.RecordBegin(ctx, c.service, c.request.ID, version) {
+		return false
 	}
+	c.bound, c.version = true, version
+	return true
 }
 
 // recordStreamComplete records that the caller has the stream in whole.
@@ -93,21 +97,32 @@
 	return slices.DeleteFunc(list, func(in site.Instance) bool { return in.Version != c.version || in.Version == "" })
 }
 
-// preferSettled leaves out the instances of versions that other fronts may not know yet, unless there are
-// no others or the stream has begun.
-func (c *call) preferSettled(list []site.Instance) []site.Instance {
+// withoutClosed leaves out the instances of versions at which no streams may begin, unless the stream has begun.
+func (c *call) withoutClosed(list []site.Instance) []site.Instance {
 	if c.bound || !c.route.Resumable || c.route.Kind != site.Streaming {
 		return list
 	}
-	unsettled := c.server.origins.Unsettled(c.service)
-	if len(unsettled) == 0 {
+	closed := c.server.origins.Closed(c.service)
+	if len(closed) == 0 {
 		return list
 	}
-	settled := slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return slices.Contains(unsettled, in.Version) })
-	if len(settled) == 0 {
-		return list
+	return slices.DeleteFunc(slices.Clone(list), func(in site.Instance) bool { return slices.Contains(closed, in.Version) })
+}
+
+// closedVersionPause is the pause before instances are looked for again of which some are of closed versions.
+const closedVersionPause = 50 * time.Millisecond
+
+// waitForVersion waits until streams may begin at further versions; false if the request has ended.
+func (c *call) waitForVersion(ctx context.Context) bool {
+	waitStart := time.Now()
+	defer func() { c.waited += time.Since(waitStart) }()
+	if time.Until(c.waitDeadline()) <= servingReserve {
+		c.refuse(http.StatusServiceUnavailable, "no stream may begin yet at the version that serves", defaultRetryAfter)
+		return false
 	}
-	return settled
+	sleep.For(ctx, closedVersionPause)
+	clear(c.tried)
+	return !c.endIfExpired(ctx)
 }
 
 // recordBreak records that a request to an instance broke off, so that it may have restarted.
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
@@ -18,19 +19,23 @@
 type versions struct {
 	// began are the versions that began streams, by request.
 	began map[string]string
-	// versionsInPlay and unsettled are the versions of other streams, and those that other fronts may not know.
+	// versionsInPlay are the versions of other streams, and closed those at which none may begin until openAt.
 	versionsInPlay []string
-	unsettled      []string
+	closed         []string
+	openAt         time.Time
+	// unrecorded is true if records of begun streams fail.
+	unrecorded bool
 }
 
-// RecordBegin, Origin and Unsettled know one version and the streams that began here.
-func (r *harness) RecordBegin(_, id, version string) {
+// RecordBegin, Origin and Closed know one version and the streams that began here.
+func (r *harness) RecordBegin(_ context.Context, _, id, version string) bool {
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
 	if r.began == nil {
 		r.began = map[string]string{}
 	}
 	r.began[id] = version
+	return !r.unrecorded
 }
 
 func (r *harness) RecordEnd(string, string) {}
@@ -45,8 +50,11 @@
 	return origin.Decide(origin.Evidence{Named: []string{version}})
 }
 
-func (r *harness) Unsettled(string) []string {
-	return r.unsettled
+func (r *harness) Closed(string) []string {
+	if time.Now().After(r.openAt) {
+		return nil
+	}
+	return r.closed
 }
 
 func (r *harness) IsRunning(context.Context, site.Instance) bool {
@@ -151,35 +159,51 @@
 }
 
 // TestNewVersionsWaitUntilAllFrontsKnowThem guards against streams that begin at a version that other
-// fronts don't know, and against versions that serve nothing.
+// fronts don't know, also where only that one serves, and against versions that serve nothing.
 func TestNewVersionsWaitUntilAllFrontsKnowThem(t *testing.T) {
+	const opensAfter = 1100 * time.Millisecond
 	for _, c := range []struct {
-		name      string
-		path      string
-		versions  []string
-		unsettled []string
-		want      string
+		name     string
+		path     string
+		versions []string
+		closed   []string
+		want     string
+		waits    bool
 	}{
-		{"known", "/resume/x", []string{"b", "a"}, nil, "b"},
-		{"new", "/resume/x", []string{"b", "a"}, []string{"b"}, "a"},
-		{"only new ones serve", "/resume/x", []string{"b", "b"}, []string{"b"}, "b"},
-		{"stream that isn't resumed", "/stream/x", []string{"b", "a"}, []string{"b"}, "b"},
+		{"known", "/resume/x", []string{"b", "a"}, nil, "b", false},
+		{"new", "/resume/x", []string{"b", "a"}, []string{"b"}, "a", false},
+		{"only new ones serve", "/resume/x", []string{"b", "b"}, []string{"b"}, "b", true},
+		{"stream that isn't resumed", "/stream/x", []string{"b", "a"}, []string{"b"}, "b", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withProxy(t, 2, func(r *harness) {
 				r.setVersions(c.versions...)
-				r.unsettled = c.unsettled
+				began := time.Now()
+				r.closed, r.openAt = c.closed, began.Add(opensAfter)
 				// The proxy prefers the first server, as it is in its domain.
 				near := r.state.Instances["llm-1"]
 				near.Domain = ""
 				r.state.Instances["llm-1"] = near
 				r.send(r.t.Context(), c.path, "id")
 				r.g.Expect(r.versionsOf("id")).To(Equal([]string{c.want}))
+				r.g.Expect(r.executions.Runs("id")[0].At.After(r.openAt)).To(Equal(c.waits))
 			})
 		})
 	}
 }
 
+// TestNoEventBeforeItsRecord guards against events of streams that other fronts would take for those of another
+// version, as they were not recorded.
+func TestNoEventBeforeItsRecord(t *testing.T) {
+	withProxy(t, 2, func(r *harness) {
+		r.unrecorded = true
+		w, _ := r.send(r.t.Context(), "/resume/x", "id")
+		r.g.Expect(r.executions.Runs("id")).NotTo(BeEmpty())
+		r.g.Expect(w.Code).NotTo(Equal(http.StatusOK))
+		r.g.Expect(w.Body.String()).NotTo(ContainSubstring("id:"))
+	})
+}
+
 // TestStreamIsTakenUpAtItsService guards against streams of a route with several services that go on at
 // another service than the one that began them.
 func TestStreamIsTakenUpAtItsService(t *testing.T) {
--- a/internal/node/front/versions_test.go
+++ b/internal/node/front/versions_test.go
@@ -28,7 +28,30 @@
 	crashServer map[string]func()
 	versions    map[string]string
 	streams     []*clientStream
-	clients     conc.WaitGroup
+	// takeUpPause is the time before a client takes a stream up.
+	takeUpPause time.Duration
+	// outOfStep is the front at which all streams are taken up and none begins, empty if fronts take turns.
+	outOfStep string
+	clients   conc.WaitGroup
+}
+
+// patience is the time without an event after which callers of the route leave.
+const patience = 3200 * time.Millisecond
+
+// defaultTakeUpPause is the pause of clients that see at once that a stream has broken off.
+const defaultTakeUpPause = 300 * time.Millisecond
+
+// newVersionsRig writes the document and starts servers of versions, and the fronts.
+func newVersionsRig(h *harness, fronts []string, versions ...string) *versionsRig {
+	r := &versionsRig{harness: h, takeUpPause: defaultTakeUpPause, stopFront: map[string]func(){}, stopServer: map[string]func(){}, crashServer: map[string]func(){}, versions: map[string]string{}}
+	r.writeKey(platform.DocumentKey, `{"version":1,"routes":[
+{"name":"s","host":"h.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":20000,"responseGoalMs":800,"service":"llm","attempts":3,"canResume":true,"gapTargetMs":400}],
+"services":[{"name":"llm","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[{"name":"m","weightsMb":70000,"loadS":1}]}}],
+"limits":{"bodyBytes":1000000,"idleTimeoutMs":15000}}`)
+	r.startServers(versions...)
+	r.startFronts(fronts...)
+	time.Sleep(5 * time.Second)
+	return r
 }
 
 // clientStream is a stream over all attempts of its client.
@@ -118,26 +141,28 @@
 	group.Wait()
 }
 
-// front returns a front that runs, in turn, empty if none does.
-func (r *versionsRig) front(n int) string {
+// front returns the front for an attempt of a client, empty if none runs.
+func (r *versionsRig) front(client, try int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.outOfStep != "" && try > 0 {
+		return r.outOfStep
+	}
 	var names []string
 	for name := range r.stopFront {
-		names = append(names, name)
+		if name != r.outOfStep {
+			names = append(names, name)
+		}
 	}
 	if len(names) == 0 {
 		return ""
 	}
 	slices.Sort(names)
-	return names[n%len(names)]
+	return names[(client+try)%len(names)]
 }
 
-const (
-	// takeUps is how often a client takes a stream up, and takeUpPause the time before.
-	takeUps     = 4
-	takeUpPause = 300 * time.Millisecond
-)
+// takeUps is how often a client takes a stream up.
+const takeUps = 4
 
 // play begins streams at all fronts in turn, which go on until they are complete or their clients give up.
 func (r *versionsRig) play(streams int) {
@@ -146,7 +171,7 @@
 		r.streams = append(r.streams, s)
 		r.clients.Go(func() {
 			for try := range takeUps + 1 {
-				if front := r.front(n + try); front == "" {
+				if front := r.front(n, try); front == "" {
 					time.Sleep(2 * time.Second)
 				} else {
 					r.attempt(front, s, try)
@@ -154,7 +179,7 @@
 				if s.complete {
 					return
 				}
-				time.Sleep(takeUpPause)
+				time.Sleep(r.takeUpPause)
 			}
 		})
 		time.Sleep(20 * time.Millisecond)
@@ -228,6 +253,25 @@
 		// goOn is the least share of the streams taken up that must go on.
 		goOn float64
 	}{
+		{"one front killed as another version comes", []string{v1}, func(r *versionsRig) {
+			r.startServers(v2)
+			time.Sleep(30 * time.Millisecond)
+			r.stopFronts("front-1")
+		}, 0.5},
+		{"one front lost as another version comes, which its clients see late", []string{v1}, func(r *versionsRig) {
+			r.takeUpPause = patience
+			r.startServers(v2)
+			time.Sleep(30 * time.Millisecond)
+			r.stopFronts("front-1")
+			r.play(200)
+		}, 0.5},
+		{"one front lost before another version comes, which its clients see late", []string{v1}, func(r *versionsRig) {
+			r.takeUpPause = patience
+			r.stopFronts("front-1")
+			time.Sleep(500 * time.Millisecond)
+			r.startServers(v2)
+			r.play(200)
+		}, 0.5},
 		{"one front killed", []string{v1, v2}, func(r *versionsRig) { r.stopFronts("front-1") }, 0.5},
 		{"all fronts killed", []string{v1, v2}, func(r *versionsRig) {
 			r.stopFronts(fronts...)
@@ -287,15 +331,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
-				r := &versionsRig{harness: h, stopFront: map[string]func(){}, stopServer: map[string]func(){}, crashServer: map[string]func(){}, versions: map[string]string{}}
-				r.writeKey(platform.DocumentKey, `{"version":1,"routes":[
-{"name":"s","host":"h.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":20000,"responseGoalMs":800,"service":"llm","attempts":3,"canResume":true,"gapTargetMs":400}],
-"services":[{"name":"llm","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[{"name":"m","weightsMb":70000,"loadS":1}]}}],
-"limits":{"bodyBytes":1000000,"idleTimeoutMs":15000}}`)
-				r.startServers(c.servers...)
-				r.startFronts(fronts...)
+				r := newVersionsRig(h, fronts, c.servers...)
 				defer func() { r.stopFronts(fronts...) }()
-				time.Sleep(5 * time.Second)
 				r.play(48)
 				time.Sleep(500 * time.Millisecond)
 				c.event(r)
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -31,6 +31,8 @@
 	Domain string
 	// LinkBytesPerSecond is the bandwidth of the front's link, 0 if unknown.
 	LinkBytesPerSecond float64 `json:",omitempty"`
+	// RecordsAhead is true if the front records streams of settling versions before their callers get an event.
+	RecordsAhead bool `json:",omitempty"`
 	// Era is the store's era in which the value was written, 0 if the front does not tell. In a later era
 	// the value is from the copy that the store came back from.
 	Era int64 `json:",omitempty"`
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -25,6 +25,13 @@
 		{"one version, isolated", Evidence{InPlay: []string{"a"}, IsIsolated: true}, "", Unrecorded},
 		{"one unknown version", Evidence{InPlay: []string{""}}, "", Unversioned},
 		{"two versions", Evidence{InPlay: []string{"a", "b"}}, "", Unrecorded},
+		{"two versions, read", Evidence{InPlay: []string{"a", "b"}, IsRead: true}, "", Unrecorded},
+		{"one settling", Evidence{InPlay: []string{"a", "b"}, Settling: []string{"b"}, IsRead: true}, "a", Settled},
+		{"one settling, not read", Evidence{InPlay: []string{"a", "b"}, Settling: []string{"b"}}, "", Unrecorded},
+		{"one settling, named", Evidence{Named: []string{"b"}, InPlay: []string{"a", "b"}, Settling: []string{"b"}, IsRead: true}, "b", Named},
+		{"one settling, the other unknown", Evidence{InPlay: []string{"", "b"}, Settling: []string{"b"}, IsRead: true}, "", Unversioned},
+		{"all settling", Evidence{InPlay: []string{"a", "b"}, Settling: []string{"a", "b"}, IsRead: true}, "", Unrecorded},
+		{"two settled", Evidence{InPlay: []string{"a", "b", "c"}, Settling: []string{"b"}, IsRead: true}, "", Unrecorded},
 		{"a version and an unknown one", Evidence{InPlay: []string{"a", ""}}, "", Unrecorded},
 	} {
 		t.Run(c.name, func(t *testing.T) {
