front/proxy: pause where the planner names instances that the view lacks

Found as node/front.TestPromptPartThatCrashesInstancesIsBlocked hung in 9 of 48 runs once its harness gave fronts a clock of virtual time: requests asked the planner and the instances that it names in turn, without a pause. Callers see nothing of it but load: up to 0.6 s long, until the front's view follows, such a request keeps a core busy with calls to the planner and reports of instances.

Cause, by a trace of the loop: after all instances have restarted, the planner, whose view is newer, names the new incarnations. The front's view has the old ones only, which are candidates still, so that the pause for an empty list was left out; each then fails to prove that it runs.

--- a/internal/front/proxy/find.go
+++ b/internal/front/proxy/find.go
@@ -181,11 +181,12 @@
 	}
 	clear(c.tried)
 	clear(c.overLimit)
-	if len(c.candidates()) == 0 {
-		if c.bound {
-			c.refuse(http.StatusServiceUnavailable, "no instance of the version that began the stream has the model", 0)
-			return false
-		}
+	if c.bound && len(c.candidates()) == 0 {
+		c.refuse(http.StatusServiceUnavailable, "no instance of the version that began the stream has the model", 0)
+		return false
+	}
+	if !slices.ContainsFunc(c.candidates(), func(in site.Instance) bool { return slices.Contains(found.Instances, in.InstanceKey) }) {
+		// The planner knows instances that the view doesn't have yet.
 		sleep.For(ctx, fullInstanceDelay)
 	}
 	return !c.endIfExpired(ctx)
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -42,6 +42,8 @@
 	servers      []*fake.Server
 	state        *follow.State
 	plannerCalls int
+	// foundInstances are those that the planner names, none if it names a reason.
+	foundInstances []site.InstanceKey
 	// blockedPart is a prompt part that the crash watch blocks, empty for none; broken and underWay are
 	// the attempts that it was told of.
 	blockedPart string
@@ -109,6 +111,9 @@
 
 func (r *harness) RequestInstances(context.Context, peers.InstanceRequest) (peers.InstanceReply, error) {
 	r.plannerCalls++
+	if len(r.foundInstances) > 0 {
+		return peers.InstanceReply{Instances: r.foundInstances}, nil
+	}
 	return peers.InstanceReply{Reason: "nowhere", ReadyIn: 2 * time.Second}, nil
 }
 
