front/begun: a version is the only one as of the sending of an answered call

Callers saw: streams of a new version, broken off as its servers crashed and taken up at a front that had stood still or was cut off, went on at servers of the old version (ORDER).

Cause: a view counted as current unless calls had failed for 2 s. After a stop none has failed, and an answer that waited in the socket counts as fresh; in a silent cut nothing fails for up to 3 s. Streams begin at a new version 2 s after its marker.

Change: follow keeps the moment as of which its view is complete, the sending of the newest call that was answered, on the clock that counts stops; fronts pass it on with changes and views. Beyond nine tenths of the time for which versions are closed, the markers and records are read before a version counts as the only one. "version of a stream inferred" logs the age. The harness of node/front gives fronts a clock of virtual time; begun.TestOneVersionCostsNoCalls now asks for two reads where the view is outdated, and for a refusal only if the store is away too.

--- a/internal/front/begun/lookup.go
+++ b/internal/front/begun/lookup.go
@@ -17,22 +17,32 @@
 	// bounds those of all fronts.
 	minReadInterval      = 50 * time.Millisecond
 	readIntervalPerFront = 5 * time.Millisecond
+	// maxViewAgePercent is the age up to which a view is relied on, in percent of the time for which a version
+	// is closed.
+	maxViewAgePercent = 90
 )
 
-// lookup is a read of all records, and of the markers if versions are settling, that several requests may wait for.
+// lookup is a read of all records, and of the markers if they may tell more, that several requests may wait for.
 type lookup struct {
 	done chan struct{}
 	// hasMarkers is set before done is closed if both were read.
 	hasMarkers bool
 }
 
-// mayRead reports whether records can tell more of the streams of a service.
+// mayRead reports whether records and markers can tell more of the streams of a service.
 func (w *Watcher) mayRead(serviceName string) bool {
+	isOutdated := w.site.IsOutdated(w.maxViewAge())
 	w.mu.Lock()
 	s := w.services[serviceName]
 	mixed := s != nil && s.isMixed()
 	w.mu.Unlock()
-	return mixed && !w.site.Unavailable(0)
+	return (mixed || isOutdated) && !w.site.Unavailable(0)
+}
+
+// maxViewAge returns the age up to which a view lacks no version at which streams may have begun. The rest of
+// the time for which versions are closed covers the error of clocks.
+func (w *Watcher) maxViewAge() time.Duration {
+	return w.settleTime * maxViewAgePercent / 100
 }
 
 // readRecords waits for a read of all records that begins after the call, and tells whether markers were read as
@@ -64,12 +74,13 @@
 	}
 	w.mu.Lock()
 	w.nextRead = nil
-	hasSettling := w.hasSettling()
+	needsMarkers := w.hasSettling()
 	w.mu.Unlock()
+	needsMarkers = needsMarkers || w.site.IsOutdated(w.maxViewAge())
 	ctx, cancel := context.WithTimeout(w.ctx, storeTimeout)
 	defer cancel()
 	list, err := w.store.Range(ctx, recordPrefix)
-	if err == nil && hasSettling {
+	if err == nil && needsMarkers {
 		r.hasMarkers = w.readMarkers(ctx, list.Revision)
 	}
 	w.group.Go(func() {
--- a/internal/front/begun/records.go
+++ b/internal/front/begun/records.go
@@ -28,8 +28,12 @@
 	minStreams = 8
 	// maxPuts bounds the records of one call.
 	maxPuts = 16
-	// recordTimeout bounds the wait for a record without which a stream doesn't begin.
-	recordTimeout = 1500 * time.Millisecond
+	// aheadIntervalPerFront bounds the writes of all fronts for which streams wait.
+	aheadIntervalPerFront = 5 * time.Millisecond
+	// recordTimeout bounds the wait for a record without which a stream doesn't begin, and maxAheadInterval the
+	// time between two writes of a front with which streams can wait.
+	recordTimeout    = 1500 * time.Millisecond
+	maxAheadInterval = recordTimeout / 2
 )
 
 // segment is the record that further streams are added to; the zero value is that of a service of which
@@ -69,6 +73,11 @@
 	return max(minWriteInterval, time.Duration(len(w.site.State().Fronts))*writeIntervalPerFront)
 }
 
+// aheadInterval returns the time between two writes of this front for which streams wait.
+func (w *Watcher) aheadInterval() time.Duration {
+	return time.Duration(len(w.site.State().Fronts)) * aheadIntervalPerFront
+}
+
 // writeRecords records the streams of services with several versions in play, and acknowledges their markers.
 func (w *Watcher) writeRecords(ctx context.Context) {
 	w.rewriteLost()
@@ -193,8 +202,7 @@
 	select {
 	case <-timer.C:
 	case <-w.waits:
-		interval := time.Duration(len(w.site.State().Fronts)) * writeIntervalPerFront
-		sleep.For(ctx, interval-time.Since(w.writer.at))
+		sleep.For(ctx, w.aheadInterval()-time.Since(w.writer.at))
 	case <-ctx.Done():
 	}
 }
--- a/internal/front/begun/settling.go
+++ b/internal/front/begun/settling.go
@@ -118,10 +118,28 @@
 	if !w.isPlanner() {
 		return
 	}
-	var t store.Txn
-	var settlements []origin.Settlement
+	t, settlements := w.dueSettlements()
+	if len(t.Puts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := w.store.Commit(ctx, t)
+	if err != nil || !res.Succeeded {
+		w.log.Warnw("versions not settled; trying again in the next round", "Versions", len(t.Puts))
+		return
+	}
+	w.applyWritten(t, res)
+	for i, x := range settlements {
+		w.log.Infow("version settled", "Key", t.Puts[i].Key, "KnownMs", x.KnownFor.Milliseconds(), "Missing", x.Missing)
+	}
+}
+
+// dueSettlements returns the transaction that ends the settling of versions, and why for each of its puts.
+func (w *Watcher) dueSettlements() (t store.Txn, settlements []origin.Settlement) {
 	state := w.site.State()
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.countFronts(state)
 	for serviceName, s := range w.services {
 		for name, v := range s.versions {
@@ -129,11 +147,8 @@
 				continue
 			}
 			key := markerKey(serviceName, name)
-			x := origin.Settlement{KnownFor: time.Since(v.knownAt), WatchedFor: time.Since(w.startedAt), MinKnown: w.settleTime, MaxAbsence: w.maxAbsence()}
-			for run := range w.fronts {
-				if !slices.Contains(acknowledged(state, run), key) {
-					x.Missing++
-				}
+			x := origin.Settlement{
+				KnownFor: time.Since(v.knownAt), WatchedFor: time.Since(w.startedAt), Missing: w.missing(state, key), MinKnown: w.settleTime, MaxAbsence: w.maxAbsence(),
 			}
 			if value, err := json.Marshal(marker{Service: serviceName, Version: name}); err == nil && x.IsSettled() {
 				t.If = append(t.If, store.Compare{Key: key, Revision: v.markedAt})
@@ -142,19 +157,16 @@
 			}
 		}
 	}
-	w.mu.Unlock()
-	if len(t.Puts) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	res, err := w.store.Commit(ctx, t)
-	if err != nil || !res.Succeeded {
-		w.log.Warnw("versions not settled; trying again in the next round", "Versions", len(t.Puts))
-		return
-	}
-	w.applyWritten(t, res)
-	for i, x := range settlements {
-		w.log.Infow("version settled", "Key", t.Puts[i].Key, "KnownMs", x.KnownFor.Milliseconds(), "Missing", x.Missing)
+	return t, settlements
+}
+
+// missing returns the number of fronts that have not acknowledged a marker; the caller holds the lock.
+func (w *Watcher) missing(state *follow.State, key string) int {
+	n := 0
+	for run := range w.fronts {
+		if !slices.Contains(acknowledged(state, run), key) {
+			n++
+		}
 	}
+	return n
 }
--- a/internal/front/begun/versions.go
+++ b/internal/front/begun/versions.go
@@ -157,7 +157,7 @@
 // Closed returns the versions in play of a service at which no streams may begin for now, since other fronts may
 // not know them or since the streams can't be recorded; nil if there are none.
 func (w *Watcher) Closed(serviceName string) []string {
-	storeAway := w.site.Unavailable(0)
+	canRecord := !w.site.Unavailable(0) && w.aheadInterval() <= maxAheadInterval
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sync()
@@ -167,7 +167,7 @@
 	}
 	var out []string
 	for name, v := range s.versions {
-		if v.openAt.IsZero() || time.Now().Before(v.openAt) || v.isSettling && storeAway {
+		if v.openAt.IsZero() || time.Now().Before(v.openAt) || v.isSettling && !canRecord {
 			out = append(out, name)
 		}
 	}
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -35,8 +35,11 @@
 	ApplyWritten(kv store.KV)
 	// Unavailable reports whether the store is unavailable or recovered less than span ago.
 	Unavailable(span time.Duration) bool
-	// IsIsolated reports whether changes may have been missed that other fronts know.
-	IsIsolated() bool
+	// IsOutdated reports whether a state that is loaded afterwards may lack what other fronts have known for maxAge.
+	IsOutdated(maxAge time.Duration) bool
+	// CompleteAge is the age of the moment as of which a state that is loaded afterwards is complete; false if
+	// there is none.
+	CompleteAge() (time.Duration, bool)
 }
 
 // Store is the part of the metadata store that a Watcher uses.
@@ -144,17 +147,30 @@
 		version, basis = w.decide(service, id, hasMarkers)
 	}
 	w.meters.GetOrCreateCounter(`foxtailcroft_streams_taken_up_total{basis="` + string(basis) + `"}`).Inc()
+	if basis != origin.Named {
+		w.logInference(service, id, version, basis)
+	}
 	return version, basis
 }
 
+// logInference logs the grounds of a decision on a stream that nothing names.
+func (w *Watcher) logInference(service, id, version string, basis origin.Basis) {
+	age, known := w.site.CompleteAge()
+	w.mu.Lock()
+	s := w.service(service)
+	inPlay, settling := len(s.versions), len(s.settling())
+	w.mu.Unlock()
+	w.log.Infow("version of a stream inferred", "Resumes", id, "Version", version, "Basis", string(basis), "ViewAgeMs", age.Milliseconds(), "Known", known, "InPlay", inPlay, "Settling", settling)
+}
+
 // decide decides by what is known; isRead is true if records and markers have been read since the stream began.
 func (w *Watcher) decide(service, id string, isRead bool) (string, origin.Basis) {
-	isolated := w.site.IsIsolated()
+	isOutdated := w.site.IsOutdated(w.maxViewAge())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sync()
 	s := w.service(service)
-	e := origin.Evidence{IsIsolated: isolated, Settling: s.settling(), IsRead: isRead && id != ""}
+	e := origin.Evidence{IsOutdated: isOutdated, Settling: s.settling(), IsRead: isRead && id != ""}
 	for v := range s.versions {
 		e.InPlay = append(e.InPlay, v)
 	}
--- a/internal/front/begun/watcher_test.go
+++ b/internal/front/begun/watcher_test.go
@@ -44,7 +44,7 @@
 	r        *rig
 	state    *follow.State
 	run      string
-	isolated bool
+	outdated bool
 }
 
 func (v *view) State() *follow.State {
@@ -53,8 +53,9 @@
 	return v.state
 }
 
-func (v *view) IsIsolated() bool               { return v.isolated }
-func (v *view) Unavailable(time.Duration) bool { return v.r.memory.Faults().Away }
+func (v *view) IsOutdated(time.Duration) bool      { return v.outdated }
+func (v *view) CompleteAge() (time.Duration, bool) { return 0, !v.outdated }
+func (v *view) Unavailable(time.Duration) bool     { return v.r.memory.Faults().Away }
 
 func (v *view) ApplyWritten(kv store.KV) {
 	v.r.mu.Lock()
@@ -293,7 +294,10 @@
 		r.g.Expect(after.Writes - before.Writes).To(Equal(int64(1)))
 		r.g.Expect(after.Reads).To(Equal(before.Reads))
 		r.g.Expect(after.Leases).To(Equal(before.Leases))
-		v.isolated = true
+		v.outdated = true
+		r.expectOrigin(w, "other", "a", origin.OnlyVersion)
+		r.g.Expect(r.memory.Calls().Reads - after.Reads).To(Equal(int64(2)))
+		r.memory.SetFaults(kvsim.Faults{Away: true})
 		r.expectOrigin(w, "other", "", origin.Unrecorded)
 		r.expectOrigin(w, "999", "a", origin.Named)
 	})
--- a/internal/front/peers/view.go
+++ b/internal/front/peers/view.go
@@ -52,6 +52,9 @@
 	// ReachAge is the time since the store had last answered the front when it was asked, directly or
 	// through another front.
 	ReachAge time.Duration
+	// CompleteAge is the time since which changes of the store may be missing in the view, or in one that is no
+	// newer than what was asked for, when the front was asked; nil if it doesn't know.
+	CompleteAge *time.Duration `json:",omitempty"`
 }
 
 // viewEncoder encodes the newest view once for all fronts that ask for it.
@@ -70,6 +73,10 @@
 // part returns a part of the encoded view that is asked for, or the first one of the newest view.
 func (e *viewEncoder) part(r viewRequest) (viewPart, error) {
 	age := e.follower.ConfirmedAge()
+	var completeAge *time.Duration
+	if a, ok := e.follower.CompleteAge(); ok {
+		completeAge = &a
+	}
 	if !r.Eras && e.follower.State().HasReturned() {
 		return viewPart{ReachAge: age}, nil
 	}
@@ -78,7 +85,7 @@
 	if r.Offset == 0 || e.state == nil || r.Digest != e.digest {
 		ok, err := e.encode(r.After, r.Bulk)
 		if !ok || err != nil {
-			return viewPart{ReachAge: age}, err
+			return viewPart{ReachAge: age, CompleteAge: completeAge}, err
 		}
 	}
 	from := 0
@@ -86,7 +93,7 @@
 		// The encoded view is the same after a restart as well.
 		from = min(max(0, r.Offset), len(e.data))
 	}
-	return viewPart{Revision: e.revision, Digest: e.digest, Size: len(e.data), Data: e.data[from:min(len(e.data), from+maxPartBytes)], ReachAge: age}, nil
+	return viewPart{Revision: e.revision, Digest: e.digest, Size: len(e.data), Data: e.data[from:min(len(e.data), from+maxPartBytes)], ReachAge: age, CompleteAge: completeAge}, nil
 }
 
 // encode encodes the newest view unless that has been done; it reports whether the view is newer than a
@@ -154,6 +161,9 @@
 			m.damagedViews.Inc()
 			m.log.Warnw("view of another front refused; asking the next one", "Front", address, "Error", err.Error())
 		}
+		if err == nil {
+			contact.AddComplete(view.CompleteAge)
+		}
 		if err == nil && view.Revision > revision {
 			view.Contact, view.From = contact, address
 			return view, true
@@ -174,29 +184,41 @@
 // readView reads a view newer than a revision part by part; it is empty if there is none.
 func readView(after int64, fetch func(viewRequest) (viewPart, error)) (follow.View, error) {
 	for range maxViewReads {
-		var data []byte
-		request := viewRequest{After: after}
-		for {
-			part, err := fetch(request)
-			if err != nil || part.Revision == 0 {
-				return follow.View{}, err
-			}
-			if part.Size > maxViewBytes {
-				return follow.View{}, errViewTooLong
-			}
-			if request.Offset > 0 && part.Digest != request.Digest {
-				break
-			}
-			data = append(data, part.Data...)
-			if len(data) >= part.Size || len(part.Data) == 0 {
-				return decodeView(data, part)
-			}
-			request.Digest, request.Offset = part.Digest, len(data)
+		view, err := readParts(after, fetch)
+		if !errors.Is(err, errViewChanging) {
+			return view, err
 		}
 	}
 	return follow.View{}, errViewChanging
 }
 
+// readParts is readView, and fails with errViewChanging if the view changes meanwhile.
+func readParts(after int64, fetch func(viewRequest) (viewPart, error)) (follow.View, error) {
+	var data []byte
+	var completeAge *time.Duration
+	for request := (viewRequest{After: after}); ; {
+		part, err := fetch(request)
+		if err != nil || part.Revision == 0 {
+			return follow.View{CompleteAge: part.CompleteAge}, err
+		}
+		if part.Size > maxViewBytes {
+			return follow.View{}, errViewTooLong
+		}
+		if request.Offset == 0 {
+			completeAge = part.CompleteAge
+		} else if part.Digest != request.Digest {
+			return follow.View{}, errViewChanging
+		}
+		data = append(data, part.Data...)
+		if len(data) >= part.Size || len(part.Data) == 0 {
+			view, err := decodeView(data, part)
+			view.CompleteAge = completeAge
+			return view, err
+		}
+		request.Digest, request.Offset = part.Digest, len(data)
+	}
+}
+
 // decodeView decodes a view whose last part is given.
 func decodeView(data []byte, last viewPart) (follow.View, error) {
 	if xxhash.Sum64(data) != last.Digest {
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -36,8 +36,11 @@
 	store      *fake.Store
 	executions *fake.ExecutionLog
 	client     *http.Client
+	began      time.Time
 	// links are the links of fronts by name; those of others are unlimited.
 	links map[string]*memnet.Link
+	// partition cuts a front off from the store and from other fronts.
+	partition partition
 	// log is the log of all fronts.
 	log *zap.Logger
 }
@@ -47,7 +50,7 @@
 // withHarness runs a test with a new harness.
 func withHarness(t *testing.T, test func(*harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}, links: map[string]*memnet.Link{}, log: zap.NewNop()}
+		r := &harness{g: NewWithT(t), ctx: t.Context(), net: memnet.New(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{}, links: map[string]*memnet.Link{}, log: zap.NewNop(), began: time.Now()}
 		r.store = fake.NewStore(r.memory)
 		r.net.Serve("store:1", r.store)
 		transport := &http.Transport{DialContext: r.dial}
@@ -65,11 +68,16 @@
 	return r.net.Dial(ctx, address)
 }
 
+// sinceBoot returns the time since boot of all machines.
+func (r *harness) sinceBoot() time.Duration {
+	return time.Hour + time.Since(r.began)
+}
+
 // dialFrom returns the function with which a front opens connections.
 func (r *harness) dialFrom(front string) func(context.Context, string) (net.Conn, error) {
 	link := r.links[front]
 	if link == nil {
-		return r.net.Dial
+		return r.partition.dialFrom(front, r.net.Dial)
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := r.net.Dial(ctx, address)
@@ -111,9 +119,11 @@
 		// As cmd/foxtailcroft sets it.
 		window = min(set.Bounds.InForce, set.Bounds.Contact*2/3) / 2
 	}
+	dataStore := platform.NewStore("store:1", transport, window, meters)
+	dataStore.SetClock(r.sinceBoot)
 	f, closeFront := New(Options{
-		Settings: set,
-		Store:    platform.NewStore("store:1", transport, window, meters), Dialect: platform.Dialect{},
+		Settings: set, SinceBoot: r.sinceBoot,
+		Store: dataStore, Dialect: platform.Dialect{},
 		StoreLayout: follow.Layout{
 			DocumentKey: platform.DocumentKey, InstancePrefix: platform.ServerPrefix,
 			Prefixes: []string{platform.OperatorPrefix, platform.ServerPrefix, follow.SystemPrefix},
--- a/internal/plat/follow/apart.go
+++ b/internal/plat/follow/apart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 type positions struct {
 	mu sync.Mutex
 	of map[string]int64
+	// sent tells when the newest answered watch of a prefix was sent.
+	sent map[string]time.Duration
 	// advanced is set once the store has answered a call, and watched once it has answered a watch.
 	advanced, watched bool
 }
@@ -44,12 +47,24 @@
 	return least
 }
 
-// advanceWatch is advance for the answer of a watch.
-func (p *positions) advanceWatch(part string, revision int64) int64 {
+// advanceWatch is advance for the answer of a watch that was sent at a time.
+func (p *positions) advanceWatch(part string, b store.Batch) int64 {
 	p.mu.Lock()
 	p.watched = true
+	p.sent[part] = b.SentAt
 	p.mu.Unlock()
-	return p.advance(part, revision)
+	return p.advance(part, b.Revision)
+}
+
+// complete returns the time at which watches of all prefixes had been sent, 0 if some have no answer.
+func (p *positions) complete() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := time.Duration(math.MaxInt64)
+	for _, sent := range p.sent {
+		least = min(least, sent)
+	}
+	return least
 }
 
 // watchApart watches the other keys and checks the document, each with calls of its own: on a slow link changes
@@ -59,10 +74,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := f.State().Revision
-	known := &positions{of: map[string]int64{f.layout.DocumentKey: start}}
+	known := &positions{of: map[string]int64{f.layout.DocumentKey: start}, sent: map[string]time.Duration{}}
 	prefixes := slices.DeleteFunc(slices.Clone(f.layout.Prefixes), func(p string) bool { return strings.HasPrefix(f.layout.DocumentKey, p) })
 	for _, prefix := range prefixes {
-		known.of[prefix] = start
+		known.of[prefix], known.sent[prefix] = start, 0
 	}
 	var group conc.WaitGroup
 	for _, prefix := range prefixes {
@@ -82,8 +97,9 @@
 	var paused time.Duration
 	return f.store.Watch(ctx, prefix, after, func(b store.Batch) error {
 		f.markAvailable()
-		b.Revision = known.advanceWatch(prefix, b.Revision)
+		b.Revision = known.advanceWatch(prefix, b)
 		f.applyBatch(b)
+		f.recordComplete(known.complete(), b.Revision)
 		f.recordWatch(b, paused)
 		paused = 0
 		if len(b.Events) > 0 {
--- a/internal/plat/follow/contact.go
+++ b/internal/plat/follow/contact.go
@@ -24,6 +24,9 @@
 	// one of them when it was asked.
 	Answered bool
 	ReachAge time.Duration
+	// CompleteAge is the least age of a view that was complete when its front was asked, and that is no newer
+	// than the one that is asked for; nil if none was.
+	CompleteAge *time.Duration
 }
 
 // Add adds the answer of a front that the store had answered some time before.
@@ -33,6 +36,13 @@
 	}
 }
 
+// AddComplete adds the age of a view that the asking front has or gets.
+func (c *Contact) AddComplete(age *time.Duration) {
+	if age != nil && (c.CompleteAge == nil || *age < *c.CompleteAge) {
+		c.CompleteAge = age
+	}
+}
+
 // outage is the state of a front's calls to the store while it fails; Follower.mu guards it.
 type outage struct {
 	// since is the start of the current outage; zero while the store answers.
@@ -46,6 +56,8 @@
 	// store had answered it after this front's last failure.
 	peerAnsweredAt time.Time
 	peerReachedAt  time.Time
+	// peerAsked is the time since boot at which a question was sent that another front has answered.
+	peerAsked time.Duration
 }
 
 // Unavailable reports whether the store is unavailable or recovered less than span ago.
@@ -84,9 +96,9 @@
 	}
 }
 
-// recordContact records what other fronts told in answer to a question. It shortens the pause that lasts
-// if the store answers one of them again.
-func (f *Follower) recordContact(asked time.Time, c Contact) {
+// recordContact records what other fronts told in answer to a question that was sent at a time, and at a time
+// since boot. It shortens the pause that lasts if the store answers one of them again.
+func (f *Follower) recordContact(asked time.Time, sent time.Duration, c Contact) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o := &f.outage
@@ -94,7 +106,7 @@
 		return
 	}
 	now := time.Now()
-	o.peerAnsweredAt = now
+	o.peerAnsweredAt, o.peerAsked = now, max(o.peerAsked, sent)
 	if asked.Add(-c.ReachAge).After(o.failedAt) {
 		o.peerReachedAt = now
 	}
@@ -150,12 +162,13 @@
 		if f.peers == nil || !f.Unavailable(0) && f.State().Document != nil {
 			continue
 		}
-		asked := time.Now()
+		asked, sent := time.Now(), f.proofs.SinceBoot()
 		view, ok := f.peers.FetchNewer(ctx, f.State().Revision)
-		f.recordContact(asked, view.Contact)
+		f.recordContact(asked, sent, view.Contact)
 		if ok {
 			f.log.Infow("applying a newer view from another front", "Revision", view.Revision, "Stable", view.Stable)
 			f.applyView(view)
 		}
+		f.adoptComplete(sent, view.Contact.CompleteAge)
 	}
 }
--- a/internal/plat/follow/follower.go
+++ b/internal/plat/follow/follower.go
@@ -48,6 +48,9 @@
 	Stable bool
 	// Contact is what the fronts told that were asked for the view, also where none has a newer one.
 	Contact Contact `json:"-"`
+	// CompleteAge is the time since which changes of the store may be missing when the front was asked, nil if
+	// it doesn't know.
+	CompleteAge *time.Duration `json:"-"`
 }
 
 // Peers fetches views from other fronts.
@@ -89,6 +92,7 @@
 	changeNumber int64
 	// confirmedAt is when the store last answered, in Unix nanoseconds.
 	confirmedAt atomic.Int64
+	complete    completeness
 	// missing holds the announcements, by key, that lapsed around an outage and may return, with
 	// their revisions.
 	missing map[string]int64
@@ -155,6 +159,7 @@
 		f.replaceView(list, true)
 		f.recordDocuments(fromList, list.KVs)
 		f.proveByList(sent, list)
+		f.recordComplete(sent, list.Revision)
 		f.watch(ctx)
 		f.awaitReread(ctx)
 	}
@@ -248,6 +253,7 @@
 		f.markAvailable()
 		f.applyBatch(b)
 		f.proveByWatch(b)
+		f.recordComplete(b.SentAt, b.Revision)
 		f.recordWatch(b, paused)
 		paused = 0
 		if _, ok := f.parent(); ok {
--- a/internal/plat/follow/relay.go
+++ b/internal/plat/follow/relay.go
@@ -63,6 +63,9 @@
 	// AnswerAge is the time from the store's last answer until the question for the changes was received,
 	// nil if there was none.
 	AnswerAge *time.Duration `json:",omitempty"`
+	// CompleteAge is the time since which changes of the store may be missing when the question was received,
+	// nil if the front doesn't know.
+	CompleteAge *time.Duration `json:",omitempty"`
 	// Proof is the front's proof that its document is current, nil if it has none or needs none.
 	Proof *fresh.Statement `json:",omitempty"`
 	// Available is false while the front can't reach the store.
@@ -250,6 +253,7 @@
 	}
 	f.confirmedAt.Store(time.Now().Add(-changes.Age).UnixNano())
 	f.adoptFromParent(asked, changes)
+	f.adoptComplete(asked, changes.CompleteAge)
 	*cursor = changes.Next
 	return nil
 }
@@ -338,9 +342,11 @@
 func (f *Follower) changesAfter(r ChangesRequest, received time.Duration) (Changes, <-chan struct{}) {
 	f.updateMu.Lock()
 	defer f.updateMu.Unlock()
+	completeAge := f.complete.before(received)
 	s := f.state.Load()
 	out := Changes{
-		Next: Cursor{Epoch: f.epoch, Number: f.changeNumber}, Revision: s.Revision,
+		CompleteAge: completeAge,
+		Next:        Cursor{Epoch: f.epoch, Number: f.changeNumber}, Revision: s.Revision,
 		Age: time.Since(time.Unix(0, f.confirmedAt.Load())), Available: !f.Unavailable(0) && s.Document != nil && (r.Eras || !s.HasReturned()),
 	}
 	if s.usesAccounts() {
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -12,8 +12,8 @@
 	Settling []string
 	// IsRead is true if markers and records were read from the store after the stream began.
 	IsRead bool
-	// IsIsolated is true if there may be versions in play that the front has not learned of.
-	IsIsolated bool
+	// IsOutdated is true if there may be versions in play that other fronts know and this one doesn't.
+	IsOutdated bool
 }
 
 // Basis tells what a decision rests on.
@@ -53,7 +53,7 @@
 	switch {
 	case len(e.Named) > 0:
 		return e.Named[0], Named
-	case len(candidates) != 1 || e.IsIsolated:
+	case len(candidates) != 1 || e.IsOutdated && !e.IsRead:
 		return "", Unrecorded
 	case candidates[0] == "":
 		return "", Unversioned
--- /dev/null
+++ b/test/procs/versions_test.go
@@ -0,0 +1,269 @@
+//go:build process
+
+package procs
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"foxtailcroft/internal/plat/follow"
+	"foxtailcroft/internal/plat/store"
+	"foxtailcroft/internal/standin/kvsim"
+	"foxtailcroft/platform"
+	"foxtailcroft/platform/fake"
+	"foxtailcroft/test/ports"
+)
+
+// versionSite is fronts that run as processes before stand-ins of the store and of servers of several versions.
+type versionSite struct {
+	dir, binary, storeAddress string
+	memory                    *kvsim.MemoryStore
+	executions                *fake.ExecutionLog
+	servers                   map[string][]*http.Server
+	fronts                    map[string]*exec.Cmd
+	callers                   map[string]string
+	clients                   conc.WaitGroup
+	mu                        sync.Mutex
+	// takeUpAt is the front at which clients take broken streams up, empty if they don't.
+	takeUpAt string
+	takenUp  int
+}
+
+const streamDocument = `{"version":%d,"routes":[
+{"name":"s","host":"h.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":15000,"responseGoalMs":800,"service":"llm","attempts":2,"canResume":true,"gapTargetMs":400}],
+"services":[{"name":"llm","engine":{"slots":64,"weightsMb":220000,"adapterSlots":8,"loadsPerS":2,"models":[{"name":"m","weightsMb":70000,"loadS":6}]}}],
+"limits":{"headerBytes":16384,"bodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// write writes a key to the store, as the operator or a server.
+func (s *versionSite) write(key string, value []byte) {
+	_, err := s.memory.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// serve serves a handler on a free port.
+func (s *versionSite) serve(address string, h http.Handler) (*http.Server, string) {
+	lis, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: h}
+	s.clients.Go(func() { _ = server.Serve(lis) })
+	return server, lis.Addr().String()
+}
+
+// addServers starts and announces servers of a version that hold the model.
+func (s *versionSite) addServers(version string, n int) {
+	for range n {
+		port, err := ports.Free()
+		Expect(err).NotTo(HaveOccurred())
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		id := fmt.Sprintf("i-%d", port)
+		server := fake.NewServer(fake.Spec{
+			ID: id, Born: time.Now().UnixMilli(), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
+			Sizes: map[string]float64{"m": 70000}, WeightsMb: 220000, AdapterSlots: 8, ChecksFence: true,
+		}, s.executions, func() {}, "m")
+		h, _ := s.serve(address, server)
+		s.servers[version] = append(s.servers[version], h)
+		s.write(server.Key(), server.Announcement())
+	}
+}
+
+// startFronts starts fronts that know each other.
+func (s *versionSite) startFronts(names ...string) {
+	listen := map[string]map[string]string{}
+	var seeds []string
+	for _, name := range names {
+		listen[name] = map[string]string{}
+		for _, use := range []string{"front", "ready", "control"} {
+			port, err := ports.Free()
+			Expect(err).NotTo(HaveOccurred())
+			listen[name][use] = fmt.Sprintf("127.0.0.1:%d", port)
+		}
+		seeds = append(seeds, listen[name]["control"])
+		s.callers[name] = listen[name]["front"]
+	}
+	for _, name := range names {
+		port, err := ports.Free()
+		Expect(err).NotTo(HaveOccurred())
+		settings, err := json.Marshal(map[string]any{
+			"node": name, "role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r", "seeds": seeds, "beatMs": 1200, "listenAddresses": listen[name],
+			"internalPorts": []int{port, port}, "limits": map[string]int{"memoryMb": 284},
+			"bounds":   map[string]any{"graceS": 8, "configurationMs": 2000, "leaseMs": 3000, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58, "fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000},
+			"platform": map[string]any{"address": s.storeAddress, "ttlMinMs": 1000},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		file := filepath.Join(s.dir, name+".json")
+		Expect(os.WriteFile(file, settings, 0o600)).To(Succeed())
+		cmd := exec.Command(s.binary, "front")
+		cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
+		cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		Expect(cmd.Start()).To(Succeed())
+		s.fronts[name] = cmd
+	}
+}
+
+// close ends the fronts and the stand-ins.
+func (s *versionSite) close() {
+	for _, cmd := range s.fronts {
+		_ = cmd.Process.Kill()
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Wait()
+	}
+	for _, list := range s.servers {
+		for _, h := range list {
+			_ = h.Close()
+		}
+	}
+	s.clients.Wait()
+}
+
+// planner returns the front with the planner's role.
+func (s *versionSite) planner() string {
+	var out struct{ Name string }
+	value, _ := s.memory.ValueIgnoringFaults(follow.PlannerKey)
+	_ = json.Unmarshal(value, &out)
+	return out.Name
+}
+
+// stream gets a stream through a front, and takes it up once if it breaks off.
+func (s *versionSite) stream(front, id string) {
+	if last := s.attempt(front, id, nil); last != "" {
+		s.mu.Lock()
+		front = s.takeUpAt
+		if front != "" {
+			s.takenUp++
+		}
+		s.mu.Unlock()
+		if front != "" {
+			s.attempt(front, id+"/again", map[string]string{"Last-Event-Id": last, "Resumes": id})
+		}
+	}
+}
+
+// attempt sends one attempt of a client, and returns its last event if the stream broke off after it.
+func (s *versionSite) attempt(front, id string, header map[string]string) (last string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.callers[front]+"/resume/x", http.NoBody)
+	if err != nil {
+		return ""
+	}
+	req.Host = "h.example"
+	req.Header = http.Header{"Request-Id": {id}, "Deadline-Milliseconds": {"15000"}, "Model": {"m"}, "Token-Counts": {"10,200"}}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if event, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			last = event
+		}
+	}
+	if lines.Err() == nil {
+		return ""
+	}
+	return last
+}
+
+// joined returns the streams that went on at a server of another version than the one that began them.
+func (s *versionSite) joined() []string {
+	began := map[string]string{}
+	var out []string
+	for _, e := range s.executions.Executions() {
+		id, again := strings.CutSuffix(e.ID, "/again")
+		switch {
+		case !again && e.LastEventID == "":
+			began[id] = e.Version
+		case e.Version != began[id]:
+			out = append(out, fmt.Sprintf("%s from %s to %s", id, began[id], e.Version))
+		}
+	}
+	return out
+}
+
+// It guards against streams of a new version that a front takes for streams of the old one, as it stood still
+// when the new one came.
+var _ = Describe("a front that has stood still during a release", func() {
+	DescribeTable("joins no streams of two versions", func(wakeUp time.Duration) {
+		const v1, v2 = `"1.8"`, `"1.9"`
+		s := &versionSite{
+			dir: GinkgoT().TempDir(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{},
+			servers: map[string][]*http.Server{}, fronts: map[string]*exec.Cmd{}, callers: map[string]string{},
+		}
+		s.binary = buildBinary(s.dir)
+		DeferCleanup(s.close)
+		var h *http.Server
+		h, s.storeAddress = s.serve("127.0.0.1:0", fake.NewStore(s.memory))
+		s.servers["store"] = []*http.Server{h}
+		s.write(platform.DocumentKey, fmt.Appendf(nil, streamDocument, 1))
+		s.addServers(v1, 4)
+		s.startFronts("front-1", "front-2", "front-3")
+		Eventually(s.planner, startTimeout, pollInterval).ShouldNot(BeEmpty())
+		time.Sleep(4 * time.Second)
+
+		others := []string{s.planner()}
+		frozen := ""
+		for name := range s.fronts {
+			if name == others[0] {
+				continue
+			}
+			if frozen == "" {
+				frozen = name
+				continue
+			}
+			others = append(others, name)
+		}
+		Expect(s.fronts[frozen].Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		stoppedAt := time.Now()
+		s.write(platform.DocumentKey, fmt.Appendf(nil, streamDocument, 2))
+		time.Sleep(700 * time.Millisecond)
+		s.addServers(v2, 2)
+		for n := 0; time.Since(stoppedAt) < 6200*time.Millisecond; n++ {
+			s.clients.Go(func() { s.stream(others[n%2], fmt.Sprintf("s-%d", n)) })
+			time.Sleep(40 * time.Millisecond)
+		}
+		s.mu.Lock()
+		s.takeUpAt = frozen
+		s.mu.Unlock()
+		Expect(s.fronts[frozen].Process.Signal(syscall.SIGCONT)).To(Succeed())
+		time.Sleep(wakeUp)
+		for _, h := range s.servers[v2] {
+			_ = h.Close()
+		}
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		takenUp := s.takenUp
+		s.mu.Unlock()
+		GinkgoWriter.Printf("%d streams taken up\n", takenUp)
+		Expect(takenUp).To(BeNumerically(">=", 12))
+		Expect(s.joined()).To(BeEmpty())
+	},
+		Entry("streams taken up 30 ms after it woke", 30*time.Millisecond),
+		Entry("streams taken up 80 ms after it woke", 80*time.Millisecond),
+	)
+})
+
+// buildBinary builds the program into a directory, and returns its path.
+func buildBinary(dir string) string {
+	binary := filepath.Join(dir, "foxtailcroft")
+	out, err := exec.Command("go", "build", "-o", binary, "foxtailcroft/cmd/foxtailcroft").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return binary
+}
