front/begun: close versions whose markers are lost, record unknown ones ahead

If the marker of a settling version is lost, fronts that start take the settled version for the only one while others go on beginning streams at the new one: it closes now until it is marked again. A stream whose instance may have restarted has no version, and its record came after its first event, so that it passed for one of the settled version: it is recorded ahead while a version settles. A settled version whose marker is lost is marked as settled again. A take-up that names no request reads markers where the view is outdated.

begun.TestVersionsWhoseMarkersAreLost and the added cases of begun.TestNoStreamBeginsUnrecordedAtASettlingVersion failed before.

--- a/internal/front/begun/lookup.go
+++ b/internal/front/begun/lookup.go
@@ -29,14 +29,14 @@
 	hasMarkers bool
 }
 
-// mayRead reports whether records and markers can tell more of the streams of a service.
-func (w *Watcher) mayRead(serviceName string) bool {
+// mayRead reports whether records and markers can tell more of a stream of a service.
+func (w *Watcher) mayRead(serviceName, id string) bool {
 	isOutdated := w.site.IsOutdated(w.maxViewAge())
 	w.mu.Lock()
 	s := w.services[serviceName]
 	mixed := s != nil && s.isMixed()
 	w.mu.Unlock()
-	return (mixed || isOutdated) && !w.site.Unavailable(0)
+	return (mixed && id != "" || isOutdated) && !w.site.Unavailable(0)
 }
 
 // maxViewAge returns the age up to which a view lacks no version at which streams may have begun. The rest of
--- a/internal/front/begun/settling.go
+++ b/internal/front/begun/settling.go
@@ -11,9 +11,12 @@
 	"foxtailcroft/internal/policy/origin"
 )
 
-// startsSettling reports whether streams of a new version are told apart from those of a settled one by their
-// records, which all fronts know how to write ahead; the caller holds the lock.
-func (w *Watcher) startsSettling(s *service) bool {
+// startsSettling reports whether streams of a version are told apart from those of a settled one by their records,
+// which all fronts know how to write ahead; the caller holds the lock.
+func (w *Watcher) startsSettling(s *service, v *version) bool {
+	if v.hasSettled {
+		return false
+	}
 	for _, f := range w.site.State().Fronts {
 		if !f.RecordsAhead {
 			return false
@@ -45,11 +48,11 @@
 	return v.isSettling
 }
 
-// settling returns the versions in play whose streams are recorded ahead, if any have begun.
+// settling returns the versions in play all of whose streams were recorded ahead, if any have begun.
 func (s *service) settling() []string {
 	var out []string
-	for name := range s.versions {
-		if s.recordsAhead(name) {
+	for name, v := range s.versions {
+		if s.recordsAhead(name) && !v.hasSettled {
 			out = append(out, name)
 		}
 	}
--- a/internal/front/begun/settling_test.go
+++ b/internal/front/begun/settling_test.go
@@ -73,6 +73,7 @@
 				}
 				r.expectOrigin(other, "unknown", c.version, c.basis)
 				r.expectOrigin(other, "known", "a", origin.Named)
+				r.expectOrigin(other, "", "", origin.Unrecorded)
 				r.g.Expect(other.RecordBegin(r.ctx, "llm", "new", "b")).To(BeTrue())
 				if c.basis == origin.Settled {
 					fresh, _ := r.watcher("front-2 again")
@@ -84,6 +85,28 @@
 	}
 }
 
+// TestVersionsWhoseMarkersAreLost guards against streams at a settling version whose marker fronts that start don't
+// find, and against settled versions whose unrecorded streams pass for those of another one.
+func TestVersionsWhoseMarkersAreLost(t *testing.T) {
+	withRig(t, func(r *rig) {
+		r.fronts = []string{"front-1", "front-2"}
+		r.announce("i-1", "a")
+		w, v := r.watcher("front-1")
+		fronts := map[*Watcher]*view{w: v}
+		r.run(time.Second, fronts)
+		r.announce("i-2", "b")
+		r.run(3500*time.Millisecond, fronts)
+		r.g.Expect(w.Closed("llm")).To(BeEmpty())
+		r.loseKeys()
+		v.refresh()
+		r.g.Expect(w.Closed("llm")).To(Equal([]string{"b"}))
+		r.run(3500*time.Millisecond, fronts)
+		r.g.Expect(w.Closed("llm")).To(BeEmpty())
+		fresh, _ := r.watcher("front-2")
+		r.expectOrigin(fresh, "other", "a", origin.Settled)
+	})
+}
+
 // TestNoStreamBeginsUnrecordedAtASettlingVersion guards against streams that other fronts take for those of the
 // settled version, as the store is away.
 func TestNoStreamBeginsUnrecordedAtASettlingVersion(t *testing.T) {
@@ -105,6 +128,7 @@
 			w.Run(ctx)
 		})
 		r.g.Expect(w.RecordBegin(r.ctx, "llm", "new", "b")).To(BeFalse())
+		r.g.Expect(w.RecordBegin(r.ctx, "llm", "nameless", "")).To(BeFalse())
 		r.g.Expect(w.RecordBegin(r.ctx, "llm", "old", "a")).To(BeTrue())
 		group.Wait()
 	})
--- a/internal/front/begun/versions.go
+++ b/internal/front/begun/versions.go
@@ -71,9 +71,22 @@
 			delete(w.read, key)
 		}
 	}
+	for _, s := range w.services {
+		s.closeUnmarked()
+	}
 	w.dropVersions()
 }
 
+// closeUnmarked closes the versions that haven't settled and whose markers are lost, as fronts that start don't
+// know them; unknown versions may have been found while the store is away.
+func (s *service) closeUnmarked() {
+	for name, v := range s.versions {
+		if v.markedAt == 0 && !v.hasSettled && name != "" {
+			v.knownAt, v.openAt = time.Time{}, time.Time{}
+		}
+	}
+}
+
 // syncDocument derives what depends on the document; the caller holds the lock.
 func (w *Watcher) syncDocument(doc *site.Document) {
 	if doc == nil || doc == w.document {
@@ -192,7 +205,7 @@
 				continue
 			}
 			key := markerKey(serviceName, name)
-			if value, err := json.Marshal(marker{Service: serviceName, Version: name, Settling: w.startsSettling(s)}); err == nil {
+			if value, err := json.Marshal(marker{Service: serviceName, Version: name, Settling: w.startsSettling(s, v)}); err == nil {
 				t.If = append(t.If, store.Compare{Key: key})
 				t.Puts = append(t.Puts, store.Put{Key: key, Value: value})
 			}
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -117,7 +117,8 @@
 	w.mu.Lock()
 	w.sync()
 	s := w.service(service)
-	isAhead := s.isMixed() && w.resumable[service] && s.recordsAhead(version)
+	// A stream of an unknown version must not pass for one of the settled version either.
+	isAhead := s.isMixed() && w.resumable[service] && (s.recordsAhead(version) || version == "" && len(s.settling()) > 0)
 	s.own.add(entry{key: keyOf(service, id), version: version, at: time.Now(), ahead: isAhead})
 	next := s.own.next()
 	w.mu.Unlock()
@@ -135,7 +136,7 @@
 // basis is a known one. It may read records, at most until the context ends.
 func (w *Watcher) Origin(ctx context.Context, service, id string) (string, origin.Basis) {
 	version, basis := w.decide(service, id, false)
-	for round := 0; basis == origin.Unrecorded && id != "" && w.mayRead(service) && round < lookupRounds; round++ {
+	for round := 0; basis == origin.Unrecorded && w.mayRead(service, id) && round < lookupRounds; round++ {
 		// Another front may not have written its newest records yet.
 		if round > 0 && !sleep.For(ctx, min(maxLookupWait, w.writeInterval()+writeTime)) {
 			break
@@ -170,7 +171,10 @@
 	defer w.mu.Unlock()
 	w.sync()
 	s := w.service(service)
-	e := origin.Evidence{IsOutdated: isOutdated, Settling: s.settling(), IsRead: isRead && id != ""}
+	e := origin.Evidence{IsOutdated: isOutdated, IsRead: isRead}
+	if id != "" {
+		e.Settling = s.settling()
+	}
 	for v := range s.versions {
 		e.InPlay = append(e.InPlay, v)
 	}
