front/proxy: servers prove their start while the view is outdated

Cause: a stream is bound to the version that the view has for its server. A server that was upgraded under its ID while the front stood still is v2, and v1 by the view until the next answer of the store. It was asked for its start only after a request had broken off there, which a stopped front didn't see.

Change: while the view is older than versions are closed, a server shows in its report the start that was announced, before it gets a stream that may be resumed.

--- a/internal/front/begun/lookup.go
+++ b/internal/front/begun/lookup.go
@@ -31,7 +31,7 @@
 
 // mayRead reports whether records and markers can tell more of a stream of a service.
 func (w *Watcher) mayRead(serviceName, id string) bool {
-	isOutdated := w.site.IsOutdated(w.maxViewAge())
+	isOutdated := w.IsViewOutdated()
 	w.mu.Lock()
 	s := w.services[serviceName]
 	mixed := s != nil && s.isMixed()
@@ -45,6 +45,11 @@
 	return w.settleTime * maxViewAgePercent / 100
 }
 
+// IsViewOutdated reports whether the view may lack versions at which other fronts begin streams.
+func (w *Watcher) IsViewOutdated() bool {
+	return w.site.IsOutdated(w.maxViewAge())
+}
+
 // readRecords waits for a read of all records that begins after the call, and tells whether markers were read as
 // well; ok is false if the context ends before.
 func (w *Watcher) readRecords(ctx context.Context) (hasMarkers, ok bool) {
@@ -76,7 +81,7 @@
 	w.nextRead = nil
 	needsMarkers := w.hasSettling()
 	w.mu.Unlock()
-	needsMarkers = needsMarkers || w.site.IsOutdated(w.maxViewAge())
+	needsMarkers = needsMarkers || w.IsViewOutdated()
 	ctx, cancel := context.WithTimeout(w.ctx, storeTimeout)
 	defer cancel()
 	list, err := w.store.Range(ctx, recordPrefix)
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -166,7 +166,7 @@
 
 // decide decides by what is known; isRead is true if records and markers have been read since the stream began.
 func (w *Watcher) decide(service, id string, isRead bool) (string, origin.Basis) {
-	isOutdated := w.site.IsOutdated(w.maxViewAge())
+	isOutdated := w.IsViewOutdated()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sync()
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -110,6 +110,8 @@
 	// Origin returns the version that began the stream whose first event came with a request; empty
 	// unless the basis is a known one.
 	Origin(ctx context.Context, service, id string) (version string, basis origin.Basis)
+	// IsViewOutdated reports whether the view may lack versions at which other fronts begin streams.
+	IsViewOutdated() bool
 	// Closed returns the versions at which no streams may begin for now.
 	Closed(service string) []string
 }
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -65,7 +65,9 @@
 // instanceStats is what this front knows of one instance.
 type instanceStats struct {
 	// brokenAt is the revision of the announcement that was the newest when a request last broke off, 0 for none.
-	brokenAt      int64
+	brokenAt int64
+	// runningAt is when the instance last proved that it had not restarted, zero if it never did.
+	runningAt     time.Time
 	inFlight      map[site.Target]int
 	totalInFlight int
 	// newRequests counts the requests sent since the last usage report.
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -70,15 +70,16 @@
 }
 
 // checkVersion finds out whether an instance has the version that it announced: after a request broke off
-// there, another incarnation may run under its ID until the next announcement. It reports whether the
+// there, or while the view is outdated, another incarnation may run under its ID. It reports whether the
 // request may be sent there.
 func (c *call) checkVersion(ctx context.Context, in site.Instance) bool {
 	c.hasAnnouncedVersion = true
-	if c.route.Kind != site.Streaming || !c.bound && !c.route.Resumable || !c.server.tracker.mayHaveRestarted(in) {
+	if c.route.Kind != site.Streaming || !c.bound && !c.route.Resumable || !c.server.mayHaveRestarted(in) {
 		return true
 	}
+	askedAt := time.Now()
 	if c.server.identities.IsRunning(ctx, in) {
-		c.server.tracker.recordRunning(in.InstanceKey)
+		c.server.tracker.recordRunning(in.InstanceKey, askedAt)
 		return true
 	}
 	c.hasAnnouncedVersion = false
@@ -133,17 +134,22 @@
 	s.brokenAt = max(s.brokenAt, in.Revision)
 }
 
-// recordRunning records that an instance has not restarted since a request broke off there.
-func (t *instanceTracker) recordRunning(k site.InstanceKey) {
+// recordRunning records that an instance had not restarted at a time.
+func (t *instanceTracker) recordRunning(k site.InstanceKey, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.statsOf(k).brokenAt = 0
+	s := t.statsOf(k)
+	s.brokenAt, s.runningAt = 0, at
 }
 
-// mayHaveRestarted reports whether a request to an instance has broken off since its newest announcement.
-func (t *instanceTracker) mayHaveRestarted(in site.Instance) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	brokenAt := t.statsOf(in.InstanceKey).brokenAt
-	return brokenAt != 0 && brokenAt >= in.Revision
+// verifiedTime is how long an instance counts as running that has proved it while the view was outdated.
+const verifiedTime = 500 * time.Millisecond
+
+// mayHaveRestarted reports whether an instance may have restarted since its newest announcement in the view.
+func (s *Server) mayHaveRestarted(in site.Instance) bool {
+	isOutdated := s.origins.IsViewOutdated()
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	stats := s.tracker.statsOf(in.InstanceKey)
+	return stats.brokenAt != 0 && stats.brokenAt >= in.Revision || isOutdated && time.Since(stats.runningAt) > verifiedTime
 }
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -50,6 +50,8 @@
 	return origin.Decide(origin.Evidence{Named: []string{version}})
 }
 
+func (r *harness) IsViewOutdated() bool { return false }
+
 func (r *harness) Closed(string) []string {
 	if time.Now().After(r.openAt) {
 		return nil
--- a/internal/node/front/outofstep_test.go
+++ b/internal/node/front/outofstep_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// TestFrontOutOfStepKnowsWhoBeginsAStream guards against streams that a front takes for those of the old version, as
+// the server was upgraded under its ID while the front was cut off.
+func TestFrontOutOfStepKnowsWhoBeginsAStream(t *testing.T) {
+	const v1, v2 = `"1.8"`, `"1.9"`
+	withHarness(t, func(h *harness) {
+		fronts := []string{"front-1", "front-2", "front-3"}
+		r := newVersionsRig(h, fronts, v1)
+		defer func() { r.stopFronts(fronts...) }()
+		r.only = r.notPlanner(fronts)
+		r.partition.cut(r.only)
+		defer r.partition.cut("")
+		time.Sleep(300 * time.Millisecond)
+		r.restart(1, v2)
+		time.Sleep(2500 * time.Millisecond)
+		r.play(40)
+		r.crashServer["i-1"]()
+		r.clients.Wait()
+		joined, byNew := r.joined(), 0
+		for _, e := range r.executions.Executions() {
+			if e.Version == v2 {
+				byNew++
+			}
+		}
+		t.Logf("%d of 40 streams at the upgraded server, %d joined", byNew, len(joined))
+		r.g.Expect(joined).To(BeEmpty())
+	})
+}
--- a/internal/node/front/versions_test.go
+++ b/internal/node/front/versions_test.go
@@ -32,7 +32,9 @@
 	takeUpPause time.Duration
 	// outOfStep is the front at which all streams are taken up and none begins, empty if fronts take turns.
 	outOfStep string
-	clients   conc.WaitGroup
+	// only is the front for all attempts, empty for any.
+	only    string
+	clients conc.WaitGroup
 }
 
 // patience is the time without an event after which callers of the route leave.
@@ -145,6 +147,9 @@
 func (r *versionsRig) front(client, try int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.only != "" {
+		return r.only
+	}
 	if r.outOfStep != "" && try > 0 {
 		return r.outOfStep
 	}
