--- a/internal/front/begun/settling_test.go
+++ b/internal/front/begun/settling_test.go
@@ -85,22 +85,29 @@
 	}
 }
 
+// settlingFront returns a front that knows a settled version a and a settling one b, and its view. Another front is
+// registered and acknowledges nothing.
+func (r *rig) settlingFront() (*Watcher, *view) {
+	r.fronts = []string{"front-1", "front-2"}
+	r.announce("i-1", "a")
+	w, v := r.watcher("front-1")
+	fronts := map[*Watcher]*view{w: v}
+	r.run(time.Second, fronts)
+	r.announce("i-2", "b")
+	r.run(3500*time.Millisecond, fronts)
+	r.g.Expect(w.Closed("llm")).To(BeEmpty())
+	return w, v
+}
+
 // TestVersionsWhoseMarkersAreLost guards against streams at a settling version whose marker fronts that start don't
 // find, and against settled versions whose unrecorded streams pass for those of another one.
 func TestVersionsWhoseMarkersAreLost(t *testing.T) {
 	withRig(t, func(r *rig) {
-		r.fronts = []string{"front-1", "front-2"}
-		r.announce("i-1", "a")
-		w, v := r.watcher("front-1")
-		fronts := map[*Watcher]*view{w: v}
-		r.run(time.Second, fronts)
-		r.announce("i-2", "b")
-		r.run(3500*time.Millisecond, fronts)
-		r.g.Expect(w.Closed("llm")).To(BeEmpty())
+		w, v := r.settlingFront()
 		r.loseKeys()
 		v.refresh()
 		r.g.Expect(w.Closed("llm")).To(Equal([]string{"b"}))
-		r.run(3500*time.Millisecond, fronts)
+		r.run(3500*time.Millisecond, map[*Watcher]*view{w: v})
 		r.g.Expect(w.Closed("llm")).To(BeEmpty())
 		fresh, _ := r.watcher("front-2")
 		r.expectOrigin(fresh, "other", "a", origin.Settled)
@@ -111,14 +118,7 @@
 // settled version, as the store is away.
 func TestNoStreamBeginsUnrecordedAtASettlingVersion(t *testing.T) {
 	withRig(t, func(r *rig) {
-		r.fronts = []string{"front-1", "front-2"}
-		r.announce("i-1", "a")
-		w, v := r.watcher("front-1")
-		fronts := map[*Watcher]*view{w: v}
-		r.run(time.Second, fronts)
-		r.announce("i-2", "b")
-		r.run(3500*time.Millisecond, fronts)
-		r.g.Expect(w.Closed("llm")).To(BeEmpty())
+		w, _ := r.settlingFront()
 		r.memory.SetFaults(kvsim.Faults{Away: true})
 		r.g.Expect(w.Closed("llm")).To(Equal([]string{"b"}))
 		var group conc.WaitGroup
--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -143,11 +144,18 @@
 	return lis.Addr().String()
 }
 
-// serveListener serves a handler on a listener until the test ends.
-func serveListener(group *conc.WaitGroup, lis net.Listener, h http.Handler) {
+// buildBinary builds the program into a file.
+func buildBinary(file string) {
+	out, err := exec.Command("go", "build", "-o", file, "foxtailcroft/cmd/foxtailcroft").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+}
+
+// serveListener serves a handler on a listener until the test ends or the server is closed.
+func serveListener(group *conc.WaitGroup, lis net.Listener, h http.Handler) *http.Server {
 	server := &http.Server{Handler: h}
 	group.Go(func() { _ = server.Serve(lis) })
 	DeferCleanup(server.Close)
+	return server
 }
 
 // freeAddress returns a loopback address whose port is free at the time of the call.
@@ -160,44 +168,56 @@
 // start starts the process; the kernel kills it if the test's process ends without cleaning up.
 func (f *guardedFront) start(storeAddress string) {
 	f.callers, f.ready, f.control, f.metrics = freeAddress(), freeAddress(), freeAddress(), freeAddress()
+	var group conc.WaitGroup
+	DeferCleanup(group.Wait)
 	_, metricsPort, err := net.SplitHostPort(f.metrics)
 	Expect(err).NotTo(HaveOccurred())
 	port, err := strconv.Atoi(metricsPort)
 	Expect(err).NotTo(HaveOccurred())
-	settings, err := json.Marshal(map[string]any{
-		"node": "front-0", "role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r", "seeds": []string{},
-		"listenAddresses": map[string]string{"front": f.callers, "ready": f.ready, "control": f.control}, "internalPorts": []int{port, port},
-		"limits": map[string]int{"memoryMb": machineMemoryMb, "fileDescriptors": f.descriptors},
+	f.cmd = startFront(&group, f.binary, filepath.Join(f.dir, "front"), map[string]any{
+		"node": "front-0", "seeds": []string{}, "internalPorts": []int{port, port},
+		"listenAddresses": map[string]string{"front": f.callers, "ready": f.ready, "control": f.control},
+		"limits":          map[string]int{"memoryMb": machineMemoryMb, "fileDescriptors": f.descriptors},
 		"bounds": map[string]any{
 			"graceS": 4, "configurationMs": 2000, "leaseMs": 1500, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58,
 			"fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000,
 		},
 		"platform": map[string]any{"address": storeAddress, "ttlMinMs": 1000},
-	})
+	}, func() { f.exited.Store(true) })
+}
+
+// startFront starts a front with settings, which gain what all tests have in common, and files whose names begin
+// with name; it is killed when the test ends. The functions are called once it has ended.
+func startFront(group *conc.WaitGroup, binary, name string, settings map[string]any, ended ...func()) *exec.Cmd {
+	maps.Copy(settings, map[string]any{"role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r"})
+	data, err := json.Marshal(settings)
 	Expect(err).NotTo(HaveOccurred())
-	file := filepath.Join(f.dir, "front.json")
-	Expect(os.WriteFile(file, settings, 0o600)).To(Succeed())
-	f.cmd = exec.Command(f.binary, "front")
-	f.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
-	f.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	log, err := os.Create(filepath.Join(f.dir, "front.log"))
+	Expect(os.WriteFile(name+".json", data, 0o600)).To(Succeed())
+	cmd := exec.Command(binary, "front")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+name+".json")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := os.Create(name + ".log")
 	Expect(err).NotTo(HaveOccurred())
-	f.cmd.Stdout, f.cmd.Stderr = log, log
-	Expect(f.cmd.Start()).To(Succeed())
-	var group conc.WaitGroup
+	cmd.Stdout, cmd.Stderr = log, log
+	Expect(cmd.Start()).To(Succeed())
+	exited := make(chan struct{})
 	group.Go(func() {
-		_ = f.cmd.Wait()
-		f.exited.Store(true)
+		defer close(exited)
+		_ = cmd.Wait()
+		for _, f := range ended {
+			f()
+		}
 	})
 	DeferCleanup(func() {
-		_ = f.cmd.Process.Kill()
-		group.Wait()
+		_ = cmd.Process.Kill()
+		<-exited
 		_ = log.Close()
 		if CurrentSpecReport().Failed() {
 			text, _ := os.ReadFile(log.Name())
-			AddReportEntry("log of the front", string(text[max(0, len(text)-reportedLogBytes):]))
+			AddReportEntry("log of "+filepath.Base(name), string(text[max(0, len(text)-reportedLogBytes):]))
 		}
 	})
+	return cmd
 }
 
 // watchDescriptors counts the open descriptors until the process ends.
@@ -519,8 +539,7 @@
 
 	BeforeAll(func() {
 		binary = filepath.Join(GinkgoT().TempDir(), "foxtailcroft")
-		out, err := exec.Command("go", "build", "-o", binary, "foxtailcroft/cmd/foxtailcroft").CombinedOutput()
-		Expect(err).NotTo(HaveOccurred(), string(out))
+		buildBinary(binary)
 	})
 
 	DescribeTable("stays within its machine and answers",
--- a/test/procs/versions_test.go
+++ b/test/procs/versions_test.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,7 +37,7 @@
 	servers                   map[string][]*http.Server
 	fronts                    map[string]*exec.Cmd
 	callers                   map[string]string
-	clients                   conc.WaitGroup
+	group                     conc.WaitGroup
 	mu                        sync.Mutex
 	// takeUpAt is the front at which clients take broken streams up, empty if they don't.
 	takeUpAt string
@@ -55,28 +55,17 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// serve serves a handler on a free port.
-func (s *versionSite) serve(address string, h http.Handler) (*http.Server, string) {
-	lis, err := net.Listen("tcp", address)
-	Expect(err).NotTo(HaveOccurred())
-	server := &http.Server{Handler: h}
-	s.clients.Go(func() { _ = server.Serve(lis) })
-	return server, lis.Addr().String()
-}
-
 // addServers starts and announces servers of a version that hold the model.
 func (s *versionSite) addServers(version string, n int) {
 	for range n {
-		port, err := ports.Free()
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		id := fmt.Sprintf("i-%d", port)
+		address := lis.Addr().String()
 		server := fake.NewServer(fake.Spec{
-			ID: id, Born: time.Now().UnixMilli(), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
+			ID: "i-" + address, Born: time.Now().UnixMilli(), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
 			Sizes: map[string]float64{"m": 70000}, WeightsMb: 220000, AdapterSlots: 8, ChecksFence: true,
 		}, s.executions, func() {}, "m")
-		h, _ := s.serve(address, server)
-		s.servers[version] = append(s.servers[version], h)
+		s.servers[version] = append(s.servers[version], serveListener(&s.group, lis, server))
 		s.write(server.Key(), server.Announcement())
 	}
 }
@@ -86,51 +75,21 @@
 	listen := map[string]map[string]string{}
 	var seeds []string
 	for _, name := range names {
-		listen[name] = map[string]string{}
-		for _, use := range []string{"front", "ready", "control"} {
-			port, err := ports.Free()
-			Expect(err).NotTo(HaveOccurred())
-			listen[name][use] = fmt.Sprintf("127.0.0.1:%d", port)
-		}
+		listen[name] = map[string]string{"front": freeAddress(), "ready": freeAddress(), "control": freeAddress()}
 		seeds = append(seeds, listen[name]["control"])
 		s.callers[name] = listen[name]["front"]
 	}
 	for _, name := range names {
 		port, err := ports.Free()
 		Expect(err).NotTo(HaveOccurred())
-		settings, err := json.Marshal(map[string]any{
-			"node": name, "role": "entry", "ipAddress": "127.0.0.1", "zone": "a", "region": "r", "seeds": seeds, "beatMs": 1200, "listenAddresses": listen[name],
-			"internalPorts": []int{port, port}, "limits": map[string]int{"memoryMb": 284},
+		s.fronts[name] = startFront(&s.group, s.binary, filepath.Join(s.dir, name), map[string]any{
+			"node": name, "seeds": seeds, "internalPorts": []int{port, port}, "beatMs": 1200, "listenAddresses": listen[name], "limits": map[string]int{"memoryMb": machineMemoryMb},
 			"bounds":   map[string]any{"graceS": 8, "configurationMs": 2000, "leaseMs": 3000, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 58, "fenceRequired": true, "ceilingWindowS": 5, "contactMs": 3000, "drainMs": 2000},
 			"platform": map[string]any{"address": s.storeAddress, "ttlMinMs": 1000},
 		})
-		Expect(err).NotTo(HaveOccurred())
-		file := filepath.Join(s.dir, name+".json")
-		Expect(os.WriteFile(file, settings, 0o600)).To(Succeed())
-		cmd := exec.Command(s.binary, "front")
-		cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
-		cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		Expect(cmd.Start()).To(Succeed())
-		s.fronts[name] = cmd
 	}
 }
 
-// close ends the fronts and the stand-ins.
-func (s *versionSite) close() {
-	for _, cmd := range s.fronts {
-		_ = cmd.Process.Kill()
-		_ = cmd.Process.Signal(syscall.SIGCONT)
-		_ = cmd.Wait()
-	}
-	for _, list := range s.servers {
-		for _, h := range list {
-			_ = h.Close()
-		}
-	}
-	s.clients.Wait()
-}
-
 // planner returns the front with the planner's role.
 func (s *versionSite) planner() string {
 	var out struct{ Name string }
@@ -207,36 +166,27 @@
 			dir: GinkgoT().TempDir(), memory: kvsim.NewMemoryStore(1), executions: &fake.ExecutionLog{},
 			servers: map[string][]*http.Server{}, fronts: map[string]*exec.Cmd{}, callers: map[string]string{},
 		}
-		s.binary = buildBinary(s.dir)
-		DeferCleanup(s.close)
-		var h *http.Server
-		h, s.storeAddress = s.serve("127.0.0.1:0", fake.NewStore(s.memory))
-		s.servers["store"] = []*http.Server{h}
+		s.binary = filepath.Join(s.dir, "foxtailcroft")
+		buildBinary(s.binary)
+		DeferCleanup(s.group.Wait)
+		s.storeAddress = serveHandler(&s.group, fake.NewStore(s.memory))
 		s.write(platform.DocumentKey, fmt.Appendf(nil, streamDocument, 1))
 		s.addServers(v1, 4)
-		s.startFronts("front-1", "front-2", "front-3")
+		fronts := []string{"front-1", "front-2", "front-3"}
+		s.startFronts(fronts...)
 		Eventually(s.planner, startTimeout, pollInterval).ShouldNot(BeEmpty())
 		time.Sleep(4 * time.Second)
 
-		others := []string{s.planner()}
-		frozen := ""
-		for name := range s.fronts {
-			if name == others[0] {
-				continue
-			}
-			if frozen == "" {
-				frozen = name
-				continue
-			}
-			others = append(others, name)
-		}
+		others := slices.DeleteFunc(slices.Clone(fronts), func(name string) bool { return name == s.planner() })
+		frozen := others[0]
+		others[0] = s.planner()
 		Expect(s.fronts[frozen].Process.Signal(syscall.SIGSTOP)).To(Succeed())
 		stoppedAt := time.Now()
 		s.write(platform.DocumentKey, fmt.Appendf(nil, streamDocument, 2))
 		time.Sleep(700 * time.Millisecond)
 		s.addServers(v2, 2)
 		for n := 0; time.Since(stoppedAt) < 6200*time.Millisecond; n++ {
-			s.clients.Go(func() { s.stream(others[n%2], fmt.Sprintf("s-%d", n)) })
+			s.group.Go(func() { s.stream(others[n%2], fmt.Sprintf("s-%d", n)) })
 			time.Sleep(40 * time.Millisecond)
 		}
 		s.mu.Lock()
@@ -259,11 +209,3 @@
 		Entry("streams taken up 80 ms after it woke", 80*time.Millisecond),
 	)
 })
-
-// buildBinary builds the program into a directory, and returns its path.
-func buildBinary(dir string) string {
-	binary := filepath.Join(dir, "foxtailcroft")
-	out, err := exec.Command("go", "build", "-o", binary, "foxtailcroft/cmd/foxtailcroft").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
-	return binary
-}
