front/proxy, back/conns: the connection proves which process a stream is of

Cause: the woken front found that the process behind an instance's ID wasn't the announced one, and began streams of unknown version there without a record, as it knew one version only. Others took the lack of a record for proof of the settled version. What a front knew of a process rested on the age of its view and on a proof by another connection, neither of which holds for the connection that the answer comes on.

Change: a request whose stream may be resumed goes over a connection on which a report has named the announced start; one that names another start carries no request. A connection does not outlive the process at its other end, so the proof holds for each answer on it, however old the view is. Servers without reports: the record of a stream of unknown version comes before its first event, also while one version is known. Versions settle only among fronts that ask for starts. Services without a health page: a replaced process keeps the ID for which requests ask, as no stream would reach it otherwise while the store is away.

--- a/internal/back/conns/conn.go
+++ b/internal/back/conns/conn.go
@@ -16,7 +16,9 @@
 // conn is one connection to an instance; while idle, it may be reused before reuseDeadline.
 type conn struct {
 	net.Conn
-	id            ConnID
+	id ConnID
+	// isProven is true once the process at the other end has named the start of the instance that the connection is for.
+	isProven      bool
 	reader        *bufio.Reader
 	head          *headReader
 	reuseDeadline time.Time
@@ -92,6 +94,11 @@
 	return err == nil && idle
 }
 
+// hasNoMore reports whether nothing has arrived after a response that was read to its end.
+func (c *conn) hasNoMore() bool {
+	return c.reader.Buffered() == 0 && c.head.judge.IsBetween()
+}
+
 // close closes the connection; errors are ignored, as it may be closed already.
 func (c *conn) close() {
 	if c.open != nil && !c.closed.Swap(true) {
--- a/internal/back/conns/exchange.go
+++ b/internal/back/conns/exchange.go
@@ -38,6 +38,8 @@
 	AvoidConns []ConnID
 	// NewConnection requires a new connection.
 	NewConnection bool
+	// ProvesStart requires that the process at the other end of the connection has named the target's start on it.
+	ProvesStart bool
 }
 
 // Failure is the error of a request without a response.
@@ -83,12 +85,9 @@
 // are *Failure. When ctx is done, the connection is closed, also while the body
 // is being read.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
-	c := p.idleConnection(t, r)
-	if c == nil {
-		var err error
-		if c, err = p.dialTarget(ctx, t); err != nil {
-			return nil, &Failure{Err: err}
-		}
+	c, err := p.connect(ctx, t, r)
+	if err != nil {
+		return nil, &Failure{Err: err}
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	res, sent, err := c.exchange(r)
@@ -219,8 +218,7 @@
 // was read to its end (whole), no bytes follow it, and neither side asked to
 // close.
 func (r *Response) Finish(whole bool) {
-	hasMore := r.conn.reader.Buffered() > 0 || !r.conn.head.judge.IsBetween()
-	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || hasMore {
+	if !r.stopContextClose() || !whole || r.closeRequested || !r.HasLength || !r.conn.hasNoMore() {
 		r.conn.close()
 		return
 	}
--- a/internal/back/conns/pool.go
+++ b/internal/back/conns/pool.go
@@ -57,6 +57,11 @@
 	short  *metrics.Counter
 	// malformed counts the exchanges that ended with a *heads.GrammarError in a head.
 	malformed *metrics.Counter
+	// reports asks for the starts of processes; proofs counts the questions, and replaced those that another process
+	// than the expected one answered.
+	reports  Reports
+	proofs   *metrics.Counter
+	replaced *metrics.Counter
 }
 
 // New returns a pool and the function that closes its idle connections.
@@ -67,6 +72,8 @@
 		reused:    set.GetOrCreateCounter("foxtailcroft_instance_reuses_total"),
 		short:     set.GetOrCreateCounter("foxtailcroft_instance_connections_short_total"),
 		malformed: set.GetOrCreateCounter("foxtailcroft_instance_malformed_answers_total"),
+		proofs:    set.GetOrCreateCounter("foxtailcroft_instance_starts_asked_total"),
+		replaced:  set.GetOrCreateCounter("foxtailcroft_instance_starts_replaced_total"),
 	}
 	return p, p.close
 }
--- a/internal/front/begun/records.go
+++ b/internal/front/begun/records.go
@@ -78,7 +78,8 @@
 	return time.Duration(len(w.site.State().Fronts)) * aheadIntervalPerFront
 }
 
-// writeRecords records the streams of services with several versions in play, and acknowledges their markers.
+// writeRecords records the streams of services with several versions in play and those that wait for their records,
+// and acknowledges markers.
 func (w *Watcher) writeRecords(ctx context.Context) {
 	w.rewriteLost()
 	t, segments, acknowledgement := w.nextRecords()
@@ -130,10 +131,10 @@
 	segments := map[string]segment{}
 	limit := max(minStreams, int(recordRate*w.writeInterval().Seconds())/max(1, len(w.site.State().Fronts)))
 	for name, s := range w.services {
-		if !s.isMixed() || !w.resumable[name] || len(t.Puts) == maxPuts {
+		if !w.resumable[name] || len(t.Puts) == maxPuts {
 			continue
 		}
-		added, next := s.own.unended(s.segment.next)
+		added, next := s.unrecorded()
 		if len(added) == 0 {
 			continue
 		}
@@ -160,6 +161,22 @@
 	return t, segments, a
 }
 
+// unrecorded returns the streams to record, and the number of the stream after them: while one version is in play,
+// only those that wait for their records.
+func (s *service) unrecorded() (streams []entry, next int) {
+	if s.isMixed() {
+		return s.own.unended(s.segment.next)
+	}
+	if s.segment.next >= s.aheadNext {
+		return nil, s.segment.next
+	}
+	streams, next = s.own.unended(s.segment.next)
+	if streams = slices.DeleteFunc(streams, func(e entry) bool { return !e.ahead }); len(streams) == 0 {
+		s.aheadNext = 0
+	}
+	return streams, next
+}
+
 // newest leaves out the oldest streams beyond a limit, as the newest ones are the most likely to be taken up, and
 // returns how many. Those that wait for their record stay.
 func newest(streams []entry, limit int) ([]entry, int) {
--- a/internal/front/begun/settling.go
+++ b/internal/front/begun/settling.go
@@ -12,13 +12,13 @@
 )
 
 // startsSettling reports whether streams of a version are told apart from those of a settled one by their records,
-// which all fronts know how to write ahead; the caller holds the lock.
+// as all fronts know at which version a stream begins, and write such records ahead; the caller holds the lock.
 func (w *Watcher) startsSettling(s *service, v *version) bool {
 	if v.hasSettled {
 		return false
 	}
 	for _, f := range w.site.State().Fronts {
-		if !f.RecordsAhead {
+		if !f.RecordsAhead || !f.ProvesStarts {
 			return false
 		}
 	}
@@ -48,6 +48,16 @@
 	return v.isSettling
 }
 
+// hidesUnknown reports whether a stream of an unknown version would pass for one of another version if nothing named
+// it: of the settled one, or of the only one unless that is unknown as well. The latter is accepted while the store
+// can't take records.
+func (s *service) hidesUnknown(canRecord bool) bool {
+	if s.isMixed() {
+		return len(s.settling()) > 0
+	}
+	return canRecord && s.versions[""] == nil
+}
+
 // settling returns the versions in play all of whose streams were recorded ahead, if any have begun.
 func (s *service) settling() []string {
 	var out []string
--- a/internal/front/begun/settling_test.go
+++ b/internal/front/begun/settling_test.go
@@ -133,3 +133,50 @@
 		group.Wait()
 	})
 }
+
+// TestUnknownVersionsDontPassForTheOnlyOne guards against streams of a process that no front knows which other fronts
+// take for streams of the only version, against records of others, and against streams that wait for a store that is
+// away.
+func TestUnknownVersionsDontPassForTheOnlyOne(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// announced is the version of the only instance, and away tells that the store doesn't answer.
+		announced string
+		away      bool
+		records   int
+	}{
+		{"unknown beside a known one", "a", false, 1},
+		{"unknown alone", "", false, 0},
+		{"store away", "a", true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withRig(t, func(r *rig) {
+				r.announce("i-1", c.announced)
+				w, v := r.watcher("front-1")
+				r.settle(w, v)
+				w.RecordBegin(r.ctx, "llm", "known", c.announced)
+				r.memory.SetFaults(kvsim.Faults{Away: c.away})
+				var group conc.WaitGroup
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+					defer cancel()
+					w.Run(ctx)
+				})
+				r.g.Expect(w.RecordBegin(r.ctx, "llm", "nameless", "")).To(BeTrue())
+				group.Wait()
+				r.memory.SetFaults(kvsim.Faults{})
+				if other, _ := r.watcher("front-2"); !c.away {
+					r.expectOrigin(other, "nameless", "", origin.Unversioned)
+				}
+				list, err := r.memory.Range(r.ctx, recordPrefix)
+				r.g.Expect(err).NotTo(HaveOccurred())
+				r.g.Expect(list.KVs).To(HaveLen(c.records))
+				if c.records > 0 {
+					entries, err := decodeRecord(list.KVs[0].Value, time.Now())
+					r.g.Expect(err).NotTo(HaveOccurred())
+					r.g.Expect(entries).To(HaveLen(1), "streams of the only version aren't recorded")
+				}
+			})
+		})
+	}
+}
--- a/internal/front/begun/watcher.go
+++ b/internal/front/begun/watcher.go
@@ -94,6 +94,8 @@
 	versions map[string]*version
 	own      *memory
 	segment  segment
+	// aheadNext is the number of the stream after the newest one that waits or waited for its record.
+	aheadNext int
 }
 
 // New returns a watcher, and a function that ends its background work.
@@ -114,13 +116,16 @@
 // RecordBegin records that the stream of a request begins at an instance of a version, empty if that is unknown.
 // It returns false if the caller must not get an event, as the store has no record of the stream yet.
 func (w *Watcher) RecordBegin(ctx context.Context, service, id, version string) bool {
+	canRecord := !w.site.Unavailable(0)
 	w.mu.Lock()
 	w.sync()
 	s := w.service(service)
-	// A stream of an unknown version must not pass for one of the settled version either.
-	isAhead := s.isMixed() && w.resumable[service] && (s.recordsAhead(version) || version == "" && len(s.settling()) > 0)
+	isAhead := w.resumable[service] && (s.isMixed() && s.recordsAhead(version) || version == "" && s.hidesUnknown(canRecord))
 	s.own.add(entry{key: keyOf(service, id), version: version, at: time.Now(), ahead: isAhead})
 	next := s.own.next()
+	if isAhead {
+		s.aheadNext = next
+	}
 	w.mu.Unlock()
 	return !isAhead || w.awaitRecord(ctx, service, next)
 }
--- a/internal/front/begun/watcher_test.go
+++ b/internal/front/begun/watcher_test.go
@@ -75,7 +75,7 @@
 		Document: &site.Document{Routes: []site.Route{{Kind: site.Streaming, Resumable: true, Timeout: 5 * time.Second, Split: []site.WeightedService{{Service: "llm"}}}}},
 	}
 	for _, run := range v.r.fronts {
-		s.Fronts[run] = follow.Front{Run: run, RecordsAhead: true}
+		s.Fronts[run] = follow.Front{Run: run, RecordsAhead: true, ProvesStarts: true}
 	}
 	list, err := v.r.memory.Range(v.r.ctx, follow.SystemPrefix)
 	v.r.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/front/ident/finder.go
+++ b/internal/front/ident/finder.go
@@ -93,17 +93,6 @@
 	})
 }
 
-// verifyTimeout bounds the question whether an incarnation still runs, for which a request waits.
-const verifyTimeout = 300 * time.Millisecond
-
-// IsRunning reports whether the incarnation that an announcement names proves to run at its address.
-func (f *Finder) IsRunning(ctx context.Context, in site.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	report, err := f.askReport(ctx, in, false)
-	return err == nil && report.Born != 0 && report.Born == in.Born
-}
-
 // isDue reports whether an inquiry about an instance may begin, and notes that it does.
 func (f *Finder) isDue(k site.InstanceKey) bool {
 	f.mu.Lock()
@@ -145,12 +134,16 @@
 // errUnnamed reports a response that names no instance.
 var errUnnamed = errors.New("the response names no instance")
 
-// askIdentity returns the ID of the instance at an address.
+// askIdentity returns the ID of the instance at an address. Where the service has no health page that names it, it is
+// taken for the known one, as requests that expect another one don't run.
 func (f *Finder) askIdentity(ctx context.Context, in site.Instance) (string, error) {
 	doc := f.view.State().Document
-	if doc == nil || doc.Services[in.Service] == nil || doc.Services[in.Service].HealthPath == "" {
+	if doc == nil || doc.Services[in.Service] == nil {
 		return "", errUnnamed
 	}
+	if doc.Services[in.Service].HealthPath == "" {
+		return in.ID, nil
+	}
 	req, err := f.dialect.IdentityRequest(in.Address, doc.Services[in.Service].HealthPath, in.ID)
 	if err != nil {
 		return "", err
--- a/internal/front/proxy/call.go
+++ b/internal/front/proxy/call.go
@@ -78,8 +78,9 @@
 	// bound is true once the stream has begun, which only instances of version may go on with.
 	bound   bool
 	version string
-	// hasAnnouncedVersion is true unless the instance of the latest attempt may have restarted.
-	hasAnnouncedVersion bool
+	// hasAnnouncedVersion is true unless another process than the announced one may answer the latest attempt, and
+	// provesStart is true if the connection proves that it does not.
+	hasAnnouncedVersion, provesStart bool
 	// trial is nil unless the request tries a blocked part of its prompt.
 	trial *trial
 	// lastChoice is the instance chosen for the latest attempt.
@@ -115,7 +116,7 @@
 			return
 		}
 		c.tried[in.InstanceKey] = true
-		if c.checkVersion(ctx, in) && c.sendTo(ctx, in) == requestEnded {
+		if c.checkVersion(in) && c.sendTo(ctx, in) == requestEnded {
 			return
 		}
 		if c.endIfExpired(ctx) {
@@ -177,7 +178,7 @@
 	})
 	res, err := c.server.pool.Do(ctx, conns.Target{InstanceKey: in.InstanceKey, Address: in.Address}, &conns.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.First, MoreBody: c.body.More,
-		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns,
+		IsOwn: func(h http.Header) bool { return c.server.dialect.MatchesRequest(h, c.request.ID) }, AvoidConns: c.usedConns, ProvesStart: c.provesStart,
 	})
 	if err != nil {
 		return c.handleNoAnswer(ctx, in, err)
@@ -217,6 +218,9 @@
 
 // handleNoAnswer decides what follows an attempt without an answer.
 func (c *call) handleNoAnswer(ctx context.Context, in site.Instance, err error) nextStep {
+	if c.handleUnproven(in, err) {
+		return tryAnother
+	}
 	var f *conns.Failure
 	sent := !errors.As(err, &f) || f.Sent
 	c.reason = err.Error()
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -202,6 +202,7 @@
 		}
 	}
 	pool, closePool := conns.New(dial, metrics.NewSet())
+	pool.SetReports(platform.Dialect{})
 	log, err := logs.New(r.log, "info", "f")
 	r.g.Expect(err).NotTo(HaveOccurred())
 	settings := conf.Front{Node: conf.Node{Name: "f"}, Retry: conf.RetryBudget{Ratio: 0.2, Slack: 58}}
--- a/internal/front/proxy/server.go
+++ b/internal/front/proxy/server.go
@@ -96,8 +96,6 @@
 // IdentityFinder finds out which instance runs at an address in place of the one that the view names.
 type IdentityFinder interface {
 	Suspect(in site.Instance)
-	// IsRunning reports whether the incarnation that the view names proves to run at its address.
-	IsRunning(ctx context.Context, in site.Instance) bool
 }
 
 // StreamOrigins knows at which versions of instances streams began.
--- a/internal/front/proxy/tracker.go
+++ b/internal/front/proxy/tracker.go
@@ -66,10 +66,10 @@
 type instanceStats struct {
 	// brokenAt is the revision of the announcement that was the newest when a request last broke off, 0 for none.
 	brokenAt int64
-	// runningAt is when the instance last proved that it had not restarted, zero if it never did.
-	runningAt     time.Time
-	inFlight      map[site.Target]int
-	totalInFlight int
+	// startlessUntil is the time until which the instance's processes count as ones that don't name their start.
+	startlessUntil time.Time
+	inFlight       map[site.Target]int
+	totalInFlight  int
 	// newRequests counts the requests sent since the last usage report.
 	newRequests map[site.Target]int
 	// pendingPrefill is the expected prefill time of prompts whose answers have not begun.
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"foxtailcroft/internal/back/conns"
 	"foxtailcroft/internal/base/sleep"
 	"foxtailcroft/internal/core/site"
 )
@@ -69,24 +71,42 @@
 	c.server.origins.RecordEnd(c.service, id)
 }
 
-// checkVersion finds out whether an instance has the version that it announced: after a request broke off
-// there, or while the view is outdated, another incarnation may run under its ID. It reports whether the
-// request may be sent there.
-func (c *call) checkVersion(ctx context.Context, in site.Instance) bool {
-	c.hasAnnouncedVersion = true
-	if c.route.Kind != site.Streaming || !c.bound && !c.route.Resumable || !c.server.mayHaveRestarted(in) {
-		return true
-	}
-	askedAt := time.Now()
-	if c.server.identities.IsRunning(ctx, in) {
-		c.server.tracker.recordRunning(in.InstanceKey, askedAt)
-		return true
-	}
-	c.hasAnnouncedVersion = false
-	if c.bound {
+// needsVersion reports whether the version of the instance that answers decides where the stream may go on.
+func (c *call) needsVersion() bool {
+	return c.route.Kind == site.Streaming && (c.bound || c.route.Resumable)
+}
+
+// checkVersion decides how the version of the instance that answers becomes known: the connection proves it, or, where
+// processes don't name their start, the view tells it unless another process may run by now. It reports whether
+// the request may be sent to the instance.
+func (c *call) checkVersion(in site.Instance) bool {
+	c.provesStart = c.needsVersion() && c.server.tracker.namesStart(in.InstanceKey)
+	c.hasAnnouncedVersion = !c.needsVersion() || c.provesStart || !c.server.mayHaveRestarted(in)
+	if c.bound && !c.hasAnnouncedVersion {
 		c.logAttempt("may have restarted", in, "not verified")
+		return false
 	}
-	return !c.bound
+	return true
+}
+
+// handleUnproven decides what follows an attempt for which nothing was sent, as no connection proved that the
+// instance's process is the announced one; false if that is not why the attempt failed.
+func (c *call) handleUnproven(in site.Instance, err error) bool {
+	var replaced *conns.ReplacedError
+	var startless *conns.StartlessError
+	switch {
+	case errors.As(err, &replaced):
+		c.server.tracker.exclude(in.InstanceKey, replacedInstanceExclusion)
+		c.server.identities.Suspect(in)
+	case errors.As(err, &startless):
+		c.server.tracker.recordStartless(in.InstanceKey)
+		delete(c.tried, in.InstanceKey)
+	default:
+		return false
+	}
+	c.reason = err.Error()
+	c.logAttempt("not proved to be the announced process", in, c.reason)
+	return true
 }
 
 // serving returns the instances of the service that may serve the request by their versions.
@@ -134,22 +154,34 @@
 	s.brokenAt = max(s.brokenAt, in.Revision)
 }
 
-// recordRunning records that an instance had not restarted at a time.
-func (t *instanceTracker) recordRunning(k site.InstanceKey, at time.Time) {
+// startlessTime is how long an instance counts as one whose processes don't name their start.
+const startlessTime = 10 * time.Second
+
+// recordStartless records that an instance's process answered without its start.
+func (t *instanceTracker) recordStartless(k site.InstanceKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.statsOf(k)
-	s.brokenAt, s.runningAt = 0, at
+	t.statsOf(k).startlessUntil = time.Now().Add(startlessTime)
 }
 
-// verifiedTime is how long an instance counts as running that has proved it while the view was outdated.
-const verifiedTime = 500 * time.Millisecond
+// namesStart reports whether an instance's processes may name their start, as its announcement did.
+func (t *instanceTracker) namesStart(k site.InstanceKey) bool {
+	if k.Born == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Now().After(t.statsOf(k).startlessUntil)
+}
 
-// mayHaveRestarted reports whether an instance may have restarted since its newest announcement in the view.
+// mayHaveRestarted reports whether an instance that was chosen from an earlier view may have restarted since its
+// newest announcement.
 func (s *Server) mayHaveRestarted(in site.Instance) bool {
-	isOutdated := s.origins.IsViewOutdated()
+	if s.origins.IsViewOutdated() || s.stateSource.State().Instances[in.ID].InstanceKey != in.InstanceKey {
+		return true
+	}
 	s.tracker.mu.Lock()
 	defer s.tracker.mu.Unlock()
 	stats := s.tracker.statsOf(in.InstanceKey)
-	return stats.brokenAt != 0 && stats.brokenAt >= in.Revision || isOutdated && time.Since(stats.runningAt) > verifiedTime
+	return stats.brokenAt != 0 && stats.brokenAt >= in.Revision
 }
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,10 +60,6 @@
 	return r.closed
 }
 
-func (r *harness) IsRunning(context.Context, site.Instance) bool {
-	return true
-}
-
 // setVersions sets the versions of the servers of llm, in their order.
 func (r *harness) setVersions(versions ...string) {
 	for i, v := range versions {
@@ -206,6 +203,71 @@
 	})
 }
 
+// TestStreamsNeedTheAnnouncedProcess guards against streams that begin or go on at another process than the one whose
+// version the view tells, and against servers without reports that get no streams.
+func TestStreamsNeedTheAnnouncedProcess(t *testing.T) {
+	resumed := http.Header{"Last-Event-Id": {"3"}, "Resumes": {"first"}}
+	for _, c := range []struct {
+		name string
+		// starts are those that the servers report, 0 for none; all have announced 1.
+		starts []int64
+		// broken tells that a request has broken off at each server.
+		broken bool
+		header http.Header
+		path   string
+		status int
+		// at is the server that runs the request, empty for any; version is that which is recorded of a new stream.
+		at, version string
+		suspected   []string
+	}{
+		{"begins", []int64{2, 1}, false, nil, "/resume/x", 200, "llm-2", "v1", []string{"llm-1"}},
+		{"goes on", []int64{2, 1}, false, resumed, "/resume/x", 200, "llm-2", "", []string{"llm-1"}},
+		{"all replaced", []int64{2, 2}, false, nil, "/resume/x", 503, "", "", []string{"llm-1", "llm-2"}},
+		{"all replaced, not to be resumed", []int64{2, 2}, false, nil, "/stream/x", 200, "llm-1", "", nil},
+		{"no reports", []int64{0, 0}, false, nil, "/resume/x", 200, "llm-1", "v1", nil},
+		{"no reports, goes on", []int64{0, 0}, false, resumed, "/resume/x", 200, "llm-1", "", nil},
+		{"no reports after a break", []int64{0, 0}, true, nil, "/resume/x", 200, "llm-1", "", nil},
+		{"no reports after a break, goes on", []int64{0, 0}, true, resumed, "/resume/x", 503, "", "", nil},
+		{"proved after a break", []int64{1, 1}, true, nil, "/resume/x", 200, "llm-1", "v1", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withProxy(t, 2, func(r *harness) {
+				r.began = map[string]string{"first": "v1"}
+				for i, start := range c.starts {
+					in := r.state.Instances[fmt.Sprintf("llm-%d", i+1)]
+					in.Born, in.Revision = 1, 3
+					if i == 0 {
+						// The proxy prefers the first server, as it is in its domain.
+						in.Domain = ""
+					}
+					r.state.Instances[in.ID] = in
+					r.restart(in.Address, in.ID, start)
+					if c.broken {
+						r.proxy.tracker.recordBreak(in)
+					}
+				}
+				w, _ := r.serve(r.t.Context(), c.path, "id", c.header)
+				r.g.Expect(w.Code).To(Equal(c.status), w.Body.String())
+				runs := r.executions.Runs("id")
+				r.g.Expect(len(runs) == 1).To(Equal(c.at != ""))
+				if c.at != "" {
+					r.g.Expect(runs[0].Server).To(Equal(c.at))
+				}
+				r.g.Expect(r.began["id"]).To(Equal(c.version))
+				slices.Sort(r.suspected)
+				r.g.Expect(slices.Compact(r.suspected)).To(Equal(c.suspected))
+			})
+		})
+	}
+}
+
+// restart restarts a server of llm that reports a start, or no report if that is 0.
+func (r *harness) restart(address, id string, start int64) {
+	r.stopServer[address]()
+	s := fake.NewServer(fake.Spec{ID: id, Born: start, Service: "llm", Address: address, Zone: "a", Slots: 4, EventTime: 20 * time.Millisecond}, r.executions, func() {}, "m")
+	r.stopServer[address] = r.net.Serve(address, s)
+}
+
 // TestStreamIsTakenUpAtItsService guards against streams of a route with several services that go on at
 // another service than the one that began them.
 func TestStreamIsTakenUpAtItsService(t *testing.T) {
--- a/internal/front/sched/candidate.go
+++ b/internal/front/sched/candidate.go
@@ -115,7 +115,7 @@
 // NewCandidate returns a Candidate that registers the front once Run is called.
 func NewCandidate(o CandidateOptions, s LeaseStore, view Site, log *zap.SugaredLogger) *Candidate {
 	return &Candidate{
-		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString(), Domain: o.Domain, LinkBytesPerSecond: o.LinkBytesPerSecond, RecordsAhead: true}, store: s, site: view,
+		Self: follow.Front{Name: o.Name, Address: o.Address, Run: uuid.NewString(), Domain: o.Domain, LinkBytesPerSecond: o.LinkBytesPerSecond, RecordsAhead: true, ProvesStarts: true}, store: s, site: view,
 		ttl: max(leaseTTL, o.MinLeaseTTL), bootClock: o.SinceBoot, claimDelay: claimDelayFor(o.CPUShare), log: log,
 	}
 }
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -37,6 +37,7 @@
 	sched.Dialect
 	ident.Dialect
 	kept.Dialect
+	conns.Reports
 	follow.Decoder
 }
 
@@ -105,6 +106,7 @@
 	}, log.Named("Follow"))
 	pool, closePool := conns.New(o.DialInstance, o.Metrics)
 	pool.SetLimit(instanceConnections(settings))
+	pool.SetReports(o.Dialect)
 	candidate := sched.NewCandidate(sched.CandidateOptions{
 		Name: settings.Node.Name, Address: settings.Listen.Peers, Domain: settings.Node.Domain, MinLeaseTTL: settings.Bounds.MinLease, CPUShare: settings.Processor, LinkBytesPerSecond: settings.LinkBytesPerSecond, SinceBoot: o.SinceBoot,
 	}, o.Store, follower, log.Named("Lead"))
--- a/internal/node/front/outofstep_test.go
+++ b/internal/node/front/outofstep_test.go
@@ -48,30 +48,67 @@
 	}
 }
 
-// TestFrontOutOfStepKnowsWhoBeginsAStream guards against streams that a front takes for those of the old version, as
-// the server was upgraded under its ID while the front was cut off.
-func TestFrontOutOfStepKnowsWhoBeginsAStream(t *testing.T) {
+// TestFrontsKnowWhichProcessBeginsAStream guards against streams that a front takes for those of the announced
+// process, or that other fronts take for those of the settled version, as a server was upgraded under its ID without
+// a request there and isn't announced again, or as the front was cut off meanwhile.
+func TestFrontsKnowWhichProcessBeginsAStream(t *testing.T) {
 	const v1, v2 = `"1.8"`, `"1.9"`
-	withHarness(t, func(h *harness) {
-		fronts := []string{"front-1", "front-2", "front-3"}
-		r := newVersionsRig(h, fronts, v1)
-		defer func() { r.stopFronts(fronts...) }()
-		r.only = r.notPlanner(fronts)
-		r.partition.cut(r.only)
-		defer r.partition.cut("")
-		time.Sleep(300 * time.Millisecond)
-		r.restart(1, v2)
-		time.Sleep(2500 * time.Millisecond)
-		r.play(40)
-		r.crashServer["i-1"]()
-		r.clients.Wait()
-		joined, byNew := r.joined(), 0
-		for _, e := range r.executions.Executions() {
-			if e.Version == v2 {
-				byNew++
-			}
-		}
-		t.Logf("%d of 40 streams at the upgraded server, %d joined", byNew, len(joined))
-		r.g.Expect(joined).To(BeEmpty())
-	})
+	for _, c := range []struct {
+		name string
+		// cut tells that the front is cut off until healed after the upgrade, 0 for as long as streams begin.
+		cut    bool
+		healed time.Duration
+		// announced is how long after its start the upgraded server announces itself.
+		announced time.Duration
+		// began is the time after the upgrade from which streams begin, and crashed that at which the server crashes.
+		began, crashed time.Duration
+		// elsewhere tells that clients take streams up at other fronts.
+		elsewhere bool
+	}{
+		{"cut off", true, 0, 2 * time.Second, 2500 * time.Millisecond, 3300 * time.Millisecond, false},
+		{"cut off, taken up elsewhere", true, 0, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
+		{"cut off, healed 100 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
+		{"cut off, healed 300 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, true},
+		{"cut off, healed 600 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3800 * time.Millisecond, true},
+		{"cut off, healed 1,300 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 4500 * time.Millisecond, true},
+		{"in touch, announced late", false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, false},
+		{"in touch, announced late, taken up elsewhere", false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				fronts := []string{"front-1", "front-2", "front-3"}
+				r := newVersionsRig(h, fronts, v1)
+				defer func() { r.stopFronts(fronts...) }()
+				r.beginAt, r.takeUpPause = r.notPlanner(fronts), 50*time.Millisecond
+				if !c.elsewhere {
+					r.only = r.beginAt
+				}
+				if c.cut {
+					r.partition.cut(r.beginAt)
+					defer r.partition.cut("")
+				}
+				time.Sleep(300 * time.Millisecond)
+				upgradedAt := time.Now()
+				r.restart(1, v2, c.announced)
+				if c.healed > 0 {
+					r.clients.Go(func() {
+						time.Sleep(time.Until(upgradedAt.Add(c.healed)))
+						r.partition.cut("")
+					})
+				}
+				time.Sleep(time.Until(upgradedAt.Add(c.began)))
+				r.play(int((c.crashed - c.began) / (20 * time.Millisecond)))
+				r.crashServer["i-1"]()
+				r.clients.Wait()
+				joined, byNew := r.joined(), 0
+				for _, e := range r.executions.Executions() {
+					if e.Version == v2 {
+						byNew++
+					}
+				}
+				t.Logf("%d streams, %d at the upgraded server, %d joined", len(r.streams), byNew, len(joined))
+				r.g.Expect(joined).To(BeEmpty())
+			})
+		})
+	}
 }
--- a/internal/node/front/versions_test.go
+++ b/internal/node/front/versions_test.go
@@ -32,8 +32,9 @@
 	takeUpPause time.Duration
 	// outOfStep is the front at which all streams are taken up and none begins, empty if fronts take turns.
 	outOfStep string
-	// only is the front for all attempts, empty for any.
+	// only is the front for all attempts, and beginAt that for first ones, which take no others; empty for any.
 	only    string
+	beginAt string
 	clients conc.WaitGroup
 }
 
@@ -91,16 +92,19 @@
 	})
 }
 
-// restart restarts a server under its ID at another version, which is announced late.
-func (r *versionsRig) restart(n int, version string) {
+// restart restarts a server under its ID at another version, which is announced after a delay.
+func (r *versionsRig) restart(n int, version string, delay time.Duration) {
 	id := fmt.Sprintf("i-%d", n)
 	r.crashServer[id]()
 	r.clients.Go(func() {
 		time.Sleep(100 * time.Millisecond)
-		r.startVersion(id, n, 2, version, 2*time.Second)
+		r.startVersion(id, n, 2, version, delay)
 	})
 }
 
+// lateAnnouncement is when a server announces itself that was down for so long that its announcement had lapsed.
+const lateAnnouncement = 2 * time.Second
+
 // startServers starts two servers of each version.
 func (r *versionsRig) startServers(versions ...string) {
 	for _, v := range versions {
@@ -150,12 +154,15 @@
 	if r.only != "" {
 		return r.only
 	}
+	if r.beginAt != "" && try == 0 {
+		return r.beginAt
+	}
 	if r.outOfStep != "" && try > 0 {
 		return r.outOfStep
 	}
 	var names []string
 	for name := range r.stopFront {
-		if name != r.outOfStep {
+		if name != r.outOfStep && name != r.beginAt {
 			names = append(names, name)
 		}
 	}
@@ -309,10 +316,10 @@
 			r.startFronts(fronts...)
 		}, 0},
 		{"servers restart under their IDs as another version", []string{v1}, func(r *versionsRig) {
-			r.restart(1, v2)
-			r.restart(2, v2)
+			r.restart(1, v2, lateAnnouncement)
+			r.restart(2, v2, lateAnnouncement)
 		}, 0},
-		{"one of two servers restarts under its ID as another version", []string{v1}, func(r *versionsRig) { r.restart(1, v2) }, 0.5},
+		{"one of two servers restarts under its ID as another version", []string{v1}, func(r *versionsRig) { r.restart(1, v2, lateAnnouncement) }, 0.5},
 		{"one version, all fronts killed", []string{v1}, func(r *versionsRig) {
 			r.stopFronts(fronts...)
 			time.Sleep(time.Second)
--- a/internal/plat/follow/state.go
+++ b/internal/plat/follow/state.go
@@ -33,6 +33,9 @@
 	LinkBytesPerSecond float64 `json:",omitempty"`
 	// RecordsAhead is true if the front records streams of settling versions before their callers get an event.
 	RecordsAhead bool `json:",omitempty"`
+	// ProvesStarts is true if the front sends requests whose streams may be resumed only over connections to
+	// processes that have named their start.
+	ProvesStarts bool `json:",omitempty"`
 	// Era is the store's era in which the value was written, 0 if the front does not tell. In a later era
 	// the value is from the copy that the store came back from.
 	Era int64 `json:",omitempty"`
