--- a/internal/node/front/outofstep_test.go
+++ b/internal/node/front/outofstep_test.go
@@ -52,9 +52,13 @@
 // process, or that other fronts take for those of the settled version, as a server was upgraded under its ID without
 // a request there and isn't announced again, or as the front was cut off meanwhile.
 func TestFrontsKnowWhichProcessBeginsAStream(t *testing.T) {
-	const v1, v2 = `"1.8"`, `"1.9"`
+	const v1, v2, v3 = `"1.8"`, `"1.9"`, `"2.0"`
 	for _, c := range []struct {
 		name string
+		// then is the version to which the server is upgraded once more, 1 s later; empty for none.
+		then string
+		// starts tells that the front starts as the server is upgraded.
+		starts bool
 		// cut tells that the front is cut off until healed after the upgrade, 0 for as long as streams begin.
 		cut    bool
 		healed time.Duration
@@ -65,14 +69,17 @@
 		// elsewhere tells that clients take streams up at other fronts.
 		elsewhere bool
 	}{
-		{"cut off", true, 0, 2 * time.Second, 2500 * time.Millisecond, 3300 * time.Millisecond, false},
-		{"cut off, taken up elsewhere", true, 0, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
-		{"cut off, healed 100 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
-		{"cut off, healed 300 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, true},
-		{"cut off, healed 600 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3800 * time.Millisecond, true},
-		{"cut off, healed 1,300 ms before", true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 4500 * time.Millisecond, true},
-		{"in touch, announced late", false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, false},
-		{"in touch, announced late, taken up elsewhere", false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, true},
+		{"cut off", "", false, true, 0, 2 * time.Second, 2500 * time.Millisecond, 3300 * time.Millisecond, false},
+		{"cut off, taken up elsewhere", "", false, true, 0, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
+		{"cut off, healed 100 ms before", "", false, true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
+		{"cut off, healed 300 ms before", "", false, true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, true},
+		{"cut off, healed 600 ms before", "", false, true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 3800 * time.Millisecond, true},
+		{"cut off, healed 1,300 ms before", "", false, true, 3200 * time.Millisecond, 100 * time.Millisecond, 2500 * time.Millisecond, 4500 * time.Millisecond, true},
+		{"in touch, announced late", "", false, false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, false},
+		{"in touch, announced late, taken up elsewhere", "", false, false, 0, 2 * time.Second, 300 * time.Millisecond, 1100 * time.Millisecond, true},
+		{"cut off, upgraded twice", v3, false, true, 0, 100 * time.Millisecond, 2500 * time.Millisecond, 3300 * time.Millisecond, true},
+		{"in touch, upgraded twice, announced late", v3, false, false, 0, 2 * time.Second, 1300 * time.Millisecond, 2100 * time.Millisecond, true},
+		{"starts as the server is upgraded", "", true, false, 0, 3 * time.Second, 300 * time.Millisecond, 2100 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
@@ -89,7 +96,17 @@
 				}
 				time.Sleep(300 * time.Millisecond)
 				upgradedAt := time.Now()
-				r.restart(1, v2, c.announced)
+				if c.starts {
+					r.stopFronts(r.beginAt)
+					r.clients.Go(func() { r.startFronts(r.beginAt) })
+				}
+				r.restart(1, 2, v2, c.announced)
+				if c.then != "" {
+					r.clients.Go(func() {
+						time.Sleep(time.Second)
+						r.restart(1, 3, c.then, c.announced)
+					})
+				}
 				if c.healed > 0 {
 					r.clients.Go(func() {
 						time.Sleep(time.Until(upgradedAt.Add(c.healed)))
@@ -102,7 +119,7 @@
 				r.clients.Wait()
 				joined, byNew := r.joined(), 0
 				for _, e := range r.executions.Executions() {
-					if e.Version == v2 {
+					if e.Server == "i-1" && e.Version != v1 {
 						byNew++
 					}
 				}
--- a/internal/node/front/versions_test.go
+++ b/internal/node/front/versions_test.go
@@ -92,13 +92,16 @@
 	})
 }
 
-// restart restarts a server under its ID at another version, which is announced after a delay.
-func (r *versionsRig) restart(n int, version string, delay time.Duration) {
+// restart restarts a server under its ID with another start and version, which are announced after a delay.
+func (r *versionsRig) restart(n, born int, version string, delay time.Duration) {
 	id := fmt.Sprintf("i-%d", n)
-	r.crashServer[id]()
+	r.mu.Lock()
+	crash := r.crashServer[id]
+	r.mu.Unlock()
+	crash()
 	r.clients.Go(func() {
 		time.Sleep(100 * time.Millisecond)
-		r.startVersion(id, n, 2, version, delay)
+		r.startVersion(id, n, born, version, delay)
 	})
 }
 
@@ -316,10 +319,10 @@
 			r.startFronts(fronts...)
 		}, 0},
 		{"servers restart under their IDs as another version", []string{v1}, func(r *versionsRig) {
-			r.restart(1, v2, lateAnnouncement)
-			r.restart(2, v2, lateAnnouncement)
+			r.restart(1, 2, v2, lateAnnouncement)
+			r.restart(2, 2, v2, lateAnnouncement)
 		}, 0},
-		{"one of two servers restarts under its ID as another version", []string{v1}, func(r *versionsRig) { r.restart(1, v2, lateAnnouncement) }, 0.5},
+		{"one of two servers restarts under its ID as another version", []string{v1}, func(r *versionsRig) { r.restart(1, 2, v2, lateAnnouncement) }, 0.5},
 		{"one version, all fronts killed", []string{v1}, func(r *versionsRig) {
 			r.stopFronts(fronts...)
 			time.Sleep(time.Second)
