front/sched, policy/swap: second copies of models at each version that serves

Cause: copies were planned without regard to versions, and a request bound to a version was refused at once where none of its servers had the model, also if a load would have ended within its patience.

Change: while several versions serve, a model with requests at its only server of a version gets a second copy there, into free memory, before spare copies and within the share of the weight store for loads that no request waits for. Requests bound to a version wait for a load at it that is forecast to end in time.

--- a/internal/front/sched/depart.go
+++ b/internal/front/sched/depart.go
@@ -86,16 +86,13 @@
 }
 
 // departedModels returns the departed models of a service, and how many loads from the weight store
-// may begin for them. The caller must hold p.mu.
+// may begin for models that no request waits for. The caller must hold p.mu.
 func (p *Planner) departedModels(service string, now time.Time) (models []swap.Want, storeLoadsLeft int) {
 	for t, d := range p.departed {
 		if t.Name == "" && d.service == service {
 			models = append(models, swap.Want{Model: t.Model, Waited: now.Sub(d.since)})
 		}
 	}
-	if len(models) == 0 {
-		return nil, 0
-	}
 	running := 0
 	for _, s := range p.servers {
 		if s.loadingAhead && s.loadingModel != "" && !slices.Contains(s.onDisk, s.loadingModel) {
--- a/internal/front/sched/planner.go
+++ b/internal/front/sched/planner.go
@@ -97,6 +97,9 @@
 	// expectedReady is when the loads that the policy has deferred are expected to end,
 	// by model; their servers are busy or have no room yet.
 	expectedReady map[string]time.Time
+	// soonestAtVersion is how soon servers of a version can have a model, negative if they can't, as of the last
+	// planning step.
+	soonestAtVersion map[versionModel]time.Duration
 	// departed are the models and adapters whose last server leaves or has left.
 	departed map[site.Target]departure
 	// serverLeftAt is when a server of each service last left.
@@ -136,7 +139,7 @@
 	group := &tasks.Group{}
 	p := &Planner{
 		settings: s, candidate: c, state: state, client: &serverClient{pool: pool, dialect: d}, log: log, group: group,
-		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{}, departed: map[site.Target]departure{}, serverLeftAt: map[string]time.Time{},
+		servers: map[site.InstanceKey]*server{}, wants: map[site.Target]*wantedTarget{}, adaptersLoading: map[site.Target]bool{}, expectedReady: map[string]time.Time{}, soonestAtVersion: map[versionModel]time.Duration{}, departed: map[site.Target]departure{}, serverLeftAt: map[string]time.Time{},
 		sentBefore: map[site.InstanceKey][]sentOrder{}, usageByFront: map[string]frontUsage{}, demand: newDemand(), wakeup: make(chan struct{}, 1),
 		ordersTotal: meters.GetOrCreateCounter("foxtailcroft_orders_total"), storeLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_store_loads_total"), aheadLoadsTotal: meters.GetOrCreateCounter("foxtailcroft_loads_ahead_total"),
 	}
--- a/internal/front/sched/step.go
+++ b/internal/front/sched/step.go
@@ -30,9 +30,10 @@
 		models[s.inst.Service] = nil
 	}
 	clear(p.expectedReady)
+	clear(p.soonestAtVersion)
 	for _, target := range p.pruneAndSortWants(now) {
 		w := p.wants[target]
-		if len(p.serversWithModel(w.service, target.Model)) == 0 {
+		if len(p.serversWithModel(w.service, target.Model)) == 0 && !w.isOnlyBound() {
 			models[w.service] = append(models[w.service], target)
 			continue
 		}
@@ -68,13 +69,15 @@
 		in.StoreLoadsLeft = 0
 	}
 	in.Departed, in.AheadStoreLoadsLeft = p.departedModels(service, now)
+	instances := map[string]site.Instance{}
 	for _, s := range p.servers {
 		if s.inst.Service == service && !s.isLeaving(now) {
 			in.Servers = append(in.Servers, p.policyView(s, now))
+			instances[s.inst.ID] = s.inst
 		}
 	}
 	slices.SortFunc(in.Servers, func(a, b swap.Server) int { return strings.Compare(a.ID, b.ID) })
-	in.Wants = p.swapWants(in, service, targets, now)
+	in.Wants, in.Groups = p.swapWants(in, service, targets, now), p.groupWants(service, in.Servers, instances, now)
 	for _, a := range swap.Decide(in) {
 		if a.Deferred {
 			p.expectedReady[a.Load] = now.Add(a.ReadyIn)
--- a/internal/front/sched/wants.go
+++ b/internal/front/sched/wants.go
@@ -212,10 +212,13 @@
 		return found, false
 	}
 	if req.Version != "" && !p.versionHasModel(req) {
-		found.Reason = "no server of the version has the model"
+		if p.isLoadableAtVersion(req) {
+			return found, true
+		}
+		found.Reason = "no server of the version has the model in time"
 		return found, false
 	}
-	if ready, ok := p.forecastReady(req.Target.Model); ok {
+	if ready, ok := p.forecastReady(req); ok {
 		found.ReadyIn = time.Until(ready)
 		if found.ReadyIn > req.Wait {
 			found.Reason = "the load ends too late"
@@ -231,34 +234,6 @@
 	return found, true
 }
 
-// versionHasModel reports whether a server of the version that a request needs serves the model or loads
-// it; no model is loaded for the sake of a version. The caller must hold p.mu.
-func (p *Planner) versionHasModel(req peers.InstanceRequest) bool {
-	for _, s := range p.servers {
-		if s.inst.Service == req.Service && s.inst.Version == req.Version && (s.loadingModel == req.Target.Model || s.serves(site.Target{Model: req.Target.Model})) {
-			return true
-		}
-	}
-	return false
-}
-
-// missingVersion returns a version that a request which waits for a target needs and of which no server
-// serves the target; empty if there is none. The caller must hold p.mu.
-func (p *Planner) missingVersion(t site.Target) string {
-	wanted := p.wants[t]
-	if wanted == nil {
-		return ""
-	}
-	for w := range wanted.waiters {
-		version := w.request.Version
-		isServed := func(s *server) bool { return s.inst.Version == version && s.serves(t) }
-		if version != "" && !slices.ContainsFunc(p.serversWithModel(wanted.service, t.Model), isServed) {
-			return version
-		}
-	}
-	return ""
-}
-
 // planningTimeout is how long after the first request for a target a server should be
 // preparing for it.
 const planningTimeout = 400 * time.Millisecond
@@ -272,16 +247,16 @@
 	return wanted != nil && wanted.firstRequested.Before(decidedBy) && p.handoverEndedAt(decidedBy) && p.evictionAllowed(decidedBy) && len(p.serversWithModel(wanted.service, t.Model)) == 0
 }
 
-// forecastReady returns when a server that loads the model, or will load it once it is
-// available, is expected to be ready; false if there is none.
-func (p *Planner) forecastReady(model string) (time.Time, bool) {
+// forecastReady returns when a server that loads the model of a request, or will load it once it is
+// available, is expected to be ready; false if there is none. The caller must hold p.mu.
+func (p *Planner) forecastReady(req peers.InstanceRequest) (time.Time, bool) {
 	for _, s := range p.servers {
-		if s.loadingModel == model {
+		if s.loadingModel == req.Target.Model && (req.Version == "" || s.inst.Version == req.Version) {
 			return s.readyAt, true
 		}
 	}
-	ready, ok := p.expectedReady[model]
-	return ready, ok
+	ready, ok := p.expectedReady[req.Target.Model]
+	return ready, ok && req.Version == ""
 }
 
 // serversWithModel returns the servers of a service that serve a model.
--- a/internal/policy/swap/depart.go
+++ b/internal/policy/swap/depart.go
@@ -29,18 +29,18 @@
 	return goals
 }
 
-// withDeparted merges the goals of departed models into those for the weight store, by the waiting
-// that they save, but after all models that requests wait for.
-func withDeparted(goals, departed []loadGoal) []loadGoal {
+// withDeparted returns the goals of models that requests wait for, and those of extra copies and departed models by
+// the waiting that they save.
+func withDeparted(goals, departed []loadGoal) (wanted, spare []loadGoal) {
 	first := 0
 	for i, g := range goals {
 		if !g.extraCopy {
 			first = i + 1
 		}
 	}
-	rest := append(goals[first:], departed...)
-	slices.SortStableFunc(rest, func(a, b loadGoal) int { return cmp.Compare(b.savedSeconds, a.savedSeconds) })
-	return append(goals[:first:first], rest...)
+	spare = slices.Concat(goals[first:], departed)
+	slices.SortStableFunc(spare, func(a, b loadGoal) int { return cmp.Compare(b.savedSeconds, a.savedSeconds) })
+	return goals[:first], spare
 }
 
 // tryDeparted adds the cheapest load of a departed model if what it costs others is below the
--- a/internal/policy/swap/swap.go
+++ b/internal/policy/swap/swap.go
@@ -61,6 +61,8 @@
 	// Departed are the models without waiting requests whose last server leaves or has left.
 	// Want.Weight is not used.
 	Departed []Want
+	// Groups are the models that too few servers of a group hold.
+	Groups []GroupWant
 	// Demand holds the recent demand by model.
 	Demand map[string]Demand
 	// Conservative forbids evictions, and loads from the weight store of models whose
@@ -70,7 +72,7 @@
 	// StoreLoadsLeft is the number of loads from the weight store that may begin now, and StoreLoadsRunning the number running.
 	StoreLoadsLeft    int
 	StoreLoadsRunning int
-	// AheadStoreLoadsLeft is how many of StoreLoadsLeft may be for departed models.
+	// AheadStoreLoadsLeft is how many of StoreLoadsLeft may be for models for which no request waits.
 	AheadStoreLoadsLeft int
 	// StoreConcurrency is the estimated number of concurrent loads that the weight store serves at full speed.
 	StoreConcurrency int
@@ -99,7 +101,7 @@
 	ReadyIn time.Duration
 	// Deferred marks a deferred load: the server is busy or has no room yet, and the load is decided again once that changes.
 	Deferred bool
-	// Ahead marks the load of a departed model, for which no request waits.
+	// Ahead marks the load of a departed model or of a second copy in a group, for which no request waits.
 	Ahead bool
 }
 
@@ -117,9 +119,9 @@
 // for each server. It plans wanted models and extra copies of busy models from
 // servers' memory or disk first, then loads from the weight store by the waiting
 // they save, then models that no server holds. A wanted model is not loaded from
-// the store if a server that has its weights is forecast to serve it sooner. Departed
-// models come after the wanted ones and compete with extra copies.
-// Decide sorts in.Wants by weight, largest first.
+// the store if a server that has its weights is forecast to serve it sooner. Groups come after
+// the wanted models. Departed models come next and compete with extra copies.
+// Decide sorts in.Wants by weight and in.Groups by requests, largest first.
 func Decide(in Input) []Action {
 	slices.SortStableFunc(in.Wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Model, b.Model))
@@ -128,11 +130,17 @@
 	for _, w := range d.Wants {
 		d.tryGoal(loadGoal{want: w, maxCost: math.Inf(1)}, FromDisk)
 	}
+	d.tryGroups(FromDisk)
 	extraCopies := d.extraCopyGoals()
 	for _, g := range extraCopies {
 		d.tryGoal(g, FromDisk)
 	}
-	for _, g := range withDeparted(d.storeGoals(extraCopies), d.departedGoals()) {
+	wanted, spare := withDeparted(d.storeGoals(extraCopies), d.departedGoals())
+	for _, g := range wanted {
+		d.tryGoal(g, FromStore)
+	}
+	d.tryGroups(FromStore)
+	for _, g := range spare {
 		if g.ahead {
 			d.tryDeparted(g)
 			continue
@@ -254,18 +262,18 @@
 		if d.StoreLoadsRunning == 0 && len(d.Wants) == 0 && !d.Conservative && (d.StoreConcurrency > 1 || len(d.Demand) == 0) {
 			slowest = FromStore
 		}
-		if a, s := d.fastestSpareLoad(model, slowest); s != nil {
+		if a, s := d.fastestSpareLoad(model, slowest, nil); s != nil {
 			d.addAction(s, a)
 		}
 	}
 }
 
 // fastestSpareLoad returns the fastest load of a model without evictions and its
-// server. The server is nil if none can load the model.
-func (d *decision) fastestSpareLoad(model *site.Model, slowest Source) (best Action, server *Server) {
+// server, without the excluded servers. The server is nil if none can load the model.
+func (d *decision) fastestSpareLoad(model *site.Model, slowest Source, excluded map[string]bool) (best Action, server *Server) {
 	for i := range d.Servers {
 		s := &d.Servers[i]
-		if s.Busy || d.usedServers[s.ID] || d.freeMB(s)-d.totalMB(s.Reserved, model.Name)-d.totalMB(s.Replaceable, model.Name) < model.SizeMB+d.adapterReserveMB(s, model) {
+		if s.Busy || d.usedServers[s.ID] || excluded[s.ID] || d.freeMB(s)-d.totalMB(s.Reserved, model.Name)-d.totalMB(s.Replaceable, model.Name) < model.SizeMB+d.adapterReserveMB(s, model) {
 			continue
 		}
 		a, _, ok := d.loadAt(s, model, Want{Model: model.Name}, slowest)
--- a/internal/policy/swap/swap_test.go
+++ b/internal/policy/swap/swap_test.go
@@ -202,6 +202,22 @@
 		{"no load of departed models that were not requested, or whose loads would cost others more", Input{
 			Departed: []Want{{Model: "m4"}, {Model: "m5", Waited: time.Minute}}, StoreLoadsLeft: 4, AheadStoreLoadsLeft: 4, Demand: map[string]Demand{"m0": {Rate: 1}, "m1": {Rate: 1}, "m2": {Rate: 1}, "m5": {Rate: 0.2}}, Servers: []Server{{ID: "a", Copies: full(0)}, {ID: "b", Copies: []Copy{held("m3", 9)}, Busy: true, OnDisk: []string{"m4", "m5"}, FreeIn: -1}},
 		}, nil},
+		{"loads a second copy in the newest group, before a spare copy and without evictions", Input{
+			Groups: []GroupWant{{Model: "m0", Servers: []string{"a", "b"}, Started: 1, Streams: 9}, {Model: "m1", Servers: []string{"c", "d", "e"}, Started: 2, Streams: 2}}, StoreLoadsLeft: 2, AheadStoreLoadsLeft: 1,
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 9)}}, {ID: "b", Copies: []Copy{held("m2", 0)}}, {ID: "c", Copies: []Copy{held("m1", 2)}}, {ID: "d", Copies: full(2), OnDisk: []string{"m3"}}, {ID: "e", Copies: []Copy{held("m3", 0)}}},
+		}, []Action{{Server: "e", Load: "m1", Source: FromStore, ReadyIn: 6 * time.Second, Ahead: true}}},
+		{"no second copy from the store while a server of the group has the weights", Input{
+			Groups: []GroupWant{{Model: "m0", Servers: []string{"a", "b", "c"}, Streams: 9}}, StoreLoadsLeft: 2, AheadStoreLoadsLeft: 1, Demand: map[string]Demand{"m0": {Rate: 0.1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 9)}}, {ID: "b", Busy: true, FreeIn: time.Second, OnDisk: []string{"m0"}}, {ID: "c", Copies: []Copy{held("m1", 0)}}},
+		}, nil},
+		{"loads in the group that requests wait for, in place of an idle copy", Input{
+			Groups: []GroupWant{{Model: "m5", Servers: []string{"b"}, Waiting: 3}}, StoreLoadsLeft: 1, Demand: map[string]Demand{"m0": {Rate: 0.1}, "m1": {Rate: 1}, "m2": {Rate: 1}},
+			Servers: []Server{{ID: "a", Copies: []Copy{held("m5", 0)}}, {ID: "b", Copies: full(0), OnDisk: []string{"m5"}}},
+		}, []Action{{Server: "b", Evict: []string{"m0"}, Load: "m5", Source: FromDisk, ReadyIn: 890 * time.Millisecond}}},
+		{"wanted models get the store before groups", Input{
+			Wants: []Want{{Model: "m4", Weight: 1}}, Groups: []GroupWant{{Model: "m5", Servers: []string{"a", "b"}, Waiting: 3}}, StoreLoadsLeft: 1,
+			Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c", Copies: []Copy{held("m5", 0)}}},
+		}, []Action{{Server: "a", Load: "m4", Source: FromStore, ReadyIn: 6 * time.Second}}},
 		{"Conservative: evicts nothing", Input{
 			Conservative: true, Wants: []Want{{Model: "m5", Weight: 1}},
 			Servers: []Server{{ID: "a", Copies: []Copy{held("m0", 0), held("m1", 0), held("m2", 0)}, OnDisk: []string{"m5"}}},
