test/soak: releases under servers' IDs beside fronts that stand still

About half of the model servers leave as planned and start again under their IDs and addresses with the next version, while a front stands still; 0.1 to 1.3 s after it has woken, links of servers are reset. Callers take broken streams up at any front, and no more than two streams of a run may hold events of two versions. Resumable streams have 30 events, so that they last long enough to break off.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -42,6 +42,7 @@
 	proxy   *proxy
 	id      string
 	llm     bool
+	version int
 	born    int64
 	stopped bool
 }
@@ -179,12 +180,11 @@
 	d.acknowledged.Store(int64(d.documentCount))
 }
 
+// firstVersion is the software version of the servers that start with the deployment.
+const firstVersion = 1
+
 // addServer starts a stand-in server behind a new proxy and announces it.
 func (d *deployment) addServer(id string, llm bool, loadedModels ...string) {
-	sizes := map[string]float64{}
-	for i := range modelCount {
-		sizes[fmt.Sprintf("m%d", i)] = modelSizeMb
-	}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		d.t.Fatal(err)
@@ -193,13 +193,22 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	d.announce(d.startServer(id, llm, firstVersion, lis, p, loadedModels...))
+}
+
+// startServer starts a stand-in server with a software version behind a proxy; announceAll announces it soon.
+func (d *deployment) startServer(id string, llm bool, version int, lis net.Listener, p *proxy, loadedModels ...string) *standinServer {
+	sizes := map[string]float64{}
+	for i := range modelCount {
+		sizes[fmt.Sprintf("m%d", i)] = modelSizeMb
+	}
 	service := "desk"
 	if llm {
 		service = "llm"
 	}
-	s := &standinServer{id: id, llm: llm, proxy: p, born: time.Now().UnixMilli()}
+	s := &standinServer{id: id, llm: llm, version: version, proxy: p, born: time.Now().UnixMilli()}
 	s.server = fake.NewServer(fake.Spec{
-		ID: id, Born: s.born, Service: service, Address: p.address(), Zone: "a", Slots: 16, Sizes: sizes, WeightsMb: 220000, AdapterSlots: 8,
+		ID: id, Born: s.born, Service: service, Address: p.address(), Zone: "a", Version: fmt.Sprintf(`"v%d"`, version), Slots: 16, Sizes: sizes, WeightsMb: 220000, AdapterSlots: 8,
 		OnCrash:  func() { d.crashByRequest(s) },
 		LoadTime: 300 * time.Millisecond, AdapterTime: 8 * time.Millisecond, EventTime: 15 * time.Millisecond, ChecksFence: true, AdapterSizeMb: 60,
 	}, d.executionLog, func() { d.announce(s) }, loadedModels...)
@@ -209,7 +218,7 @@
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	d.announce(s)
+	return s
 }
 
 // announce writes a server's announcement, unless the server has stopped.
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -91,8 +91,20 @@
 	}
 }
 
-// eventsPerStream is the number of events in each streamed answer.
-const eventsPerStream = 6
+// eventsPerStream is the number of events in each streamed answer, and eventsPerResumable that in those that may be
+// resumed, which last long enough to break off.
+const (
+	eventsPerStream    = 6
+	eventsPerResumable = 30
+)
+
+// eventCount returns the number of events in each streamed answer of a kind of request.
+func eventCount(kind string) int {
+	if kind == "resume" {
+		return eventsPerResumable
+	}
+	return eventsPerStream
+}
 
 // sendOne sends one request and checks its answer. It reports whether the answer
 // was complete with status 200. A sound request has no prompt part that may crash servers.
@@ -126,15 +138,18 @@
 		}
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("root:10,%s:20,%s:30", part, id))
 		req.Header.Set("Model", model)
-		req.Header.Set("Token-Counts", fmt.Sprintf("100,%d", eventsPerStream*5))
+		req.Header.Set("Token-Counts", fmt.Sprintf("100,%d", eventCount(kind)*5))
 	}
 	if kind == "unsafe" || kind == "stream" {
 		c.mu.Lock()
 		c.atMostOnceIDs = append(c.atMostOnceIDs, id)
 		c.mu.Unlock()
 	}
-	served := c.checkAnswer(req, kind, id)
+	served, data := c.checkAnswer(req, kind, id)
 	c.countSubjects(req.Header, served)
+	if kind == "resume" && !served && !strings.HasSuffix(id, deadlyPart) {
+		c.takeUp(ctx, rnd, req, id, data)
+	}
 	return served
 }
 
@@ -179,12 +194,13 @@
 	return nil
 }
 
-// checkAnswer sends the request, counts its outcome and checks the answer.
-func (c *loadGenerator) checkAnswer(req *http.Request, kind, id string) bool {
+// checkAnswer sends the request, counts its outcome and checks the answer. It returns the body of an answer with
+// status 200, whole if served is true.
+func (c *loadGenerator) checkAnswer(req *http.Request, kind, id string) (served bool, body string) {
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.countOutcome(kind + " no answer")
-		return false
+		return false, ""
 	}
 	data, err := io.ReadAll(res.Body)
 	_ = res.Body.Close()
@@ -199,7 +215,10 @@
 	case res.StatusCode == http.StatusOK:
 		c.checkOK(kind, id, string(data), err, res.Header)
 	}
-	return res.StatusCode == http.StatusOK && err == nil
+	if res.StatusCode != http.StatusOK {
+		return false, ""
+	}
+	return err == nil, string(data)
 }
 
 // checkOK checks that an answer belongs to the request and that its body is the
@@ -211,7 +230,7 @@
 	want := "served"
 	if kind == "resume" || kind == "stream" {
 		want = ""
-		for n := range eventsPerStream {
+		for n := range eventCount(kind) {
 			want += fake.Event(n + 1)
 		}
 	}
@@ -252,6 +271,9 @@
 	defer c.mu.Unlock()
 	found := append(append([]string{}, c.violations...), c.d.executionLog.Breaches()...)
 	found = append(found, c.checkSubjects()...)
+	if joined := c.joinedStreams(); len(joined) > maxJoinedStreams {
+		found = append(found, fmt.Sprintf("%d streams hold events of two software versions: %v", len(joined), joined))
+	}
 	for _, id := range c.atMostOnceIDs {
 		if runs := c.d.executionLog.Runs(id); len(runs) > 1 {
 			found = append(found, fmt.Sprintf("%s ran %d times: %+v", id, len(runs), runs))
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -51,13 +51,13 @@
 			return
 		}
 		p.mu.Lock()
-		refuseNew := p.refuseNew
+		refuseNew, target := p.refuseNew, p.target
 		p.mu.Unlock()
 		if refuseNew {
 			_ = in.Close()
 			continue
 		}
-		out, err := net.Dial("tcp", p.target)
+		out, err := net.Dial("tcp", target)
 		if err != nil {
 			_ = in.Close()
 			continue
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -168,6 +168,7 @@
 	kinds      int
 	group      conc.WaitGroup
 	newServers int
+	releases   int
 }
 
 // injectOne injects one random fault. It doesn't wait for the end of earlier ones.
@@ -197,6 +198,7 @@
 		{"servers repeat their last responses", h.repeatResponses},
 		{"servers run requests and answer with the status of a rejection", h.misleadCallers},
 		{storeReturns, h.returnStore},
+		{"servers are upgraded under their IDs", h.releaseServers},
 	}
 	if h.kinds > 0 {
 		faults = faults[:h.kinds]
