back/conns: a process that can't report yet is not one without reports

Result: the new case of conns.TestStartIsProvedOnTheConnection passes; it names a new error, so that it wasn't run before the change.

--- a/internal/back/conns/start.go
+++ b/internal/back/conns/start.go
@@ -38,7 +38,7 @@
 	return fmt.Sprintf("the process started at %d instead of %d", e.Start, e.Expected)
 }
 
-// StartlessError reports a process that answers the request for its report without its start.
+// StartlessError reports a process that answers the request for its report without its start, as it knows no reports.
 type StartlessError struct {
 	// Status is that of the response.
 	Status int
@@ -49,6 +49,17 @@
 	return fmt.Sprintf("status %d, and no start of the process", e.Status)
 }
 
+// UnreadyError reports a process that can't answer the request for its report for now.
+type UnreadyError struct {
+	// Status is that of the response.
+	Status int
+}
+
+// Error returns a message with the status.
+func (e *UnreadyError) Error() string {
+	return fmt.Sprintf("no report for now: status %d", e.Status)
+}
+
 // errClosing reports a connection that the instance closes after its report.
 var errClosing = errors.New("the connection ends after the report")
 
@@ -115,6 +126,8 @@
 	isOpen := stop() && !res.Close && len(data) <= maxReportBytes && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0) && c.hasNoMore()
 	start, ok := p.reports.DecodeStart(data)
 	switch {
+	case !ok && (res.StatusCode >= http.StatusInternalServerError || res.StatusCode == http.StatusTooManyRequests):
+		return &UnreadyError{Status: res.StatusCode}
 	case !ok && isOpen:
 		p.putIdle(t, c, reuseTime(res.Header.Get("Keep-Alive")))
 		return &StartlessError{Status: res.StatusCode}
--- a/internal/back/conns/start_test.go
+++ b/internal/back/conns/start_test.go
@@ -36,6 +36,7 @@
 		named    = head + "Content-Length: 11\r\n\r\n{\"Start\":7}"
 		closing  = head + "Connection: close\r\nContent-Length: 11\r\n\r\n{\"Start\":7}"
 		other    = head + "Content-Length: 11\r\n\r\n{\"Start\":8}"
+		busy     = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 		notFound = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 	)
 	mine := answer("a", "Content-Length: 4\r\n", "mine")
@@ -53,6 +54,7 @@
 		{"another process", []string{other, mine}, 0, &ReplacedError{}, 1, 1},
 		{"another process on a used connection", []string{mine, other, mine}, 1, &ReplacedError{}, 1, 1},
 		{"process without a start", []string{notFound, mine}, 0, &StartlessError{}, 1, 1},
+		{"process that can't report yet", []string{busy, mine}, 0, &UnreadyError{}, 1, 1},
 		{"connection that is closed after each report", []string{closing}, 0, errClosing, 3, 3},
 		{"used connection that ends before the report", []string{mine}, 1, errors.New(""), 2, 2},
 		{"connection that ends before the report", nil, 0, errors.New(""), 1, 1},
@@ -81,6 +83,8 @@
 					case *ReplacedError:
 						g.Expect(errors.As(err, &want)).To(BeTrue())
 						g.Expect(*want).To(Equal(ReplacedError{Expected: 7, Start: 8}))
+					case *UnreadyError:
+						g.Expect(errors.As(err, &want)).To(BeTrue())
 					case *StartlessError:
 						g.Expect(errors.As(err, &want)).To(BeTrue())
 						g.Expect(want.Status).To(Equal(http.StatusNotFound))
