front/sched: second copies only of models that other versions hold as well

Cause: while several versions served, each model with one holder at a version got a second copy, also models that no other version holds. Those are no worse off than where one version serves, as their new streams don't begin either, and a release of one server led to loads for all rare models.

Change: a second copy needs a holder at another version.

--- a/internal/front/sched/version.go
+++ b/internal/front/sched/version.go
@@ -22,11 +22,12 @@
 }
 
 // groupWants returns the models of a service that no server of a version holds though requests wait for them there,
-// and, while several versions serve, those that one of several servers of a version holds with streams that could
-// not go on elsewhere. instances are those of the servers, by ID. The caller must hold p.mu.
+// and those that one of several servers of a version holds with streams that could not go on elsewhere, while servers
+// of other versions hold them as well: a model without these is as rare as where one version serves. instances are
+// those of the servers, by ID. The caller must hold p.mu.
 func (p *Planner) groupWants(service string, servers []swap.Server, instances map[string]site.Instance, now time.Time) []swap.GroupWant {
 	versions := map[string]swap.GroupWant{}
-	holders, streams := map[versionModel]int{}, map[versionModel]int{}
+	holders, streams, copies := map[versionModel]int{}, map[versionModel]int{}, map[string]int{}
 	for _, s := range servers {
 		version, born := instances[s.ID].Version, instances[s.ID].Born
 		if version == "" {
@@ -40,6 +41,7 @@
 		for _, c := range s.Copies {
 			key := versionModel{service, version, c.Model}
 			holders[key]++
+			copies[c.Model]++
 			streams[key] += c.InFlight
 		}
 		if s.Loading != "" && !slices.ContainsFunc(s.Copies, func(c swap.Copy) bool { return c.Model == s.Loading }) {
@@ -53,11 +55,11 @@
 			out = append(out, g)
 		}
 	}
-	if len(versions) < 2 || !hasResumableStreams(p.state().Document, service) {
+	if !hasResumableStreams(p.state().Document, service) {
 		return out
 	}
 	for key, n := range streams {
-		if g := versions[key.version]; n > 0 && holders[key] == 1 && len(g.Servers) > 1 {
+		if g := versions[key.version]; n > 0 && holders[key] == 1 && copies[key.model] > 1 && len(g.Servers) > 1 {
 			g.Model, g.Streams = key.model, n
 			out = append(out, g)
 		}
--- a/internal/front/sched/version_test.go
+++ b/internal/front/sched/version_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -54,27 +55,34 @@
 }
 
 // TestVersionsHaveSecondCopies guards against streams that can't go on as the only server of their version with the
-// model fails, against copies for versions without streams, and against copies where one version serves.
+// model fails, against copies for versions without streams, and against copies of models that no other version has.
 func TestVersionsHaveSecondCopies(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// versions are those of four servers, of which the first and the third hold the model.
+		// versions are those of four servers, of which the first and the third hold models; first is the model of the
+		// first one, if it isn't that of the third.
 		versions []string
+		first    string
 		// streams is the number of streams at the third one.
 		streams int
 		want    []string
 	}{
-		{"two versions", []string{"v1", "v1", "v2", "v2"}, 5, []string{"i-0", "i-2", "i-3"}},
-		{"two versions, no streams", []string{"v1", "v1", "v2", "v2"}, 0, []string{"i-0", "i-2"}},
-		{"only server of its version", []string{"v1", "v1", "v2", "v1"}, 5, []string{"i-0", "i-2"}},
-		{"one version", []string{"v1", "v1", "v1", "v1"}, 5, []string{"i-0", "i-2"}},
-		{"unknown versions", []string{"v1", "v1", "", ""}, 5, []string{"i-0", "i-2"}},
+		{"two versions", []string{"v1", "v1", "v2", "v2"}, "", 5, []string{"i-0", "i-2", "i-3"}},
+		{"two versions, no streams", []string{"v1", "v1", "v2", "v2"}, "", 0, []string{"i-0", "i-2"}},
+		{"two versions, held at one", []string{"v1", "v1", "v2", "v2"}, "m1", 5, []string{"i-2"}},
+		{"only server of its version", []string{"v1", "v1", "v2", "v1"}, "", 5, []string{"i-0", "i-2"}},
+		{"one version", []string{"v1", "v1", "v1", "v1"}, "", 5, []string{"i-0", "i-2"}},
+		{"unknown versions", []string{"v1", "v1", "", ""}, "", 5, []string{"i-0", "i-2"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runCluster(t, 0, 1, 2, func(r *cluster) {
 				for i, v := range c.versions {
 					r.version = fmt.Sprintf("%q", v)
-					r.addServer(i, int64(1+i), []string{"m0", "m1"}[i%2])
+					model := []string{"m0", "m1"}[i%2]
+					if i == 0 {
+						model = cmp.Or(c.first, model)
+					}
+					r.addServer(i, int64(1+i), model)
 				}
 				time.Sleep(3 * time.Second)
 				p := r.leader().planner
