--- a/test/procs/untrusted_test.go
+++ b/test/procs/untrusted_test.go
@@ -152,7 +152,11 @@
 
 // serveListener serves a handler on a listener until the test ends or the server is closed.
 func serveListener(group *conc.WaitGroup, lis net.Listener, h http.Handler) *http.Server {
-	server := &http.Server{Handler: h}
+	return startServer(group, lis, &http.Server{Handler: h})
+}
+
+// startServer is serveListener with a server of the caller's.
+func startServer(group *conc.WaitGroup, lis net.Listener, server *http.Server) *http.Server {
 	group.Go(func() { _ = server.Serve(lis) })
 	DeferCleanup(server.Close)
 	return server
--- a/test/procs/versions_test.go
+++ b/test/procs/versions_test.go
@@ -92,11 +92,15 @@
 		ID: "i-" + address, Born: time.Now().UnixMilli(), Service: "llm", Address: address, Zone: "a", Slots: 64, EventTime: 100 * time.Millisecond, Version: version,
 		Sizes: map[string]float64{"m": 70000}, WeightsMb: 220000, AdapterSlots: 8, ChecksFence: true,
 	}, s.executions, func() {}, "m")
-	h := serveListener(&s.group, lis, s.noteConnections(server))
-	h.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connectionKey{}, c)
-	}
+	h := startServer(&s.group, lis, &http.Server{
+		Handler: s.noteConnections(server),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+	})
+	s.mu.Lock()
 	s.servers[version] = append(s.servers[version], h)
+	s.mu.Unlock()
 	s.write(server.Key(), server.Announcement())
 	return func() {
 		server.SetFaults(fake.Faults{SaysLeaving: true})
